Thin path: caller, entry, agent, endpoint and back

Change: shared types with checked reading of JSON with comments, decisions as machines without I/O (queue, placement, gate, limits, budget), frames between entry and agent, both daemons, stand-in endpoints and the all-in-one program.

--- /dev/null
+++ b/crates/agent/src/slot.rs
@@ -0,0 +1,84 @@
+//! The gate of one endpoint, shared between requests, and the slot a started
+//! request holds.
+
+use dogwoodhill_policy::Moment;
+use dogwoodhill_policy::gate::{Ask, Gate, Refusal};
+use dogwoodhill_wire::frame::Load;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+/// A gate with the clock it is driven by. Clones share it.
+#[derive(Clone, Debug)]
+pub struct SharedGate {
+    gate: Arc<Mutex<Gate>>,
+    start: Instant,
+}
+
+impl SharedGate {
+    /// Shares `gate`, with a clock that starts now.
+    pub fn new(gate: Gate) -> Self {
+        Self {
+            gate: Arc::new(Mutex::new(gate)),
+            start: Instant::now(),
+        }
+    }
+
+    /// Decides on a request.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] where it does not start.
+    pub fn admit(&self, ask: &Ask) -> Result<Slot, Refusal> {
+        self.lock().admit(ask)?;
+        Ok(Slot { gate: self.clone() })
+    }
+
+    /// Sets whether new work is refused.
+    pub fn leave(&self, leaving: bool) {
+        self.lock().leave(leaving);
+    }
+
+    /// The load as it is now.
+    pub fn load(&self) -> Load {
+        let gate = self.lock();
+        Load {
+            running: gate.running(),
+            limit: gate.limit(),
+            reserve: gate.reserve(),
+            gap_us: gate.gap().as_micros() as u32,
+            first_us: gate.first().as_micros() as u32,
+            leaving: gate.leaving(),
+        }
+    }
+
+    /// Notes the time to a first token.
+    pub fn saw_first(&self, first: Moment) {
+        self.lock().saw_first(first);
+    }
+
+    /// Notes a token gap, and the gap the class allows.
+    pub fn saw_gap(&self, gap: Moment, allowed: Option<Moment>) {
+        let now = self.start.elapsed();
+        self.lock().saw_gap(now, gap, allowed);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Gate> {
+        // A panic while the lock is held would be a bug in the gate; its
+        // state stays a valid count, so serving on is the better choice.
+        self.gate
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+}
+
+/// A started request's place at the endpoint; its drop gives it back.
+#[derive(Debug)]
+pub struct Slot {
+    gate: SharedGate,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.gate.lock().end();
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+//! Types that every other crate of the router shares.
+//!
+//! The crate exists so that the processes agree on one vocabulary: who sent a
+//! request (workspace), what it may cost (class), where it may run (endpoint)
+//! and how it ended (outcome). It holds no I/O and no clock. Two invariants
+//! hold throughout:
+//!
+//! * text from people (settings and service documents) passes through
+//!   [`text`], which reports every fault at once with file, line, key and
+//!   remedy, and
+//! * an [`outcome::Outcome`] of `not-run` is only ever built where it is known
+//!   that no byte reached the endpoint.
+
+pub mod burn;
+pub mod document;
+pub mod event;
+pub mod fault;
+pub mod ids;
+pub mod keys;
+pub mod outcome;
+pub mod text;
+
+/// The names most modules need, for one import line.
+pub mod prelude {
+    pub use crate::document::{
+        Class, Endpoint, Kind, Repeat, ServiceDocument, State, Workspace,
+    };
+    pub use crate::event::Event;
+    pub use crate::fault::{Fault, Faults};
+    pub use crate::ids::*;
+    pub use crate::outcome::Outcome;
+    pub use crate::text::Section;
+    pub use std::time::Duration;
+}
--- /dev/null
+++ b/crates/core/src/text.rs
@@ -0,0 +1,467 @@
+//! Checked reading of JSON with comments.
+//!
+//! A [`Section`] hands out the fields of one object and collects a fault for
+//! each that is missing, unknown or out of range, so that a person sees every
+//! mistake at once instead of one for each try. A reader that met a fault
+//! still returns a value (a default), which must not be used: the caller asks
+//! [`Text::finish`] and gets either a value or all faults.
+
+use crate::fault::{Fault, Faults};
+use crate::ids::valid_name;
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+/// One text being read, and the faults found so far.
+#[derive(Debug)]
+pub struct Text<'a> {
+    file: &'a str,
+    source: &'a str,
+    faults: RefCell<Vec<Fault>>,
+}
+
+impl<'a> Text<'a> {
+    /// Parses `source` and reads its top object with `read`.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text, sorted by line.
+    pub fn read<T>(
+        file: &'a str,
+        source: &'a str,
+        read: impl FnOnce(&mut Section<'_, 'a>) -> T,
+    ) -> Result<T, Faults> {
+        let text = Self {
+            file,
+            source,
+            faults: RefCell::default(),
+        };
+        let parsed = parse_to_ast(source, &CollectOptions::default(), &options());
+        let value = match parsed {
+            Ok(result) => result.value,
+            Err(error) => {
+                let problem = error.kind().to_string();
+                let offset = error.range().start;
+                text.fault(offset, "(text)", &problem, "write valid JSON with comments");
+                return text.finish(None);
+            }
+        };
+        let Some(Value::Object(object)) = value else {
+            text.fault(
+                0,
+                "(text)",
+                "is not an object",
+                "write one object in braces",
+            );
+            return text.finish(None);
+        };
+        let mut section = Section::new(&text, String::new(), &object);
+        let out = read(&mut section);
+        section.close();
+        text.finish(Some(out))
+    }
+
+    fn finish<T>(self, value: Option<T>) -> Result<T, Faults> {
+        let mut faults = self.faults.into_inner();
+        faults.sort_by_key(|fault| fault.line);
+        match value {
+            Some(value) if faults.is_empty() => Ok(value),
+            _ => Err(Faults(faults)),
+        }
+    }
+
+    fn fault(&self, offset: usize, key: &str, problem: &str, remedy: &str) {
+        let before = &self.source.as_bytes()[..offset.min(self.source.len())];
+        let line = 1 + before.iter().filter(|b| **b == b'\n').count();
+        self.faults.borrow_mut().push(Fault {
+            file: self.file.to_string(),
+            line,
+            key: key.to_string(),
+            problem: problem.to_string(),
+            remedy: remedy.to_string(),
+        });
+    }
+}
+
+/// JSON with comments and trailing commas, and no other leniency.
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// The fields of one object.
+#[derive(Debug)]
+pub struct Section<'t, 'a> {
+    text: &'t Text<'a>,
+    path: String,
+    object: &'t Object<'a>,
+    seen: Vec<String>,
+}
+
+impl<'t, 'a> Section<'t, 'a> {
+    fn new(text: &'t Text<'a>, path: String, object: &'t Object<'a>) -> Self {
+        Self {
+            text,
+            path,
+            object,
+            seen: Vec::new(),
+        }
+    }
+
+    /// Path of `key` from the top of the text.
+    pub fn key(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_string()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+
+    /// Records a fault of `key`.
+    pub fn fault(&self, key: &str, problem: &str, remedy: &str) {
+        let place = self
+            .object
+            .properties
+            .iter()
+            .find(|prop| prop.name.as_str() == key)
+            .map_or(self.object.range.start, |prop| prop.range.start);
+        self.text.fault(place, &self.key(key), problem, remedy);
+    }
+
+    fn value(&mut self, key: &str) -> Option<&'t Value<'a>> {
+        self.seen.push(key.to_string());
+        let found = self
+            .object
+            .properties
+            .iter()
+            .find(|prop| prop.name.as_str() == key);
+        found
+            .map(|prop| &prop.value)
+            .filter(|value| !matches!(value, Value::NullKeyword(_)))
+    }
+
+    /// Tells whether `key` is written.
+    pub fn has(&mut self, key: &str) -> bool {
+        self.value(key).is_some()
+    }
+
+    fn missing(&self, key: &str, what: &str) {
+        self.fault(key, "is missing", &format!("add {key} as {what}"));
+    }
+
+    /// Optional text.
+    pub fn text_or(&mut self, key: &str, default: &str) -> String {
+        match self.value(key) {
+            None => default.to_string(),
+            Some(Value::StringLit(lit)) => lit.value.to_string(),
+            Some(_) => {
+                self.fault(key, "is not text", "write it in double quotes");
+                default.to_string()
+            }
+        }
+    }
+
+    /// Required text.
+    pub fn text(&mut self, key: &str) -> String {
+        if !self.has(key) {
+            self.missing(key, "text");
+            return String::new();
+        }
+        self.text_or(key, "")
+    }
+
+    /// Required name; see [`valid_name`].
+    pub fn name(&mut self, key: &str) -> String {
+        if !self.has(key) {
+            self.missing(key, "a name");
+            return String::new();
+        }
+        self.name_or(key, "")
+    }
+
+    /// Optional name.
+    pub fn name_or(&mut self, key: &str, default: &str) -> String {
+        let name = self.text_or(key, default);
+        if self.has(key) && !valid_name(&name) {
+            let remedy = "use 1 to 64 letters, digits, dots, dashes or underscores, not starting with a dot or dash";
+            self.fault(key, "is not a valid name", remedy);
+        }
+        name
+    }
+
+    /// One word out of `words`; the index of the word.
+    pub fn word(&mut self, key: &str, words: &[&str], default: Option<usize>) -> usize {
+        if !self.has(key) {
+            if default.is_none() {
+                self.missing(key, &format!("one of {}", words.join(", ")));
+            }
+            return default.unwrap_or(0);
+        }
+        let text = self.text_or(key, "");
+        match words.iter().position(|word| *word == text) {
+            Some(index) => index,
+            None => {
+                let remedy = format!("write one of {}", words.join(", "));
+                self.fault(key, &format!("is {text:?}"), &remedy);
+                default.unwrap_or(0)
+            }
+        }
+    }
+
+    /// Whole number within `range`; required where `default` is `None`.
+    pub fn count(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> u64 {
+        let what = format!("a whole number from {} to {}", range.start(), range.end());
+        let fallback = default.unwrap_or(*range.start());
+        match self.value(key) {
+            None => {
+                if default.is_none() {
+                    self.missing(key, &what);
+                }
+                fallback
+            }
+            Some(Value::NumberLit(lit)) => match lit.value.parse::<u64>() {
+                Ok(number) if range.contains(&number) => number,
+                _ => {
+                    let problem = format!("is {}", lit.value);
+                    self.fault(key, &problem, &format!("write {what}"));
+                    fallback
+                }
+            },
+            Some(_) => {
+                self.fault(key, "is not a number", &format!("write {what}"));
+                fallback
+            }
+        }
+    }
+
+    /// Number within `range`; required where `default` is `None`.
+    pub fn number(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<f64>,
+        default: Option<f64>,
+    ) -> f64 {
+        let what = format!("a number from {} to {}", range.start(), range.end());
+        let fallback = default.unwrap_or(*range.start());
+        match self.value(key) {
+            None => {
+                if default.is_none() {
+                    self.missing(key, &what);
+                }
+                fallback
+            }
+            Some(Value::NumberLit(lit)) => match lit.value.parse::<f64>() {
+                Ok(number) if range.contains(&number) => number,
+                _ => {
+                    let problem = format!("is {}", lit.value);
+                    self.fault(key, &problem, &format!("write {what}"));
+                    fallback
+                }
+            },
+            Some(_) => {
+                self.fault(key, "is not a number", &format!("write {what}"));
+                fallback
+            }
+        }
+    }
+
+    /// Optional truth value.
+    pub fn flag(&mut self, key: &str, default: bool) -> bool {
+        match self.value(key) {
+            None => default,
+            Some(Value::BooleanLit(lit)) => lit.value,
+            Some(_) => {
+                self.fault(key, "is not true or false", "write true or false");
+                default
+            }
+        }
+    }
+
+    /// Duration such as `"250ms"` or `"24h"` within `range`; required where
+    /// `default` is `None`.
+    pub fn duration(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<Duration>,
+        default: Option<Duration>,
+    ) -> Duration {
+        let low = humantime::format_duration(*range.start());
+        let high = humantime::format_duration(*range.end());
+        let what = format!("a duration from \"{low}\" to \"{high}\"");
+        let fallback = default.unwrap_or(*range.start());
+        if !self.has(key) {
+            if default.is_none() {
+                self.missing(key, &what);
+            }
+            return fallback;
+        }
+        let text = self.text_or(key, "");
+        match humantime::parse_duration(&text) {
+            Ok(duration) if range.contains(&duration) => duration,
+            _ => {
+                self.fault(key, &format!("is {text:?}"), &format!("write {what}"));
+                fallback
+            }
+        }
+    }
+
+    /// Optional duration without a default.
+    pub fn duration_opt(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<Duration>,
+    ) -> Option<Duration> {
+        if !self.has(key) {
+            return None;
+        }
+        Some(self.duration(key, range, None))
+    }
+
+    /// Required socket address with IP number and port.
+    pub fn address(&mut self, key: &str) -> SocketAddr {
+        let none = SocketAddr::from(([127, 0, 0, 1], 0));
+        if !self.has(key) {
+            self.missing(key, "an address such as \"127.0.0.1:8080\"");
+            return none;
+        }
+        let text = self.text_or(key, "");
+        self.parse_address(key, &text).unwrap_or(none)
+    }
+
+    fn parse_address(&self, key: &str, text: &str) -> Option<SocketAddr> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            let remedy = "write an IP number and a port, such as \"127.0.0.1:8080\"";
+            self.fault(key, &format!("is {text:?}"), remedy);
+        }
+        parsed
+    }
+
+    /// List of texts; an absent key is an empty list.
+    pub fn texts(&mut self, key: &str) -> Vec<String> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let Value::Array(array) = value else {
+            self.fault(key, "is not a list", "write a list in square brackets");
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        for element in &array.elements {
+            match element {
+                Value::StringLit(lit) => out.push(lit.value.to_string()),
+                _ => self.fault(key, "holds something else than text", "quote each item"),
+            }
+        }
+        out
+    }
+
+    /// List of socket addresses; an absent key is an empty list.
+    pub fn addresses(&mut self, key: &str) -> Vec<SocketAddr> {
+        let texts = self.texts(key);
+        texts
+            .iter()
+            .filter_map(|text| self.parse_address(key, text))
+            .collect()
+    }
+
+    /// Reads an optional inner object.
+    pub fn section<T>(
+        &mut self,
+        key: &str,
+        read: impl FnOnce(&mut Self) -> T,
+    ) -> Option<T> {
+        let value = self.value(key)?;
+        let Value::Object(object) = value else {
+            self.fault(key, "is not an object", "write an object in braces");
+            return None;
+        };
+        let mut inner = Section::new(self.text, self.key(key), object);
+        let out = read(&mut inner);
+        inner.close();
+        Some(out)
+    }
+
+    /// Reads a list of objects; an absent key is an empty list.
+    pub fn sections<T>(
+        &mut self,
+        key: &str,
+        mut read: impl FnMut(&mut Self) -> T,
+    ) -> Vec<T> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let Value::Array(array) = value else {
+            self.fault(key, "is not a list", "write a list in square brackets");
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        for (i, element) in array.elements.iter().enumerate() {
+            let path = format!("{}[{i}]", self.key(key));
+            let Value::Object(object) = element else {
+                let at = element.range().start;
+                self.text.fault(
+                    at,
+                    &path,
+                    "is not an object",
+                    "write an object in braces",
+                );
+                continue;
+            };
+            let mut inner = Section::new(self.text, path, object);
+            out.push(read(&mut inner));
+            inner.close();
+        }
+        out
+    }
+
+    /// Records a fault for each key that was never asked for or stands twice.
+    fn close(&self) {
+        let mut names: Vec<&str> = Vec::new();
+        for prop in &self.object.properties {
+            let name = prop.name.as_str();
+            let at = prop.range.start;
+            if !self.seen.iter().any(|seen| seen == name) {
+                let known = self.known();
+                let remedy = format!("remove it or use one of {known}");
+                self.text
+                    .fault(at, &self.key(name), "is an unknown key", &remedy);
+            }
+            if names.contains(&name) {
+                self.text.fault(
+                    at,
+                    &self.key(name),
+                    "is written twice",
+                    "keep one of them",
+                );
+            }
+            names.push(name);
+        }
+    }
+
+    fn known(&self) -> String {
+        let mut names = self.seen.clone();
+        names.sort();
+        names.dedup();
+        names.join(", ")
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,167 @@
+//! The `main` of every daemon.
+
+use crate::drain::Drain;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use dogwoodhill_core::event::Event;
+use dogwoodhill_core::fault::Faults;
+use std::fmt::Debug;
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for a usage or settings error.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code for a failure at run time.
+pub const EXIT_FAILURE: u8 = 1;
+/// Environment variable that sets log levels.
+const LOG_VARIABLE: &str = "DOGWOODHILL_LOG";
+/// Log levels where the variable is not set.
+const LOG_DEFAULT: &str = "info";
+
+/// A daemon that a program can start.
+pub trait Daemon: Sized {
+    /// Name of the program.
+    const NAME: &'static str;
+    /// One line for `--help`.
+    const ABOUT: &'static str;
+    /// Its settings.
+    type Settings;
+
+    /// Reads settings from text; `file` names it in messages.
+    ///
+    /// # Errors
+    ///
+    /// Every fault in the text.
+    fn settings(file: &str, text: &str) -> Result<Self::Settings, Faults>;
+
+    /// Runs until the drain is complete.
+    fn run(
+        settings: Self::Settings,
+        drain: Drain,
+    ) -> impl Future<Output = Result<(), String>> + Send;
+}
+
+/// Command line shared by all daemons.
+pub fn command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("Settings, as JSON with comments"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+/// Runs a daemon as a program.
+pub fn main<D: Daemon>() -> ExitCode {
+    start_log();
+    let matches = command(D::NAME, D::ABOUT).get_matches();
+    let settings = match read::<D>(&matches) {
+        Ok(settings) => settings,
+        Err(text) => {
+            eprintln!("{text}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    block_on(|drain| D::run(settings, drain))
+}
+
+fn read<D: Daemon>(matches: &ArgMatches) -> Result<D::Settings, String> {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires it");
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        format!("{file}: {error}; name a readable file of UTF-8 text")
+    })?;
+    D::settings(&file, &text).map_err(|faults| faults.to_string())
+}
+
+/// Runs `work` on a runtime of several threads with a drain that signals
+/// begin; a second signal ends the process at once.
+pub fn block_on<W, F, E>(work: W) -> ExitCode
+where
+    W: FnOnce(Drain) -> F,
+    F: Future<Output = Result<(), E>>,
+    E: std::fmt::Display,
+{
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("can't start the runtime: {error}; raise the process limits");
+            return ExitCode::from(EXIT_FAILURE);
+        }
+    };
+    let drain = Drain::default();
+    runtime.spawn(follow_signals(drain.clone()));
+    match runtime.block_on(work(drain)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+async fn follow_signals(drain: Drain) {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        Event::new("signals-unavailable").error();
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        if drain.begun() {
+            Event::new("stopped-by-second-signal").warn();
+            std::process::exit(EXIT_FAILURE.into());
+        }
+        Event::new("drain-begun").info();
+        drain.begin();
+    }
+}
+
+/// Sets up logging: one line for each event on standard error.
+pub fn start_log() {
+    let environment = env_logger::Env::new().filter_or(LOG_VARIABLE, LOG_DEFAULT);
+    let _ = env_logger::Builder::from_env(environment)
+        .format(|out, record| {
+            let at = std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .unwrap_or_default();
+            let level = record.level().as_str().to_ascii_lowercase();
+            writeln!(
+                out,
+                "time={}.{:03} level={level} {}",
+                at.as_secs(),
+                at.subsec_millis(),
+                record.args()
+            )
+        })
+        .try_init();
+}
+
+/// Turns any error into the text a program prints.
+pub fn describe(error: impl Debug) -> String {
+    format!("{error:?}")
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decisions on the path of a request, as state machines without I/O.
+//!
+//! Everything here is driven by events and a `now` that the caller passes in;
+//! randomness comes from a source that is passed in as well. That makes each
+//! decision testable without sockets, replayable, and cheap to measure. The
+//! parts, from the caller's side to the endpoint's:
+//!
+//! * [`quota`]: a workspace's limits on requests in flight and per second;
+//! * [`queue`]: requests that wait in the entry, ordered by tier, slack and
+//!   workspace share, bounded in count and bytes;
+//! * [`view`]: what an entry believes of one endpoint's load;
+//! * [`place`]: the choice of an endpoint;
+//! * [`dispatch`]: the three above joined into one machine per service;
+//! * [`budget`]: how many retries a service may add to its load;
+//! * [`gate`]: the agent's decision to start or refuse, with [`limit`], the
+//!   number of requests its endpoint can run at once, learned from token gaps.
+//!
+//! Times are durations since a start that the caller fixes (its own clock),
+//! since only differences matter.
+
+pub mod budget;
+pub mod dispatch;
+pub mod gate;
+pub mod limit;
+pub mod place;
+pub mod queue;
+pub mod quota;
+pub mod view;
+
+/// A point in time: the duration since the caller's clock started.
+pub type Moment = std::time::Duration;
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,280 @@
+//! The choice of an endpoint for one request.
+//!
+//! [`Predicted`] is the product's own policy; the others are the baselines it
+//! is measured against and stay in the code for that reason.
+
+use crate::Moment;
+use crate::view::View;
+use derive_more::Display;
+use dogwoodhill_core::ids::{DomainId, Tier};
+use rand::Rng;
+use rand::RngExt;
+
+/// Random candidates that are compared for one request.
+pub const CANDIDATES: usize = 3;
+/// An endpoint slower than this many times the median of its peers is a
+/// straggler and only used when nothing else has room.
+pub const STRAGGLER: f64 = 3.0;
+/// Fewest endpoints among which a straggler can be told.
+const PEERS: usize = 3;
+
+/// What a choice depends on besides the views.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    /// Present time.
+    pub now: Moment,
+    /// Tier of the request.
+    pub tier: Tier,
+    /// Whether the class is owed this start.
+    pub due: bool,
+}
+
+/// Chooses an endpoint.
+pub trait Placement: Send + std::fmt::Debug {
+    /// Index of the chosen view, or `None` where the request has to wait.
+    /// `tried` holds indices that refused this request already.
+    fn pick(
+        &mut self,
+        views: &[View],
+        wish: &Wish,
+        tried: &[usize],
+        random: &mut dyn Rng,
+    ) -> Option<usize>;
+
+    /// Whether requests wait in the order of tiers (true) or in one queue
+    /// first come, first served.
+    fn tiered(&self) -> bool;
+}
+
+/// Names of the policies, as settings write them.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Policy {
+    /// [`Predicted`].
+    #[default]
+    #[display("predicted")]
+    Predicted,
+    /// [`Random`].
+    #[display("random")]
+    Random,
+    /// [`RoundRobin`].
+    #[display("round-robin")]
+    RoundRobin,
+    /// [`LeastLoad`].
+    #[display("least-load")]
+    LeastLoad,
+}
+
+impl Policy {
+    /// All policies, in the order of [`Self::WORDS`].
+    pub const ALL: [Self; 4] = [
+        Self::Predicted,
+        Self::Random,
+        Self::RoundRobin,
+        Self::LeastLoad,
+    ];
+    /// Their names in settings.
+    pub const WORDS: [&'static str; 4] =
+        ["predicted", "random", "round-robin", "least-load"];
+
+    /// Makes the policy for an entry in `domain`.
+    pub fn build(self, domain: DomainId) -> Box<dyn Placement> {
+        match self {
+            Self::Predicted => Box::new(Predicted::new(domain)),
+            Self::Random => Box::new(Random),
+            Self::RoundRobin => Box::new(RoundRobin::default()),
+            Self::LeastLoad => Box::new(LeastLoad),
+        }
+    }
+}
+
+/// A few random candidates with room, in the own failure domain first, and of
+/// those the one with the least believed cost. Randomness keeps entries with
+/// the same stale reports from choosing the same endpoint.
+#[derive(Debug)]
+pub struct Predicted {
+    domain: DomainId,
+}
+
+impl Predicted {
+    /// Policy of an entry in `domain`.
+    pub fn new(domain: DomainId) -> Self {
+        Self { domain }
+    }
+
+    fn sample(
+        &self,
+        views: &[View],
+        wish: &Wish,
+        random: &mut dyn Rng,
+        fits: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        let count = views.len();
+        let start = random.random_range(0..count);
+        // A random start and a stride that has no common divisor with the
+        // count visit every view once, in an order that differs per request.
+        let stride = coprime(count, random.random_range(1..=count));
+        let mut best: Option<usize> = None;
+        let mut found = 0;
+        for step in 0..count {
+            let i = (start + step * stride) % count;
+            if !fits(i) || !views[i].room(wish.now, wish.tier, wish.due) {
+                continue;
+            }
+            let cheaper = best
+                .is_none_or(|best| views[i].cost(wish.now) < views[best].cost(wish.now));
+            if cheaper {
+                best = Some(i);
+            }
+            found += 1;
+            if found == CANDIDATES {
+                break;
+            }
+        }
+        best
+    }
+}
+
+impl Placement for Predicted {
+    fn pick(
+        &mut self,
+        views: &[View],
+        wish: &Wish,
+        tried: &[usize],
+        random: &mut dyn Rng,
+    ) -> Option<usize> {
+        if views.is_empty() {
+            return None;
+        }
+        let bound = straggler_bound(views);
+        let fresh = |i: usize| !tried.contains(&i);
+        let quick = |i: usize| fresh(i) && views[i].speed() <= bound;
+        let near = |i: usize| quick(i) && views[i].domain == self.domain;
+        self.sample(views, wish, random, near)
+            .or_else(|| self.sample(views, wish, random, quick))
+            .or_else(|| self.sample(views, wish, random, fresh))
+    }
+
+    fn tiered(&self) -> bool {
+        true
+    }
+}
+
+/// Speed above which a view is a straggler: a multiple of the median of a
+/// bounded sample of the views with a known speed.
+fn straggler_bound(views: &[View]) -> f64 {
+    const SAMPLE: usize = 32;
+    let step = views.len().div_ceil(SAMPLE).max(1);
+    let mut speeds: Vec<f64> = views
+        .iter()
+        .step_by(step)
+        .map(View::speed)
+        .filter(|speed| *speed > 0.0)
+        .collect();
+    if speeds.len() < PEERS {
+        return f64::INFINITY;
+    }
+    let middle = speeds.len() / 2;
+    let (_, median, _) = speeds.select_nth_unstable_by(middle, f64::total_cmp);
+    *median * STRAGGLER
+}
+
+fn coprime(count: usize, wanted: usize) -> usize {
+    let mut stride = wanted.max(1);
+    while gcd(stride, count) != 1 {
+        stride += 1;
+    }
+    stride
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    if b == 0 { a } else { gcd(b, a % b) }
+}
+
+fn open(views: &[View], wish: &Wish, tried: &[usize]) -> Vec<usize> {
+    (0..views.len())
+        .filter(|i| views[*i].open(wish.now) && !tried.contains(i))
+        .collect()
+}
+
+/// Baseline: any open endpoint, whatever its load.
+#[derive(Debug)]
+pub struct Random;
+
+impl Placement for Random {
+    fn pick(
+        &mut self,
+        views: &[View],
+        wish: &Wish,
+        tried: &[usize],
+        random: &mut dyn Rng,
+    ) -> Option<usize> {
+        let open = open(views, wish, tried);
+        if open.is_empty() {
+            return None;
+        }
+        Some(open[random.random_range(0..open.len())])
+    }
+
+    fn tiered(&self) -> bool {
+        false
+    }
+}
+
+/// Baseline: one endpoint after the other.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Placement for RoundRobin {
+    fn pick(
+        &mut self,
+        views: &[View],
+        wish: &Wish,
+        tried: &[usize],
+        _random: &mut dyn Rng,
+    ) -> Option<usize> {
+        let open = open(views, wish, tried);
+        if open.is_empty() {
+            return None;
+        }
+        self.next = self.next.wrapping_add(1);
+        Some(open[self.next % open.len()])
+    }
+
+    fn tiered(&self) -> bool {
+        false
+    }
+}
+
+/// Baseline: the endpoint whose last report named the fewest requests.
+#[derive(Debug)]
+pub struct LeastLoad;
+
+impl Placement for LeastLoad {
+    fn pick(
+        &mut self,
+        views: &[View],
+        wish: &Wish,
+        tried: &[usize],
+        random: &mut dyn Rng,
+    ) -> Option<usize> {
+        let open = open(views, wish, tried);
+        let least = open
+            .iter()
+            .map(|i| views[*i].reported())
+            .fold(f64::INFINITY, f64::min);
+        let tied: Vec<usize> = open
+            .into_iter()
+            .filter(|i| views[*i].reported() <= least)
+            .collect();
+        if tied.is_empty() {
+            return None;
+        }
+        Some(tied[random.random_range(0..tied.len())])
+    }
+
+    fn tiered(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quota.rs
@@ -0,0 +1,105 @@
+//! A workspace's limits on requests in flight and per second.
+//!
+//! Limits hold for the whole deployment. Each of `n` entries applies `1/n` of
+//! them to its own callers, so no call needs a central hop. The error: with
+//! callers spread unevenly by the balancer a workspace may be held below its
+//! limit (at worst to `1/n` of it, when one entry gets all of its calls), and
+//! while entries disagree on `n` the sum may pass the limit by the ratio of
+//! their counts. A share is never below one request.
+
+use crate::Moment;
+
+/// Seconds of unused rate a workspace may save up for a burst.
+const BURST_SECONDS: f64 = 1.0;
+
+/// Why a request is over its workspace's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Excess {
+    /// Too many requests in flight.
+    InFlight,
+    /// Too many requests a second; one fits again after this long.
+    Rate(Moment),
+}
+
+/// Counts of one workspace in one entry.
+#[derive(Clone, Debug)]
+pub struct Quota {
+    in_flight: u32,
+    saved: f64,
+    seen: Moment,
+}
+
+/// Limits of one workspace, as its document states them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Most requests in flight over all entries.
+    pub in_flight: Option<u32>,
+    /// Most requests a second over all entries.
+    pub rate: Option<f64>,
+    /// Number of entries that share the limits.
+    pub entries: u32,
+}
+
+impl Limits {
+    fn flight_share(&self) -> Option<u32> {
+        let entries = self.entries.max(1);
+        self.in_flight.map(|limit| limit.div_ceil(entries).max(1))
+    }
+
+    fn rate_share(&self) -> Option<f64> {
+        self.rate.map(|rate| rate / f64::from(self.entries.max(1)))
+    }
+}
+
+impl Quota {
+    /// Starts counting at `now` with a full burst saved up.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            in_flight: 0,
+            saved: f64::INFINITY,
+            seen: now,
+        }
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Takes one request in.
+    ///
+    /// # Errors
+    ///
+    /// [`Excess`] where a limit is met; nothing is counted then.
+    pub fn take(&mut self, now: Moment, limits: &Limits) -> Result<(), Excess> {
+        if limits
+            .flight_share()
+            .is_some_and(|most| self.in_flight >= most)
+        {
+            return Err(Excess::InFlight);
+        }
+        if let Some(rate) = limits.rate_share() {
+            self.refill(now, rate);
+            if self.saved < 1.0 {
+                let wait = (1.0 - self.saved) / rate;
+                return Err(Excess::Rate(Moment::from_secs_f64(wait.min(3600.0))));
+            }
+            self.saved -= 1.0;
+        }
+        self.in_flight += 1;
+        Ok(())
+    }
+
+    /// Notes that a request ended.
+    pub fn release(&mut self) {
+        debug_assert!(self.in_flight > 0, "release without take");
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    fn refill(&mut self, now: Moment, rate: f64) {
+        let most = (rate * BURST_SECONDS).max(1.0);
+        let earned = now.saturating_sub(self.seen).as_secs_f64() * rate;
+        self.saved = (self.saved + earned).min(most);
+        self.seen = now;
+    }
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,87 @@
+//! Frames of an agent's answer.
+
+use crate::attempt::Header;
+use bytes::Bytes;
+use derive_more::Display;
+use dogwoodhill_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// How loaded an endpoint is, as its agent counts it now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests started and not ended, whoever sent them.
+    pub running: u32,
+    /// Most requests the agent lets run at once.
+    pub limit: u32,
+    /// Slots kept free for each tier step; see the agent's gate.
+    pub reserve: u32,
+    /// Mean time between tokens lately, in microseconds; 0 where unknown.
+    pub gap_us: u32,
+    /// Mean time to the first token lately, in microseconds; 0 where unknown.
+    pub first_us: u32,
+    /// Whether the endpoint takes no new work.
+    pub leaving: bool,
+}
+
+/// Why an agent refused an attempt. All but [`Reason::Repeated`] say that no
+/// byte reached the endpoint.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// No free slot for this tier.
+    #[display("full")]
+    Full,
+    /// The endpoint is being taken out of use.
+    #[display("leaving")]
+    Leaving,
+    /// The endpoint accepts no connection.
+    #[display("unreachable")]
+    Unreachable,
+    /// The attempt was delivered before. This delivery started nothing, but
+    /// the earlier one may have.
+    #[display("repeated")]
+    Repeated,
+    /// The attempt names another endpoint, service or fencing number.
+    #[display("misdirected")]
+    Misdirected,
+    /// Too little time was left to start.
+    #[display("late")]
+    Late,
+}
+
+/// What one frame says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// The attempt was not run and never will be.
+    Refused(Reason),
+    /// The endpoint's status and headers.
+    Head {
+        /// HTTP status.
+        status: u16,
+        /// End-to-end headers.
+        headers: Vec<Header>,
+    },
+    /// Part of the endpoint's body.
+    Chunk(Bytes),
+    /// The answer is complete.
+    End {
+        /// Bytes in all chunks together.
+        bytes: u64,
+        /// Tokens in the answer; 0 for plain services.
+        tokens: u32,
+    },
+    /// The answer broke off; the request may have run.
+    Broken(String),
+}
+
+/// One frame.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Frame {
+    /// Attempt the frame belongs to.
+    pub attempt: AttemptId,
+    /// Position in the answer, from 0.
+    pub seq: u32,
+    /// The agent's load, on the first and the last frame.
+    pub load: Option<Load>,
+    /// Content.
+    pub body: Body,
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests over real sockets on loopback, by feature.
+
+mod path;
+mod support;
