--- /dev/null
+++ b/crates/consensus/src/members.rs
@@ -0,0 +1,79 @@
+//! Who takes part in the log.
+
+use crate::NodeId;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// One instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Identity.
+    pub id: NodeId,
+    /// Name from its settings; it survives a lost disk, the id does not.
+    pub name: String,
+    /// Address of its internal listener.
+    pub address: SocketAddr,
+    /// Whether it votes. A learner only follows.
+    pub voter: bool,
+}
+
+/// All instances, sorted by id.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members(Vec<Member>);
+
+impl Members {
+    /// Members out of a list.
+    pub fn new(mut list: Vec<Member>) -> Self {
+        list.sort_by_key(|member| member.id);
+        Self(list)
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.0.iter()
+    }
+
+    /// The one with this id.
+    pub fn get(&self, id: NodeId) -> Option<&Member> {
+        let at = self.0.binary_search_by_key(&id, |member| member.id);
+        at.ok().map(|at| &self.0[at])
+    }
+
+    /// Whether this id votes.
+    pub fn votes(&self, id: NodeId) -> bool {
+        self.get(id).is_some_and(|member| member.voter)
+    }
+
+    /// Those who vote.
+    pub fn voters(&self) -> impl Iterator<Item = NodeId> {
+        self.0
+            .iter()
+            .filter(|member| member.voter)
+            .map(|member| member.id)
+    }
+
+    /// Smallest number of voters that is more than half of them.
+    pub fn majority(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// The same with `member` added or replaced.
+    #[must_use]
+    pub fn with(&self, member: Member) -> Self {
+        let mut list = self.without(member.id).0;
+        list.push(member);
+        Self::new(list)
+    }
+
+    /// The same without `id`.
+    #[must_use]
+    pub fn without(&self, id: NodeId) -> Self {
+        Self(
+            self.0
+                .iter()
+                .filter(|member| member.id != id)
+                .cloned()
+                .collect(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/message.rs
@@ -0,0 +1,89 @@
+//! Messages between instances.
+
+use crate::log::{Entry, Snapshot};
+use crate::{Index, NodeId, Term};
+use serde::{Deserialize, Serialize};
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Sender.
+    pub from: NodeId,
+    /// Receiver.
+    pub to: NodeId,
+    /// Sender's term; for a pre-vote the term it would start.
+    pub term: Term,
+    /// Content.
+    pub body: Body,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Would the receiver vote for the sender?
+    PreVote(Ballot),
+    /// Answer to [`Body::PreVote`].
+    PreVoteReply {
+        /// Whether it would.
+        granted: bool,
+    },
+    /// Asks for a vote.
+    Vote(Ballot),
+    /// Answer to [`Body::Vote`].
+    VoteReply {
+        /// Whether the vote is given.
+        granted: bool,
+    },
+    /// Entries, or a heartbeat without any.
+    Append(Append),
+    /// Answer to [`Body::Append`] and [`Body::Install`].
+    AppendReply(Appended),
+    /// A snapshot for one that is too far behind.
+    Install {
+        /// Round of confirmation it belongs to.
+        round: u64,
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
+    /// Asks the receiver to start an election at once, because the leader is
+    /// about to stop.
+    TakeOver,
+}
+
+/// What a voter has to know of a candidate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Last position of the candidate's log.
+    pub last: Index,
+    /// Its term.
+    pub last_term: Term,
+    /// Whether the leader asked for this election.
+    pub handed: bool,
+}
+
+/// Entries from a leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Append {
+    /// Position before the first entry.
+    pub prev: Index,
+    /// Its term.
+    pub prev_term: Term,
+    /// Entries, which may be none.
+    pub entries: Vec<Entry>,
+    /// Last committed position.
+    pub commit: Index,
+    /// Round of confirmation; an answer repeats it.
+    pub round: u64,
+}
+
+/// A follower's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appended {
+    /// Whether the entries fit the follower's log.
+    pub fits: bool,
+    /// Where they fit, the last position known to agree; else the last that
+    /// may.
+    pub index: Index,
+    /// Round that is answered.
+    pub round: u64,
+}
--- /dev/null
+++ b/crates/consensus/tests/node.rs
@@ -0,0 +1,187 @@
+//! Single rules of the log that a random walk seldom puts to the test.
+
+use dogwoodhill_consensus::log::{Entry, Payload};
+use dogwoodhill_consensus::members::{Member, Members};
+use dogwoodhill_consensus::message::{Appended, Ballot, Body, Message};
+use dogwoodhill_consensus::node::{Durable, Node, Refused, Timing};
+use dogwoodhill_consensus::ready::{Hard, Ready};
+use dogwoodhill_consensus::{Index, Moment, NodeId, Term};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::net::SocketAddr;
+
+const LATE: Moment = Moment::from_secs(10);
+
+fn member(id: NodeId) -> Member {
+    Member {
+        id,
+        name: format!("control-{id}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        voter: true,
+    }
+}
+
+fn entry(index: Index, term: Term) -> Entry {
+    let payload = match index {
+        1 => Payload::Members(Members::new([1, 2, 3].map(member).to_vec())),
+        _ => Payload::Command(vec![index as u8]),
+    };
+    Entry {
+        index,
+        term,
+        payload,
+    }
+}
+
+fn node(hard: Hard, entries: Vec<Entry>) -> Node<SmallRng> {
+    let durable = Durable {
+        hard,
+        entries,
+        ..Durable::default()
+    };
+    let random = SmallRng::seed_from_u64(7);
+    Node::new(1, Timing::default(), durable, Moment::ZERO, random)
+}
+
+fn flush(node: &mut Node<SmallRng>) -> Ready {
+    let ready = node.take_ready();
+    node.synced(ready.mark);
+    ready
+}
+
+fn message(from: NodeId, term: Term, body: Body) -> Message {
+    Message {
+        from,
+        to: 1,
+        term,
+        body,
+    }
+}
+
+fn vote(from: NodeId, term: Term) -> Message {
+    let ballot = Ballot {
+        last: 9,
+        last_term: 9,
+        handed: false,
+    };
+    message(from, term, Body::Vote(ballot))
+}
+
+fn granted(ready: &Ready) -> bool {
+    let yes = Body::VoteReply { granted: true };
+    ready.synced.iter().any(|message| message.body == yes)
+}
+
+#[test]
+fn vote_second_candidate_refused() {
+    let mut node = node(Hard::default(), vec![entry(1, 1)]);
+    node.receive(LATE, vote(2, 5));
+    assert!(granted(&flush(&mut node)));
+    node.receive(LATE, vote(3, 5));
+    assert!(!granted(&flush(&mut node)));
+    node.receive(LATE, vote(2, 5));
+    assert!(
+        granted(&flush(&mut node)),
+        "the same candidate may ask again"
+    );
+}
+
+#[test]
+fn vote_survives_restart() {
+    let mut first = node(Hard::default(), vec![entry(1, 1)]);
+    first.receive(LATE, vote(2, 5));
+    let ready = flush(&mut first);
+    let hard = ready.hard.expect("a vote is made durable");
+    let mut again = node(hard, vec![entry(1, 1)]);
+    again.receive(LATE, vote(3, 5));
+    assert!(!granted(&flush(&mut again)));
+}
+
+#[test]
+fn vote_own_survives_restart() {
+    let mut first = node(Hard::default(), vec![entry(1, 1)]);
+    let hard = campaign(&mut first);
+    let mut again = node(hard, vec![entry(1, 1)]);
+    again.receive(LATE, vote(3, hard.term));
+    assert!(!granted(&flush(&mut again)));
+}
+
+/// Lets the node win its pre-vote; the durable state it asks for.
+fn campaign(node: &mut Node<SmallRng>) -> Hard {
+    node.tick(LATE);
+    flush(node);
+    let term = node.term() + 1;
+    let body = Body::PreVoteReply { granted: true };
+    node.receive(LATE, message(2, term, body));
+    flush(node).hard.expect("a candidacy is made durable")
+}
+
+fn leader(entries: Vec<Entry>) -> Node<SmallRng> {
+    let hard = Hard {
+        term: 3,
+        vote: None,
+    };
+    let mut node = node(hard, entries);
+    let term = campaign(&mut node).term;
+    node.receive(LATE, message(2, term, Body::VoteReply { granted: true }));
+    assert!(node.leads());
+    flush(&mut node);
+    node
+}
+
+fn matched(from: NodeId, term: Term, index: Index) -> Message {
+    let reply = Appended {
+        fits: true,
+        index,
+        round: 0,
+    };
+    message(from, term, Body::AppendReply(reply))
+}
+
+#[test]
+fn commit_earlier_term_waits() {
+    // The case of figure 8 in the Raft paper: an entry of an earlier term on
+    // a majority is not committed by counting alone.
+    let mut node = leader(vec![entry(1, 1), entry(2, 2)]);
+    let term = node.term();
+    node.receive(LATE, matched(2, term, 2));
+    assert_eq!(node.commit(), 0);
+    node.receive(LATE, matched(2, term, 3));
+    assert_eq!(node.commit(), 3);
+}
+
+#[test]
+fn commit_waits_for_own_sync() {
+    let mut node = leader(vec![entry(1, 1)]);
+    let term = node.term();
+    node.receive(LATE, matched(2, term, 2));
+    flush(&mut node);
+    let index = node.propose(vec![1]).unwrap();
+    let ready = node.take_ready();
+    node.receive(LATE, matched(2, term, index));
+    assert!(node.commit() < index, "own copy is not durable yet");
+    node.synced(ready.mark);
+    assert_eq!(node.commit(), index);
+}
+
+#[test]
+fn change_second_refused_until_committed() {
+    let mut node = leader(vec![entry(1, 1)]);
+    let term = node.term();
+    assert_eq!(node.add(LATE, member(4)), Err(Refused::ChangeInProgress));
+    node.receive(LATE, matched(2, term, 2));
+    assert_eq!(node.add(LATE, member(4)), Ok(()));
+    assert_eq!(node.add(LATE, member(5)), Err(Refused::ChangeInProgress));
+    assert!(
+        !node.members().votes(4),
+        "a new instance only follows at first"
+    );
+}
+
+#[test]
+fn take_over_by_learner_ignored() {
+    let mut node = node(Hard::default(), Vec::new());
+    node.receive(LATE, message(2, 1, Body::TakeOver));
+    assert!(!node.leads());
+    assert_eq!(node.term(), 1);
+}
