--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,285 @@
+//! The store under crashes, damage and failing disks.
+
+use dogwoodhill_consensus::log::{Entry, Payload, Snapshot};
+use dogwoodhill_consensus::node::Durable;
+use dogwoodhill_consensus::ready::Hard;
+use dogwoodhill_store::files::Files;
+use dogwoodhill_store::memory::{MemoryFiles, Tear};
+use dogwoodhill_store::record::{HEADER, VERSION};
+use dogwoodhill_store::{Batch, DiskFiles, Identity, Store, StoreError};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const IDENTITY: Identity = Identity {
+    cluster: 7,
+    node: 9,
+};
+const LOG: &str = "log-000000000000";
+
+fn entry(index: u64) -> Entry {
+    Entry {
+        index,
+        term: 1,
+        payload: Payload::Command(index.to_be_bytes().to_vec()),
+    }
+}
+
+fn write(store: &mut Store, indices: std::ops::RangeInclusive<u64>) {
+    let append: Vec<Entry> = indices.map(entry).collect();
+    let batch = Batch {
+        append: &append,
+        ..Batch::default()
+    };
+    store.write(&batch).unwrap();
+}
+
+fn create(files: &MemoryFiles) -> Store {
+    Store::create(Box::new(files.clone()), IDENTITY)
+        .unwrap()
+        .store
+}
+
+fn open(files: &MemoryFiles) -> Result<Durable, StoreError> {
+    Store::open(Box::new(files.clone())).map(|opened| opened.durable)
+}
+
+const LOST: Tear = Tear {
+    kept: 0,
+    damaged: false,
+};
+
+#[test]
+fn open_returns_what_was_written() {
+    let files = MemoryFiles::default();
+    let mut store = create(&files);
+    write(&mut store, 1..=3);
+    let hard = Hard {
+        term: 4,
+        vote: Some(2),
+    };
+    let batch = Batch {
+        hard: Some(hard),
+        truncate: Some(3),
+        append: &[],
+    };
+    store.write(&batch).unwrap();
+    files.crash(LOST);
+    let durable = open(&files).unwrap();
+    assert_eq!(durable.hard, hard);
+    assert_eq!(durable.entries, vec![entry(1), entry(2)]);
+}
+
+#[test]
+fn open_empty_refused() {
+    let error = open(&MemoryFiles::default()).unwrap_err();
+    insta::assert_snapshot!(error, @"the data folder holds no state; start once with --bootstrap for a new cluster, or with --join to join one");
+}
+
+#[test]
+fn create_occupied_refused() {
+    let files = MemoryFiles::default();
+    create(&files);
+    let again = Store::create(Box::new(files), IDENTITY);
+    assert!(matches!(again, Err(StoreError::Occupied)));
+}
+
+#[test]
+fn open_damaged_last_batch_cut() {
+    let files = MemoryFiles::default();
+    let mut store = create(&files);
+    write(&mut store, 1..=1);
+    let size = store.size();
+    write(&mut store, 2..=2);
+    files.damage(LOG, size + 20);
+    assert_eq!(open(&files).unwrap().entries, vec![entry(1)]);
+    // What was cut stays cut, and the log can be written on.
+    let mut store = Store::open(Box::new(files.clone())).unwrap().store;
+    write(&mut store, 2..=2);
+    assert_eq!(open(&files).unwrap().entries.len(), 2);
+}
+
+#[test]
+fn open_damaged_earlier_batch_refused() {
+    let files = MemoryFiles::default();
+    let mut store = create(&files);
+    write(&mut store, 1..=1);
+    let size = store.size();
+    write(&mut store, 2..=2);
+    write(&mut store, 3..=3);
+    files.damage(LOG, size + 20);
+    let error = open(&files).unwrap_err();
+    assert!(matches!(error, StoreError::Corrupt { offset, .. } if offset == size));
+    assert_eq!(
+        files.read(LOG).unwrap().len(),
+        store.size(),
+        "nothing is cut"
+    );
+}
+
+#[test]
+fn open_foreign_refused() {
+    let files = MemoryFiles::default();
+    create(&files);
+    files.damage("identity", 0);
+    assert!(matches!(open(&files), Err(StoreError::Foreign { .. })));
+}
+
+#[test]
+fn open_newer_refused() {
+    let files = MemoryFiles::default();
+    create(&files);
+    files.damage(LOG, HEADER - 4);
+    let newer = VERSION ^ 0x55;
+    let error = open(&files).unwrap_err();
+    assert!(matches!(error, StoreError::Newer { version, .. } if version == newer));
+}
+
+#[test]
+fn write_failed_sync_reported() {
+    let files = MemoryFiles::default();
+    let mut store = create(&files);
+    files.fail_syncs();
+    let batch = Batch {
+        append: &[entry(1)],
+        ..Batch::default()
+    };
+    assert!(matches!(
+        store.write(&batch),
+        Err(StoreError::Failed { .. })
+    ));
+    files.crash(LOST);
+    assert!(open(&files).unwrap().entries.is_empty());
+}
+
+#[test]
+fn write_full_disk_reported() {
+    let files = MemoryFiles::default();
+    let mut store = create(&files);
+    write(&mut store, 1..=1);
+    files.fill();
+    let batch = Batch {
+        append: &[entry(2)],
+        ..Batch::default()
+    };
+    assert!(matches!(store.write(&batch), Err(StoreError::Full)));
+    files.crash(Tear {
+        kept: 255,
+        damaged: false,
+    });
+    assert_eq!(open(&files).unwrap().entries, vec![entry(1)]);
+}
+
+#[test]
+fn disk_second_process_locked_out() {
+    let folder = std::env::temp_dir().join(format!("dwh-lock-{}", std::process::id()));
+    let first = DiskFiles::open(&folder).unwrap();
+    assert!(matches!(DiskFiles::open(&folder), Err(StoreError::Locked)));
+    drop(first);
+    let files = DiskFiles::open(&folder).unwrap();
+    let mut store = Store::create(Box::new(files), IDENTITY).unwrap().store;
+    write(&mut store, 1..=2);
+    drop(store);
+    let opened = Store::open(Box::new(DiskFiles::open(&folder).unwrap())).unwrap();
+    assert_eq!(opened.identity, IDENTITY);
+    assert_eq!(opened.durable.entries.len(), 2);
+    drop(opened);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write(u8),
+    Compact,
+    Crash(Tear),
+    /// A sync fails; the instance stops and starts again.
+    FailedWrite(u8, Tear),
+    FailedCompact(Tear),
+}
+
+fn tear() -> impl Strategy<Value = Tear> {
+    any::<(u8, bool)>().prop_map(|(kept, damaged)| Tear { kept, damaged })
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1u8..5).prop_map(Step::Write),
+        1 => Just(Step::Compact),
+        1 => tear().prop_map(Step::Crash),
+        1 => ((1u8..5), tear()).prop_map(|(n, tear)| Step::FailedWrite(n, tear)),
+        1 => tear().prop_map(Step::FailedCompact),
+    ]
+}
+
+/// What was acknowledged is there after any crash; what was not may be.
+fn survives(steps: &[Step]) -> Result<(), TestCaseError> {
+    let files = MemoryFiles::default();
+    let mut store = create(&files);
+    let mut acknowledged = 0;
+    for step in steps {
+        match step {
+            Step::Write(count) => {
+                let from = acknowledged + 1;
+                acknowledged += u64::from(*count);
+                write(&mut store, from..=acknowledged);
+            }
+            Step::Compact => {
+                let done = compact(&mut store, acknowledged);
+                prop_assert!(done.is_ok());
+            }
+            Step::Crash(tear) => files.crash(*tear),
+            Step::FailedWrite(count, tear) => {
+                files.fail_syncs();
+                let append: Vec<Entry> = (1..=u64::from(*count))
+                    .map(|n| entry(acknowledged + n))
+                    .collect();
+                let batch = Batch {
+                    append: &append,
+                    ..Batch::default()
+                };
+                prop_assert!(store.write(&batch).is_err());
+                files.crash(*tear);
+            }
+            Step::FailedCompact(tear) => {
+                files.fail_syncs();
+                prop_assert!(compact(&mut store, acknowledged).is_err());
+                files.crash(*tear);
+            }
+        }
+        let opened = Store::open(Box::new(files.clone())).unwrap();
+        let entries = &opened.durable.entries;
+        let base = opened.durable.snapshot.index;
+        let last = base + entries.len() as u64;
+        prop_assert!(last >= acknowledged, "{last} of {acknowledged}");
+        for (index, found) in (base + 1..).zip(entries) {
+            prop_assert_eq!(found, &entry(index));
+        }
+        acknowledged = last;
+        store = opened.store;
+    }
+    Ok(())
+}
+
+fn compact(store: &mut Store, index: u64) -> Result<(), StoreError> {
+    let snapshot = Snapshot {
+        index,
+        term: 1,
+        ..Snapshot::default()
+    };
+    store.replace(Hard::default(), &snapshot, &[])
+}
+
+#[test]
+fn acknowledged_survives_any_crash() {
+    let config = Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let steps = proptest::collection::vec(step(), 1..40);
+    let result = runner.run(&steps, |steps| survives(&steps));
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
