--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent's HTTP service and its life from start to drain.
 
 use crate::endpoint::{Endpoint, HttpEndpoint, SendError};
+use crate::lease::{Holding, Right, give_back, keep};
 use crate::leaving::{Source, Sources};
 use crate::relay::Relay;
 use crate::settings::{Platform, Settings};
@@ -17,11 +18,16 @@
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::gate::{Ask, Gate, Refusal};
 use dogwoodhill_policy::limit::Limit;
+use dogwoodhill_wire::ask::ControlSet;
+use dogwoodhill_wire::client::Caller;
+use dogwoodhill_wire::control::{Acquire, Changes};
+use dogwoodhill_wire::follow::Follower;
 use dogwoodhill_wire::prelude::*;
 use error_stack::Report;
 use futures_util::stream;
 use http::{HeaderMap, StatusCode};
 use prometheus::{IntCounterVec, IntGauge};
+use rand::RngExt;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,6 +60,7 @@
     platform: Option<Box<dyn PlatformList>>,
     gate: SharedGate,
     sources: Sources,
+    holding: Holding,
     drain: Drain,
     metrics: Metrics,
     attempts: IntCounterVec,
@@ -96,6 +103,7 @@
             .field("listen", self.address())
             .info();
         let watch = tokio::spawn(watch(Arc::clone(&self.core)));
+        let control = Control::start(&self.core);
         let drain = self.drain.clone();
         let router = router(&self.core);
         self.listener
@@ -103,6 +111,9 @@
             .await;
         drain.idle().await;
         watch.abort();
+        if let Some(control) = control {
+            control.stop().await;
+        }
         Event::new("agent-stopped").info();
     }
 }
@@ -120,6 +131,10 @@
             platform: settings.platform.as_ref().map(platform),
             gate: SharedGate::new(Gate::new(limit)),
             sources: Sources::default(),
+            holding: match settings.control.is_empty() {
+                true => Holding::alone(),
+                false => Holding::wanted(),
+            },
             drain,
             attempts: metrics.counters(
                 "dogwoodhill_agent_attempts_total",
@@ -165,6 +180,7 @@
         if attempt.remaining.is_zero() {
             return Err(Reason::Late);
         }
+        self.entitled(attempt)?;
         let ask = Ask {
             attempt: attempt.attempt,
             tier: attempt.tier,
@@ -177,9 +193,27 @@
         })
     }
 
+    /// Checks the lease.
+    fn entitled(&self, attempt: &Attempt) -> Result<(), Reason> {
+        self.holding.superseded(attempt.fence);
+        match (
+            self.holding.right(std::time::Instant::now()),
+            attempt.repeat,
+        ) {
+            (Right::All(fence), _) | (Right::Idempotent(fence), Repeat::Allowed) => {
+                self.gate.set_fence(fence);
+                Ok(())
+            }
+            _ => Err(Reason::Misdirected),
+        }
+    }
+
     /// Runs an attempt up to the head of the endpoint's answer.
-    async fn start(&self, attempt: &Attempt) -> Result<Relay, Body> {
+    async fn start(&self, attempt: &mut Attempt) -> Result<Relay, Body> {
         let slot = self.admit(attempt).map_err(Body::Refused)?;
+        // The endpoint is told the own number, whatever the entry knows.
+        attempt.fence = self.gate.load().fence;
+        let attempt = &*attempt;
         let started = Instant::now();
         let sending = self.endpoint.send(attempt);
         let sent = match attempt.repeat {
@@ -235,7 +269,8 @@
         let load = gauges.gate.load();
         gauges.running.set(load.running.into());
         gauges.limit.set(load.limit.into());
-        !load.leaving
+        let idle = gauges.holding.right(std::time::Instant::now()) == Right::Nothing;
+        !load.leaving && !idle
     });
     Router::new()
         .route(ATTEMPT_PATH, post(attempt))
@@ -284,9 +319,9 @@
 struct CodecFault;
 
 /// A request that ends at once when its entry goes away.
-async fn attached(core: Arc<Core>, attempt: Attempt) -> Response {
+async fn attached(core: Arc<Core>, mut attempt: Attempt) -> Response {
     let busy = core.drain.enter();
-    match core.start(&attempt).await {
+    match core.start(&mut attempt).await {
         Err(body) => {
             let result = result_of(&body);
             core.count(&result);
@@ -308,11 +343,11 @@
 }
 
 /// A request that runs to its end even when its entry goes away.
-fn detached(core: Arc<Core>, attempt: Attempt) -> Response {
+fn detached(core: Arc<Core>, mut attempt: Attempt) -> Response {
     let (out, frames) = mpsc::channel(DETACHED_FRAMES);
     let busy = core.drain.enter();
     tokio::spawn(async move {
-        run_detached(&core, &attempt, &out).await;
+        run_detached(&core, &mut attempt, &out).await;
         drop(busy);
     });
     let pulled = stream::unfold(frames, |mut frames| async move {
@@ -322,7 +357,7 @@
     HttpBody::from_stream(pulled).into_response()
 }
 
-async fn run_detached(core: &Core, attempt: &Attempt, out: &mpsc::Sender<Bytes>) {
+async fn run_detached(core: &Core, attempt: &mut Attempt, out: &mpsc::Sender<Bytes>) {
     match core.start(attempt).await {
         Err(body) => {
             core.count(&result_of(&body));
@@ -345,6 +380,71 @@
     }
 }
 
+/// What the agent does with the control instances.
+struct Control {
+    set: ControlSet,
+    acquire: Acquire,
+    tasks: [tokio::task::JoinHandle<()>; 2],
+}
+
+impl Control {
+    fn start(core: &Arc<Core>) -> Option<Self> {
+        let settings = &core.settings;
+        if settings.control.is_empty() {
+            return None;
+        }
+        let caller = Caller::new(settings.secret.clone());
+        let spread: u64 = rand::rng().random();
+        let addresses = settings.control.clone();
+        let set = ControlSet::new(caller.clone(), addresses.clone(), spread as usize);
+        let acquire = Acquire {
+            service: settings.service.clone(),
+            endpoint: settings.endpoint.clone(),
+            holder: rand::rng().random(),
+            lasting: settings.lease,
+        };
+        let follower = Follower {
+            daemon: settings.endpoint.clone(),
+            entry: false,
+            service: Some(settings.service.clone()),
+            control: addresses,
+            caller,
+            spread,
+        };
+        let heeding = Arc::clone(core);
+        let tasks = [
+            tokio::spawn(keep(core.holding.clone(), set.clone(), acquire.clone())),
+            tokio::spawn(async move {
+                let heed = |changes: Changes| heed_changes(&heeding, &changes);
+                follower.run(heed, || {}).await;
+            }),
+        ];
+        Some(Self {
+            set,
+            acquire,
+            tasks,
+        })
+    }
+
+    async fn stop(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        give_back(&self.set, &self.acquire).await;
+    }
+}
+
+/// Heeds the document: an endpoint that is not listed, or listed as leaving,
+/// gets no new work.
+fn heed_changes(core: &Core, changes: &Changes) {
+    for accepted in &changes.documents {
+        let listed = accepted.document.endpoint(&core.settings.endpoint);
+        let leaving = listed.is_none_or(|endpoint| endpoint.leaving);
+        core.close_gate(Source::Document, leaving);
+        core.gate.set_revision(accepted.revision);
+    }
+}
+
 /// Follows the platform's list, the endpoint's reports and the own drain.
 async fn watch(core: Arc<Core>) {
     let mut ticks = tokio::time::interval(core.settings.poll);
--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -25,7 +25,9 @@
 /// Header with which the router names an attempt to an endpoint, and in which
 /// engines usually echo it.
 pub const ID_HEADER: &str = "x-request-id";
-/// Header that passes the caller's idempotency key on.
+/// Header that passes the fencing number on.
+pub const FENCE_HEADER: &str = "x-fence";
+/// Header that passes the tier on.
 pub const PRIORITY_HEADER: &str = "x-priority";
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -113,6 +115,7 @@
         let headers = request.headers_mut();
         add_headers(headers, &attempt.headers);
         headers.insert(PRIORITY_HEADER, HeaderValue::from(u16::from(attempt.tier)));
+        headers.insert(FENCE_HEADER, HeaderValue::from(attempt.fence));
         let id = format!("{:032x}", attempt.attempt);
         let id = HeaderValue::try_from(id).map_err(|_| SendError::Invalid)?;
         headers.insert(ID_HEADER, id);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod agent;
 pub mod endpoint;
 pub mod events;
+pub mod lease;
 pub mod leaving;
 pub mod relay;
 pub mod settings;
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -10,6 +10,9 @@
 const DEFAULT_LINGER: Duration = Duration::from_secs(2);
 /// How often the endpoint's report and the platform's list are read.
 const DEFAULT_POLL: Duration = Duration::from_millis(500);
+/// Length of the endpoint's lease: three renewals fit in it, and an agent
+/// costs the control instances one command in a third of it.
+const DEFAULT_LEASE: Duration = Duration::from_secs(20);
 /// Largest whole answer of a model that is held in memory.
 const DEFAULT_ANSWER: u64 = 8 * 1024 * 1024;
 /// Concurrency limit before anything is learned.
@@ -43,6 +46,12 @@
     pub listen: SocketAddr,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Control instances. Default none: no document is followed and no lease
+    /// taken.
+    pub control: Vec<SocketAddr>,
+    /// Length of the endpoint's lease. After a crash the endpoint gets no new
+    /// work for up to this long. Default 20 s.
+    pub lease: Duration,
     /// Key shared by the router's processes.
     pub secret: String,
     /// Concurrency limit before anything is learned. Default 16.
@@ -72,6 +81,8 @@
             endpoint,
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             address,
+            control: Vec::new(),
+            lease: DEFAULT_LEASE,
             secret: String::new(),
             first_limit: DEFAULT_FIRST as u32,
             least_limit: 1,
@@ -100,6 +111,8 @@
         endpoint: s.name("endpoint"),
         listen: s.address("listen"),
         address: s.address("address"),
+        control: s.addresses("control"),
+        lease: s.duration("lease", 3 * SECOND..=300 * SECOND, Some(DEFAULT_LEASE)),
         secret: s.text("cluster_key"),
         first_limit: first as u32,
         least_limit: s.count("least_limit", 1..=65_536, Some(1)) as u32,
@@ -110,6 +123,10 @@
         platform: s.section("platform", platform),
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
     };
+    if settings.control.is_empty() {
+        let remedy = "list the control instances' addresses";
+        s.fault("control", "is empty", remedy);
+    }
     if settings.least_limit > settings.most_limit {
         s.fault(
             "least_limit",
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -1,9 +1,11 @@
 //! The gate of one endpoint, shared between requests, and the slot a started
 //! request holds.
 
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::Moment;
 use dogwoodhill_policy::gate::{Ask, Gate, Refusal};
 use dogwoodhill_wire::frame::Load;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -11,14 +13,23 @@
 #[derive(Clone, Debug)]
 pub struct SharedGate {
     gate: Arc<Mutex<Gate>>,
+    known: Arc<Known>,
     start: Instant,
 }
 
+/// What the agent knows from the control instances.
+#[derive(Debug, Default)]
+struct Known {
+    fence: AtomicU64,
+    revision: AtomicU64,
+}
+
 impl SharedGate {
     /// Shares `gate`, with a clock that starts now.
     pub fn new(gate: Gate) -> Self {
         Self {
             gate: Arc::new(Mutex::new(gate)),
+            known: Arc::default(),
             start: Instant::now(),
         }
     }
@@ -33,6 +44,16 @@
         Ok(Slot { gate: self.clone() })
     }
 
+    /// Sets the fencing number that load reports carry.
+    pub fn set_fence(&self, fence: Fence) {
+        self.known.fence.store(fence, Ordering::Relaxed);
+    }
+
+    /// Sets the revision that load reports carry.
+    pub fn set_revision(&self, revision: Revision) {
+        self.known.revision.store(revision, Ordering::Relaxed);
+    }
+
     /// Sets whether new work is refused.
     pub fn leave(&self, leaving: bool) {
         self.lock().leave(leaving);
@@ -48,6 +69,8 @@
             gap_us: gate.gap().as_micros() as u32,
             first_us: gate.first().as_micros() as u32,
             leaving: gate.leaving(),
+            fence: self.known.fence.load(Ordering::Relaxed),
+            revision: self.known.revision.load(Ordering::Relaxed),
         }
     }
 
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -176,6 +176,11 @@
         self.hard.term
     }
 
+    /// Term and vote.
+    pub fn hard(&self) -> Hard {
+        self.hard
+    }
+
     /// The leader, where one is known.
     pub fn leader(&self) -> Option<NodeId> {
         self.leader
--- /dev/null
+++ b/crates/control/src/command.rs
@@ -0,0 +1,100 @@
+//! Commands of the replicated state machine and what they answer.
+
+use derive_more::Display;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::control::{Acquire, Finish, Lease, Take, Taken};
+use serde::{Deserialize, Serialize};
+
+/// A command with the time at which the leader took it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Command {
+    /// The cluster's own time, see [`crate::state::State::now`].
+    pub now: Duration,
+    /// Milliseconds since the Unix epoch by the leader's clock, for people.
+    pub wall: u64,
+    /// What to do.
+    pub action: Action,
+}
+
+/// What a command does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Action {
+    /// Puts a document in force.
+    Put(Put),
+    /// Claims a request.
+    Take(Take),
+    /// Ends a claimed request.
+    Finish(Finish),
+    /// Takes or prolongs a lease.
+    Acquire(Acquire),
+}
+
+/// A document that an operator wants in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Put {
+    /// Team the operator's key belongs to.
+    pub team: TeamId,
+    /// Text, as it was written.
+    pub text: String,
+    /// What the text says.
+    pub document: ServiceDocument,
+}
+
+/// What a command answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// To [`Action::Put`].
+    Put(Result<Acceptance, PutError>),
+    /// To [`Action::Take`].
+    Taken(Taken),
+    /// To [`Action::Finish`].
+    Finished,
+    /// To [`Action::Acquire`].
+    Lease(Lease),
+}
+
+/// A document is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acceptance {
+    /// Service.
+    pub service: ServiceId,
+    /// Version.
+    pub version: Version,
+    /// Revision at which it was accepted.
+    pub revision: Revision,
+    /// Team that put it in force.
+    pub team: TeamId,
+    /// When, in milliseconds since the Unix epoch.
+    pub wall: u64,
+}
+
+/// Why a document was not accepted.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PutError {
+    /// The version was accepted with other content.
+    #[display("version {} of {} was accepted with other content from team {}; get it, merge, and apply version {next}", won.version, won.service, won.team)]
+    Conflict {
+        /// The acceptance that won.
+        won: Acceptance,
+        /// Version to use next.
+        next: Version,
+    },
+    /// The version is not the next one.
+    #[display(
+        "version {given} is not the next one; get the current document and apply version {next}"
+    )]
+    Sequence {
+        /// Version that was sent.
+        given: Version,
+        /// Version to use.
+        next: Version,
+    },
+    /// The service belongs to another team.
+    #[display(
+        "the service belongs to team {owner}; ask that team, or use one of its keys"
+    )]
+    Owner {
+        /// Owner.
+        owner: TeamId,
+    },
+}
--- /dev/null
+++ b/crates/control/src/internal.rs
@@ -0,0 +1,194 @@
+//! What the router's own processes ask a control instance.
+
+use crate::command::{Action, Reply};
+use crate::peers::{Envelope, LOG_PATH};
+use crate::presence::{Names, PRESENCE_PATH, Presence};
+use crate::replica::Input;
+use crate::service::{CONFIRM_PATH, SUBMIT_PATH, Service};
+use crate::watch;
+use axum::Router;
+use axum::extract::{DefaultBodyLimit, Request, State};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use bytes::Bytes;
+use dogwoodhill_consensus::members::Member;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::codec::decode;
+use dogwoodhill_wire::control::{
+    Acquire, Answered, FINISH_PATH, Finish, LEASE_PATH, TAKE_PATH, Take, Unable,
+    WATCH_PATH, Watch,
+};
+use http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use subtle::ConstantTimeEq;
+
+/// Path that tells which cluster an instance belongs to.
+pub const CLUSTER_PATH: &str = "/internal/cluster";
+/// Path on which a new instance asks to be added.
+pub const JOIN_PATH: &str = "/internal/join";
+/// Path on which the leader is told of a new instance.
+const ADD_PATH: &str = "/internal/add";
+/// Largest message: a snapshot.
+const MAX_MESSAGE: usize = 1 << 30;
+
+/// What the handlers share.
+#[derive(Clone, Debug)]
+pub struct Inside {
+    /// The cluster.
+    pub service: Service,
+    /// Entries.
+    pub presence: Presence,
+    /// Cluster's id.
+    pub cluster: u128,
+    /// Key shared by the router's processes.
+    pub secret: Arc<String>,
+}
+
+/// Routes for the router's own processes. Every one needs the cluster key.
+pub fn routes(inside: Inside) -> Router {
+    Router::new()
+        .route(LOG_PATH, post(log))
+        .route(SUBMIT_PATH, post(submit))
+        .route(CONFIRM_PATH, post(confirm))
+        .route(WATCH_PATH, post(watch_documents))
+        .route(TAKE_PATH, post(take))
+        .route(FINISH_PATH, post(finish))
+        .route(LEASE_PATH, post(lease))
+        .route(PRESENCE_PATH, post(presence))
+        .route(CLUSTER_PATH, post(cluster))
+        .route(JOIN_PATH, post(join))
+        .route(ADD_PATH, post(add))
+        .layer(DefaultBodyLimit::max(MAX_MESSAGE))
+        .layer(from_fn_with_state(inside.clone(), guard))
+        .with_state(inside)
+}
+
+async fn guard(State(inside): State<Inside>, request: Request, next: Next) -> Response {
+    let given = request.headers().get(http::header::AUTHORIZATION);
+    let given = given.and_then(|given| given.as_bytes().strip_prefix(b"Bearer "));
+    let right = given.is_some_and(|given| given.ct_eq(inside.secret.as_bytes()).into());
+    if right {
+        return next.run(request).await;
+    }
+    let text = "wrong cluster key; set the same cluster_key everywhere\n";
+    (StatusCode::UNAUTHORIZED, text).into_response()
+}
+
+/// Reads a message, answers it, and writes the answer.
+async fn serve<M, A, F>(bytes: Bytes, answer: impl FnOnce(M) -> F) -> Response
+where
+    M: DeserializeOwned,
+    A: Serialize,
+    F: Future<Output = A>,
+{
+    match decode(&bytes) {
+        Ok(message) => write(&answer(message).await),
+        Err(_) => {
+            let text = "unreadable message; run one version everywhere\n";
+            (StatusCode::BAD_REQUEST, text).into_response()
+        }
+    }
+}
+
+fn write<A: Serialize>(answer: &A) -> Response {
+    match rmp_serde::to_vec(answer) {
+        Ok(bytes) => bytes.into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+async fn log(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |envelope: Envelope| async move {
+        if envelope.cluster == inside.cluster {
+            let input = Input::Messages(envelope.messages);
+            inside.service.replica().input(input).await;
+        } else {
+            Event::new("foreign-cluster-refused").warn();
+        }
+    })
+    .await
+}
+
+async fn submit(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |action: Action| async move {
+        inside.service.replica().propose(action).await
+    })
+    .await
+}
+
+async fn confirm(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |(): ()| async move {
+        inside.service.replica().confirm().await
+    })
+    .await
+}
+
+async fn watch_documents(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |message: Watch| async move {
+        watch::answer(&inside.service, &inside.presence, message).await
+    })
+    .await
+}
+
+async fn take(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |take: Take| async move {
+        match inside.service.submit(&Action::Take(take)).await? {
+            Reply::Taken(taken) => Ok(taken),
+            _ => Err(Unable::NoMajority),
+        }
+    })
+    .await
+}
+
+async fn finish(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |finish: Finish| async move {
+        let submitted = inside.service.submit(&Action::Finish(finish)).await;
+        submitted.map(|_| ())
+    })
+    .await
+}
+
+async fn lease(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |acquire: Acquire| async move {
+        match inside.service.submit(&Action::Acquire(acquire)).await? {
+            Reply::Lease(lease) => Ok(lease),
+            _ => Err(Unable::NoMajority),
+        }
+    })
+    .await
+}
+
+async fn presence(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |names: Names| async move {
+        inside.presence.hear(&names);
+    })
+    .await
+}
+
+async fn cluster(State(inside): State<Inside>) -> Response {
+    write(&inside.cluster)
+}
+
+/// Adds a new instance, through the leader.
+async fn join(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |member: Member| async move {
+        let service = &inside.service;
+        let leads = service.replica().standing.borrow().leads;
+        if leads {
+            return service.replica().add(member).await;
+        }
+        service.pass_on::<_, ()>(ADD_PATH, &member).await
+    })
+    .await
+}
+
+async fn add(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |member: Member| async move {
+        let added: Answered<()> = inside.service.replica().add(member).await;
+        added
+    })
+    .await
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,26 @@
-//! placeholder
+//! The daemon that keeps what must survive: service documents, claims of
+//! non-idempotent requests, leases and fencing numbers.
+//!
+//! [`state`] is the replicated state machine: the same commands in the same
+//! order give the same state everywhere. [`replica`] drives the log
+//! ([`dogwoodhill_consensus`]) and the disk ([`dogwoodhill_store`]) and hands
+//! commands out once a majority has them. [`service`] is what requests see of
+//! it: any instance takes a request and passes it on to the leader where that
+//! is needed. Commands may be applied twice without harm, because a sender
+//! that lost an answer sends again: a document by its version, a claim and a
+//! lease by their holder.
+
+pub mod command;
+pub mod control;
+pub mod internal;
+pub mod operators;
+pub mod peers;
+pub mod presence;
+pub mod replica;
+pub mod service;
+pub mod settings;
+pub mod state;
+pub mod watch;
+
+pub use control::Control;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,548 @@
+//! One instance's replica: the loop that owns log, disk and state.
+//!
+//! The loop takes everything that has arrived, steps the log, makes the
+//! outcome durable in one sync and only then answers: while a sync runs, the
+//! next batch gathers, so throughput grows with load (group commit).
+
+use crate::command::{Action, Command, Reply};
+use crate::peers::Peers;
+use crate::state::{Documents, State};
+use arc_swap::ArcSwap;
+use derive_more::{Display, Error};
+use dogwoodhill_consensus::log::{Entry, Payload};
+use dogwoodhill_consensus::members::{Member, Members};
+use dogwoodhill_consensus::message::Message;
+use dogwoodhill_consensus::node::{Node, Refused, Timing};
+use dogwoodhill_consensus::ready::Ready;
+use dogwoodhill_consensus::{Index, Moment, NodeId, ReadId, Term};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_store::{Batch, Opened, Store, StoreError};
+use dogwoodhill_wire::control::{Answered, Unable};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Interval of the log's clock.
+const TICK: Duration = Duration::from_millis(20);
+/// Inputs taken into one batch.
+const INPUTS: usize = 4096;
+
+/// What the loop is asked.
+#[derive(Debug)]
+pub enum Input {
+    /// Messages from another instance.
+    Messages(Vec<Message>),
+    /// A command.
+    Propose {
+        /// The command.
+        action: Action,
+        /// Its answer.
+        reply: oneshot::Sender<Answered<Reply>>,
+    },
+    /// A confirmed read: the position up to which state must be applied.
+    Confirm(oneshot::Sender<Answered<Index>>),
+    /// A new instance.
+    Add {
+        /// The instance.
+        member: Member,
+        /// Whether it is a member now.
+        reply: oneshot::Sender<Answered<()>>,
+    },
+    /// This instance will stop.
+    HandOver,
+}
+
+/// What the rest of the process sees of the replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// This instance.
+    pub node: NodeId,
+    /// Its term.
+    pub term: Term,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Leader's internal address, where known.
+    pub leader: Option<SocketAddr>,
+    /// Whether it is in contact with a leader or, as leader, a majority.
+    pub contact: bool,
+    /// Members.
+    pub members: Members,
+    /// Bytes in the log on disk.
+    pub size: usize,
+    /// Claims kept.
+    pub claims: usize,
+}
+
+/// Why the replica stopped.
+#[derive(Debug, Display, Error)]
+pub enum Stopped {
+    /// The disk failed.
+    #[display("{source}")]
+    Disk {
+        /// How.
+        source: StoreError,
+    },
+    /// The thread that writes ended.
+    #[display("the writing thread ended; report this fault")]
+    Writer,
+}
+
+/// A handle on the loop. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    inputs: mpsc::Sender<Input>,
+    /// Documents, as far as applied.
+    pub documents: Arc<ArcSwap<Documents>>,
+    /// Applied position.
+    pub applied: watch::Receiver<Index>,
+    /// Standing.
+    pub standing: watch::Receiver<Standing>,
+}
+
+/// The loop, before it runs.
+#[derive(Debug)]
+pub struct Driver {
+    node: Node<SmallRng>,
+    store: Option<Store>,
+    state: State,
+    peers: Peers,
+    inputs: mpsc::Receiver<Input>,
+    documents: Arc<ArcSwap<Documents>>,
+    applied: watch::Sender<Index>,
+    standing: watch::Sender<Standing>,
+    waiters: VecDeque<Waiter>,
+    reads: Vec<Reading>,
+    next_read: ReadId,
+    compact: u64,
+    start: Instant,
+    led: Option<Led>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    index: Index,
+    term: Term,
+    reply: oneshot::Sender<Answered<Reply>>,
+}
+
+#[derive(Debug)]
+struct Reading {
+    id: ReadId,
+    reply: oneshot::Sender<Answered<Index>>,
+}
+
+/// Since when this instance leads, on both clocks.
+#[derive(Clone, Copy, Debug)]
+struct Led {
+    term: Term,
+    now: Duration,
+    since: Instant,
+}
+
+/// A replica and the loop that drives it.
+#[derive(Debug)]
+pub struct Made {
+    /// Handle.
+    pub replica: Replica,
+    /// Loop.
+    pub driver: Driver,
+}
+
+/// Makes a replica of an opened data folder.
+///
+/// # Panics
+///
+/// Where the snapshot, whose checksum was right, does not decode.
+pub fn make(opened: Opened, peers: Peers, compact: u64, seed: u64) -> Made {
+    let (sender, inputs) = mpsc::channel(INPUTS);
+    let snapshot = &opened.durable.snapshot;
+    let state = decode(&snapshot.data);
+    let applied = snapshot.index;
+    let random = SmallRng::seed_from_u64(seed);
+    let node = Node::new(
+        opened.identity.node,
+        Timing::default(),
+        opened.durable,
+        Moment::ZERO,
+        random,
+    );
+    let documents = Arc::new(ArcSwap::from_pointee(state.documents.clone()));
+    let applied = watch::Sender::new(applied);
+    let standing = watch::Sender::new(Standing::default());
+    let replica = Replica {
+        inputs: sender,
+        documents: Arc::clone(&documents),
+        applied: applied.subscribe(),
+        standing: standing.subscribe(),
+    };
+    let driver = Driver {
+        node,
+        store: Some(opened.store),
+        state,
+        peers,
+        inputs,
+        documents,
+        applied,
+        standing,
+        waiters: VecDeque::new(),
+        reads: Vec::new(),
+        next_read: 0,
+        compact,
+        start: Instant::now(),
+        led: None,
+    };
+    Made { replica, driver }
+}
+
+fn decode(data: &[u8]) -> State {
+    if data.is_empty() {
+        return State::default();
+    }
+    rmp_serde::from_slice(data).expect("a snapshot with a right checksum decodes")
+}
+
+impl Replica {
+    /// Hands input to the loop; an instance that stops takes none.
+    pub async fn input(&self, input: Input) {
+        let _ = self.inputs.send(input).await;
+    }
+
+    /// Runs a command on this instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Unable`]; with [`Unable::NoMajority`] the command may be in force.
+    pub async fn propose(&self, action: Action) -> Answered<Reply> {
+        let (reply, answer) = oneshot::channel();
+        self.input(Input::Propose { action, reply }).await;
+        answer.await.unwrap_or(Err(Unable::NoMajority))
+    }
+
+    /// Confirms on this instance that it still leads.
+    ///
+    /// # Errors
+    ///
+    /// [`Unable`].
+    pub async fn confirm(&self) -> Answered<Index> {
+        let (reply, answer) = oneshot::channel();
+        self.input(Input::Confirm(reply)).await;
+        answer.await.unwrap_or(Err(Unable::NoMajority))
+    }
+
+    /// Adds an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Unable`].
+    pub async fn add(&self, member: Member) -> Answered<()> {
+        let (reply, answer) = oneshot::channel();
+        self.input(Input::Add { member, reply }).await;
+        answer.await.unwrap_or(Err(Unable::NoMajority))
+    }
+}
+
+impl Driver {
+    /// Makes this instance the first of a new cluster.
+    pub fn bootstrap(&mut self, member: Member) {
+        self.node.bootstrap(member);
+    }
+
+    /// Runs until every handle is dropped, or the disk fails.
+    ///
+    /// # Errors
+    ///
+    /// [`Stopped`]. State on disk is as the last sync left it.
+    pub async fn run(mut self) -> Result<(), Stopped> {
+        let mut ticks = tokio::time::interval(TICK);
+        let mut batch = Vec::new();
+        loop {
+            tokio::select! {
+                count = self.inputs.recv_many(&mut batch, INPUTS) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                }
+                _ = ticks.tick() => {}
+            }
+            for input in batch.drain(..) {
+                self.take(input);
+            }
+            self.node.tick(self.start.elapsed());
+            self.settle().await?;
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.start.elapsed();
+        match input {
+            Input::Messages(messages) => {
+                for message in messages {
+                    self.node.receive(now, message);
+                }
+            }
+            Input::Propose { action, reply } => self.propose(action, reply),
+            Input::Confirm(reply) => self.confirm(reply),
+            Input::Add { member, reply } => {
+                let added = self.node.add(now, member);
+                let _ = reply.send(added.map_err(|refused| self.unable(refused)));
+            }
+            Input::HandOver => self.node.hand_over(now),
+        }
+    }
+
+    fn propose(&mut self, action: Action, reply: oneshot::Sender<Answered<Reply>>) {
+        let command = Command {
+            now: self.cluster_time(),
+            wall: wall(),
+            action,
+        };
+        let bytes = rmp_serde::to_vec(&command).expect("commands encode");
+        match self.node.propose(bytes) {
+            Ok(index) => {
+                let term = self.node.term();
+                self.waiters.push_back(Waiter { index, term, reply });
+            }
+            Err(refused) => {
+                let _ = reply.send(Err(self.unable(refused)));
+            }
+        }
+    }
+
+    fn confirm(&mut self, reply: oneshot::Sender<Answered<Index>>) {
+        self.next_read += 1;
+        let id = self.next_read;
+        match self.node.read(id) {
+            Ok(()) => self.reads.push(Reading { id, reply }),
+            Err(refused) => {
+                let _ = reply.send(Err(self.unable(refused)));
+            }
+        }
+    }
+
+    /// The cluster's time: what it was when this instance began to lead, and
+    /// what its monotonic clock measured since.
+    fn cluster_time(&mut self) -> Duration {
+        let term = self.node.term();
+        let led = self.led.filter(|led| led.term == term);
+        let led = led.unwrap_or(Led {
+            term,
+            now: self.state.now,
+            since: Instant::now(),
+        });
+        self.led = Some(led);
+        led.now + led.since.elapsed()
+    }
+
+    fn unable(&self, refused: Refused) -> Unable {
+        match refused {
+            Refused::NotLeader | Refused::HandingOver => Unable::NotLeader {
+                leader: self.leader(),
+            },
+            _ => Unable::NoMajority,
+        }
+    }
+
+    fn leader(&self) -> Option<SocketAddr> {
+        let id = self.node.leader()?;
+        self.node.members().get(id).map(|member| member.address)
+    }
+
+    /// Does what the log wants done, until it wants nothing more.
+    async fn settle(&mut self) -> Result<(), Stopped> {
+        loop {
+            let ready = self.node.take_ready();
+            if ready.is_empty() {
+                return Ok(());
+            }
+            self.handle(ready).await?;
+        }
+    }
+
+    async fn handle(&mut self, mut ready: Ready) -> Result<(), Stopped> {
+        self.send(std::mem::take(&mut ready.prompt));
+        if ready.durable() {
+            ready = self.persist(ready).await?;
+        }
+        self.node.synced(ready.mark);
+        self.send(std::mem::take(&mut ready.synced));
+        if let Some(snapshot) = &ready.snapshot {
+            self.state = decode(&snapshot.data);
+            self.documents.store(Arc::new(self.state.documents.clone()));
+            self.applied.send_replace(snapshot.index);
+            self.fail_waiters(snapshot.index);
+        }
+        self.apply(&ready.committed);
+        self.finish_reads(&ready);
+        self.compact().await
+    }
+
+    fn send(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            let member = self.node.members().get(message.to);
+            if let Some(address) = member.map(|member| member.address) {
+                self.peers.send(address, message);
+            }
+        }
+    }
+
+    /// Writes on a thread of its own, so that a slow sync stalls no other
+    /// task of the process.
+    async fn persist(&mut self, ready: Ready) -> Result<Ready, Stopped> {
+        let mut store = self.store.take().ok_or(Stopped::Writer)?;
+        let rest = ready.snapshot.as_ref().map(|snapshot| {
+            let log = self.node.log();
+            log.slice(snapshot.index + 1, usize::MAX / 2).to_vec()
+        });
+        let hard = self.node.hard();
+        let work = move || {
+            let done = match (&ready.snapshot, rest) {
+                (Some(snapshot), Some(rest)) => store.replace(hard, snapshot, &rest),
+                _ => store.write(&Batch {
+                    hard: ready.hard,
+                    truncate: ready.truncate,
+                    append: &ready.append,
+                }),
+            };
+            done.map(|()| Written { store, ready })
+        };
+        let written = tokio::task::spawn_blocking(work).await;
+        let written = written.map_err(|_| Stopped::Writer)?;
+        let written = written.map_err(|source| Stopped::Disk { source })?;
+        self.store = Some(written.store);
+        Ok(written.ready)
+    }
+
+    fn apply(&mut self, entries: &[Entry]) {
+        let before = self.state.documents.revision;
+        for entry in entries {
+            let reply = match &entry.payload {
+                Payload::Command(bytes) => self.command(entry.index, bytes),
+                Payload::Empty | Payload::Members(_) => None,
+            };
+            self.answer(entry, reply);
+        }
+        if self.state.documents.revision != before {
+            self.documents.store(Arc::new(self.state.documents.clone()));
+        }
+        if let Some(last) = entries.last() {
+            self.applied.send_replace(last.index);
+        }
+    }
+
+    fn command(&mut self, index: Index, bytes: &[u8]) -> Option<Reply> {
+        match rmp_serde::from_slice::<Command>(bytes) {
+            Ok(command) => Some(self.state.apply(index, &command)),
+            Err(_) => {
+                // Every instance of this version skips it alike.
+                Event::new("command-unreadable")
+                    .field("index", index)
+                    .error();
+                None
+            }
+        }
+    }
+
+    /// Answers those who waited for an entry, or for one that another leader
+    /// put something else in the place of.
+    fn answer(&mut self, entry: &Entry, mut reply: Option<Reply>) {
+        while self
+            .waiters
+            .front()
+            .is_some_and(|waiter| waiter.index <= entry.index)
+        {
+            let Some(waiter) = self.waiters.pop_front() else {
+                return;
+            };
+            let own = waiter.index == entry.index && waiter.term == entry.term;
+            let answer = reply.take().filter(|_| own).ok_or(Unable::NoMajority);
+            let _ = waiter.reply.send(answer);
+        }
+    }
+
+    fn fail_waiters(&mut self, index: Index) {
+        while self
+            .waiters
+            .front()
+            .is_some_and(|waiter| waiter.index <= index)
+        {
+            if let Some(waiter) = self.waiters.pop_front() {
+                let _ = waiter.reply.send(Err(Unable::NoMajority));
+            }
+        }
+    }
+
+    fn finish_reads(&mut self, ready: &Ready) {
+        let index = *self.applied.borrow();
+        let leader = self.leader();
+        for reading in std::mem::take(&mut self.reads) {
+            if ready.reads.contains(&reading.id) {
+                let _ = reading.reply.send(Ok(index));
+            } else if ready.refused.contains(&reading.id) {
+                let _ = reading.reply.send(Err(Unable::NotLeader { leader }));
+            } else {
+                self.reads.push(reading);
+            }
+        }
+    }
+
+    async fn compact(&mut self) -> Result<(), Stopped> {
+        let applied = *self.applied.borrow();
+        let base = self.node.log().snapshot().index;
+        if applied - base < self.compact {
+            return Ok(());
+        }
+        let data = rmp_serde::to_vec(&self.state).expect("state encodes");
+        let Some(snapshot) = self.node.compact(applied, data) else {
+            return Ok(());
+        };
+        let hard = self.node.hard();
+        let rest = self.node.log().slice(applied + 1, usize::MAX / 2).to_vec();
+        let mut store = self.store.take().ok_or(Stopped::Writer)?;
+        let work = move || store.replace(hard, &snapshot, &rest).map(|()| store);
+        let replaced = tokio::task::spawn_blocking(work).await;
+        let replaced = replaced.map_err(|_| Stopped::Writer)?;
+        self.store = Some(replaced.map_err(|source| Stopped::Disk { source })?);
+        Event::new("log-compacted").field("index", applied).info();
+        Ok(())
+    }
+
+    fn publish(&self) {
+        let standing = Standing {
+            node: self.node.id(),
+            term: self.node.term(),
+            leads: self.node.leads(),
+            leader: self.leader(),
+            contact: self.node.in_contact(self.start.elapsed()),
+            members: self.node.members().clone(),
+            size: self.store.as_ref().map_or(0, Store::size),
+            claims: self.state.claims(),
+        };
+        self.standing.send_if_modified(|old| {
+            let changed = *old != standing;
+            if old.leads != standing.leads {
+                Event::new("leadership-changed")
+                    .field("leads", standing.leads)
+                    .field("term", standing.term)
+                    .info();
+            }
+            *old = standing;
+            changed
+        });
+    }
+}
+
+/// A finished write.
+struct Written {
+    store: Store,
+    ready: Ready,
+}
+
+fn wall() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,122 @@
+//! Settings of a control instance.
+
+use dogwoodhill_core::keys::KeyHash;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_core::text::Text;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Entries in the log after which it is compacted.
+const DEFAULT_COMPACT: u64 = 2_000;
+/// How long connections are still accepted after a drain began.
+const DEFAULT_LINGER: Duration = Duration::from_secs(1);
+
+/// A team of operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Team {
+    /// Name, as documents' `owner` writes it.
+    pub name: TeamId,
+    /// Hashes of its keys.
+    pub keys: Vec<KeyHash>,
+}
+
+/// How an instance without state comes to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Start {
+    /// It has state already.
+    #[default]
+    Again,
+    /// It is the first one of a new cluster.
+    Bootstrap,
+    /// It joins the cluster its peers belong to.
+    Join,
+}
+
+/// Settings of a control instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance; a replacement of a lost one has the same.
+    pub name: String,
+    /// Address for operators.
+    pub listen: SocketAddr,
+    /// Address for the router's own processes.
+    pub internal: SocketAddr,
+    /// Internal addresses of the other control instances.
+    pub peers: Vec<SocketAddr>,
+    /// Data folder.
+    pub data: PathBuf,
+    /// Key shared by the router's processes.
+    pub secret: String,
+    /// Teams that may change documents.
+    pub teams: Vec<Team>,
+    /// Log entries after which the log is compacted. Default 2,000: replaying
+    /// them takes a fraction of a second, and a snapshot is written seldom.
+    pub compact: u64,
+    /// How long connections are still accepted after a drain began. Default
+    /// 1 s.
+    pub linger: Duration,
+    /// How an instance without state comes to be; from the command line.
+    pub start: Start,
+}
+
+impl Settings {
+    /// Settings with defaults, on free ports of loopback.
+    pub fn new(name: String, data: PathBuf) -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name,
+            listen: free,
+            internal: free,
+            peers: Vec::new(),
+            data,
+            secret: String::new(),
+            teams: Vec::new(),
+            compact: DEFAULT_COMPACT,
+            linger: DEFAULT_LINGER,
+            start: Start::Again,
+        }
+    }
+
+    /// Reads settings from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text.
+    pub fn parse(file: &str, source: &str) -> Result<Self, Faults> {
+        Text::read(file, source, read)
+    }
+}
+
+fn read(s: &mut Section<'_, '_>) -> Settings {
+    let settings = Settings {
+        name: s.name("name"),
+        listen: s.address("listen"),
+        internal: s.address("internal"),
+        peers: s.addresses("peers"),
+        data: PathBuf::from(s.text("data")),
+        secret: s.text("cluster_key"),
+        teams: s.sections("teams", team),
+        compact: s.count("compact_after", 16..=1_000_000, Some(DEFAULT_COMPACT)),
+        linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
+        start: Start::Again,
+    };
+    if settings.peers.contains(&settings.internal) {
+        let remedy = "list only the other instances";
+        s.fault("peers", "name this instance itself", remedy);
+    }
+    settings
+}
+
+fn team(s: &mut Section<'_, '_>) -> Team {
+    let texts = s.texts("keys");
+    let keys: Vec<KeyHash> = texts.iter().filter_map(|t| KeyHash::parse(t)).collect();
+    if keys.len() != texts.len() || keys.is_empty() {
+        let remedy = "list at least one as sha256: and 64 hexadecimal digits";
+        s.fault("keys", "are not hashed keys", remedy);
+    }
+    Team {
+        name: s.name("name"),
+        keys,
+    }
+}
--- /dev/null
+++ b/crates/control/src/watch.rs
@@ -0,0 +1,80 @@
+//! Answering long polls.
+
+use crate::presence::Presence;
+use crate::replica::Standing;
+use crate::service::Service;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::control::{Answered, Changes, Unable, Watch};
+use tokio::sync::watch::Receiver;
+use tokio::time::{Instant, sleep_until};
+
+/// Longest poll that is taken.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// How long this instance may be out of contact before it sends its polls
+/// elsewhere; longer than an election usually takes.
+const CONTACT_LOSS: Duration = Duration::from_secs(2);
+
+/// Answers one poll.
+///
+/// # Errors
+///
+/// [`Unable::NoMajority`] where this instance can't confirm that it knows all
+/// that was accepted, or loses contact while the poll waits: the daemon then
+/// asks another one.
+pub async fn answer(
+    service: &Service,
+    presence: &Presence,
+    watch: Watch,
+) -> Answered<Changes> {
+    let _polling = watch.entry.then(|| presence.poll(&watch.daemon));
+    service.confirm().await?;
+    let mut applied = service.replica().applied.clone();
+    let mut count = presence.count();
+    let standing = service.replica().standing.clone();
+    let end = Instant::now() + watch.wait.min(MAX_WAIT);
+    let lost = lost_contact(standing);
+    tokio::pin!(lost);
+    loop {
+        applied.mark_unchanged();
+        let entries = *count.borrow_and_update();
+        let changes = changes(service, &watch, entries);
+        let news = !changes.documents.is_empty() || changes.revision < watch.revision;
+        let counted = watch.entry && entries != watch.entries;
+        if news || counted || Instant::now() >= end {
+            return Ok(changes);
+        }
+        tokio::select! {
+            changed = applied.changed() => changed.map_err(|_| Unable::NoMajority)?,
+            changed = count.changed() => changed.map_err(|_| Unable::NoMajority)?,
+            () = sleep_until(end) => {}
+            () = &mut lost => return Err(Unable::NoMajority),
+        }
+    }
+}
+
+fn changes(service: &Service, watch: &Watch, entries: u32) -> Changes {
+    let documents = service.replica().documents.load();
+    Changes {
+        revision: documents.revision,
+        documents: documents.since(watch.revision, watch.service.as_deref()),
+        entries,
+    }
+}
+
+/// Ends once contact has been lost for [`CONTACT_LOSS`] without a break.
+async fn lost_contact(mut standing: Receiver<Standing>) {
+    loop {
+        if standing
+            .wait_for(|standing| !standing.contact)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let back = standing.wait_for(|standing| standing.contact);
+        match tokio::time::timeout(CONTACT_LOSS, back).await {
+            Ok(Ok(_)) => {}
+            _ => return,
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -35,6 +35,14 @@
     /// Every fault in the text.
     fn settings(file: &str, text: &str) -> Result<Self::Settings, Faults>;
 
+    /// Adds arguments of its own to the command line.
+    fn arguments(command: Command) -> Command {
+        command
+    }
+
+    /// Takes its own arguments into the settings.
+    fn adjust(_settings: &mut Self::Settings, _matches: &ArgMatches) {}
+
     /// Runs until the drain is complete.
     fn run(
         settings: Self::Settings,
@@ -66,8 +74,8 @@
 /// Runs a daemon as a program.
 pub fn main<D: Daemon>() -> ExitCode {
     start_log();
-    let matches = command(D::NAME, D::ABOUT).get_matches();
-    let settings = match read::<D>(&matches) {
+    let matches = D::arguments(command(D::NAME, D::ABOUT)).get_matches();
+    let mut settings = match read::<D>(&matches) {
         Ok(settings) => settings,
         Err(text) => {
             eprintln!("{text}");
@@ -78,6 +86,7 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
+    D::adjust(&mut settings, &matches);
     block_on(|drain| D::run(settings, drain))
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -140,7 +140,7 @@
         remaining: deadline.saturating_duration_since(Instant::now()),
         gap: call.class.target.token_gap,
         revision: call.service.revision,
-        fence: 0,
+        fence: place.fence(),
         stream: call.stream,
         method: call.method.clone(),
         path: call.path.clone(),
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -6,10 +6,18 @@
 //! `not-run`, because nothing went to an endpoint.
 
 use derive_more::{Display, Error};
-use dogwoodhill_wire::control::{Finish, Take, Taken};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::ask::ControlSet;
+use dogwoodhill_wire::control::{Ended, FINISH_PATH, Finish, TAKE_PATH, Take, Taken};
 use std::fmt::Debug;
 use std::pin::Pin;
 
+/// Longest wait for a claim: a caller is told within it.
+const TAKE_WITHIN: Duration = Duration::from_secs(2);
+/// Longest time the end of a claim is reported for. What is not reported then
+/// counts as unknown.
+const FINISH_WITHIN: Duration = Duration::from_secs(60);
+
 /// No claim could be confirmed.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("no majority of the control instances confirmed the claim")]
@@ -41,3 +49,50 @@
         Box::pin(async { Err(Unconfirmed) })
     }
 }
+
+/// Claims kept by the control instances.
+#[derive(Debug)]
+pub struct ControlClaims {
+    set: ControlSet,
+}
+
+impl ControlClaims {
+    /// Claims at the instances of `set`.
+    pub fn new(set: ControlSet) -> Self {
+        Self { set }
+    }
+
+    /// Gives back a claim that may have been granted without this entry
+    /// hearing of it, so that the caller's next try is not told that the
+    /// request is in progress.
+    fn give_back(&self, take: &Take) {
+        let set = self.set.clone();
+        let finish = Finish {
+            claim: take.claim.clone(),
+            holder: take.holder,
+            ended: Ended::NotRun,
+        };
+        tokio::spawn(async move {
+            let _ = set.ask::<_, ()>(FINISH_PATH, &finish, FINISH_WITHIN).await;
+        });
+    }
+}
+
+impl Claims for ControlClaims {
+    fn take<'a>(&'a self, take: &'a Take) -> Claiming<'a, Taken> {
+        Box::pin(async move {
+            let asked = self.set.ask(TAKE_PATH, take, TAKE_WITHIN).await;
+            asked.map_err(|_| {
+                self.give_back(take);
+                Unconfirmed
+            })
+        })
+    }
+
+    fn finish<'a>(&'a self, finish: &'a Finish) -> Claiming<'a, ()> {
+        Box::pin(async move {
+            let asked = self.set.ask(FINISH_PATH, finish, FINISH_WITHIN).await;
+            asked.map_err(|_| Unconfirmed)
+        })
+    }
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::AttemptIds;
 use crate::call::{Lane, Ran, Runner};
-use crate::claims::Claims;
+use crate::claims::{Claims, ControlClaims, NoClaims};
 use crate::deliver::{Content, respond};
 use crate::pool::{Pool, TICK};
 use crate::quotas::{Held, Quotas};
@@ -24,8 +24,12 @@
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::dispatch::Listed;
 use dogwoodhill_policy::quota::{Excess, Limits};
+use dogwoodhill_wire::ask::ControlSet;
 use dogwoodhill_wire::client::Caller;
-use dogwoodhill_wire::control::{ClaimKey, Ended, Finish, Recorded, Take, Taken};
+use dogwoodhill_wire::control::{
+    Changes, ClaimKey, Ended, Finish, Recorded, Take, Taken,
+};
+use dogwoodhill_wire::follow::Follower;
 use error_stack::Report;
 use http::HeaderValue;
 use http::request::Parts;
@@ -79,15 +83,38 @@
     drain: Drain,
     revision: IntGauge,
     waiting: IntGauge,
+    cut_off: IntGauge,
 }
 
 impl Entry {
-    /// Binds the entry's address.
+    /// Binds the entry's address. Claims are kept by the control instances
+    /// that the settings name.
     ///
     /// # Errors
     ///
     /// [`ListenError`] where the address can't be bound.
     pub async fn bind(
+        settings: Settings,
+        drain: Drain,
+    ) -> Result<Self, Report<ListenError>> {
+        let claims: Arc<dyn Claims> = match settings.control.is_empty() {
+            true => Arc::new(NoClaims),
+            false => {
+                let caller = Caller::new(settings.secret.clone());
+                let spread = rand::rng().random_range(0..settings.control.len());
+                let set = ControlSet::new(caller, settings.control.clone(), spread);
+                Arc::new(ControlClaims::new(set))
+            }
+        };
+        Self::with_claims(settings, claims, drain).await
+    }
+
+    /// Binds the entry's address, with claims kept elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// [`ListenError`] where the address can't be bound.
+    pub async fn with_claims(
         settings: Settings,
         claims: Arc<dyn Claims>,
         drain: Drain,
@@ -115,6 +142,7 @@
             .field("listen", self.listener.address())
             .info();
         let ticking = tokio::spawn(tick(Arc::clone(&core)));
+        let following = tokio::spawn(follow(Arc::clone(&core)));
         let linger = core.settings.linger;
         let drain = core.drain.clone();
         self.listener
@@ -122,6 +150,7 @@
             .await;
         drain.idle().await;
         ticking.abort();
+        following.abort();
         Event::new("entry-stopped").info();
     }
 }
@@ -147,6 +176,10 @@
                 "Highest revision of the documents in force here",
             ),
             waiting: metrics.gauge("dogwoodhill_entry_waiting", "Requests waiting"),
+            cut_off: metrics.gauge(
+                "dogwoodhill_entry_cut_off",
+                "1 while no control instance confirms the documents in force",
+            ),
             metrics,
             drain,
             settings,
@@ -230,6 +263,33 @@
     .collect()
 }
 
+/// Follows the documents, where control instances are named.
+async fn follow(core: Arc<Core>) {
+    if core.settings.control.is_empty() {
+        return;
+    }
+    let follower = Follower {
+        daemon: core.settings.name.clone(),
+        entry: true,
+        service: None,
+        control: core.settings.control.clone(),
+        caller: core.runner.caller.clone(),
+        spread: rand::rng().random(),
+    };
+    let heed = |changes: Changes| {
+        core.share(changes.entries);
+        core.cut_off.set(0);
+        let documents = changes.documents.into_iter();
+        let services = documents.map(|accepted| Service {
+            revision: accepted.revision,
+            document: Arc::new(accepted.document),
+        });
+        core.install(changes.revision, services.collect());
+    };
+    let failed = || core.cut_off.set(1);
+    follower.run(heed, failed).await;
+}
+
 /// Tries waiting requests again at fixed times.
 async fn tick(core: Arc<Core>) {
     let mut ticks = tokio::time::interval(TICK);
@@ -486,13 +546,7 @@
         holder: take.holder,
         ended,
     };
-    if core.claims.finish(&report).await.is_err() {
-        // The claim stays in progress and then becomes unknown, which is
-        // safe: the key is never granted again.
-        Event::new("claim-end-unreported")
-            .field("request", &call.id)
-            .warn();
-    }
+    tokio::spawn(report_end(Arc::clone(core), report, call.id.clone()));
     let Done { ran, held } = done.inspect_err(|refusal| {
         core.stats
             .add(&call, counts_of(refusal), &refusal.outcome.to_string());
@@ -500,6 +554,18 @@
     Ok(finish(core, call, ran, held, arrived, busy))
 }
 
+/// Reports how a claimed request ended, while its caller is answered already.
+/// Should this entry stop before, the claim becomes unknown, which is safe:
+/// the key is never granted again.
+async fn report_end(core: Arc<Core>, report: Finish, request: RequestId) {
+    let _busy = core.drain.enter();
+    if core.claims.finish(&report).await.is_err() {
+        Event::new("claim-end-unreported")
+            .field("request", request)
+            .warn();
+    }
+}
+
 fn take_of(core: &Arc<Core>, call: &Call) -> Option<Take> {
     let key = call.key.clone()?;
     let mut digest = Sha256::new();
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -171,6 +171,7 @@
                 view,
                 endpoint: started.endpoint,
                 due: started.due,
+                fence: started.fence,
                 waiting: swapped.waiting,
             });
             swapped.payload.send(turn).is_err().then_some(view)
@@ -194,6 +195,7 @@
         gap_us: load.gap_us,
         first_us: load.first_us,
         leaving: load.leaving,
+        fence: load.fence,
     }
 }
 
@@ -224,6 +226,11 @@
         self.started().due
     }
 
+    /// Highest fencing number the endpoint's agent has shown.
+    pub fn fence(&self) -> Fence {
+        self.started().fence
+    }
+
     /// What the order depended on.
     pub fn item(&self) -> &Item {
         &self.started().waiting.item
--- /dev/null
+++ b/crates/load/src/arguments.rs
@@ -0,0 +1,89 @@
+//! The command line's grammar.
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The whole grammar.
+pub fn command() -> Command {
+    Command::new("dogwoodhill-load")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Stand-in endpoints, open-loop load and measurements on loopback")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("engine")
+                .about("Runs a stand-in model engine")
+                .arg(listen())
+                .arg(number("slots", "32", "Requests that run at once"))
+                .arg(number("gap-ms", "10", "Time between tokens, alone"))
+                .arg(number(
+                    "crowd-us",
+                    "500",
+                    "What each further request adds to it",
+                )),
+        )
+        .subcommand(
+            Command::new("plain")
+                .about("Runs a stand-in plain service")
+                .arg(listen())
+                .arg(number("work-ms", "5", "Time one call takes")),
+        )
+        .subcommand(
+            Command::new("run")
+                .about("Runs the scenarios of a file with every policy and seed")
+                .arg(
+                    Arg::new("file")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Scenarios, as JSON with comments"),
+                )
+                .arg(number("seeds", "3", "Seeds for each scenario"))
+                .arg(
+                    Arg::new("only")
+                        .long("only")
+                        .value_name("NAME")
+                        .action(ArgAction::Append)
+                        .help("Only this scenario; may be repeated"),
+                )
+                .arg(
+                    Arg::new("policy")
+                        .long("policy")
+                        .value_name("NAME")
+                        .action(ArgAction::Append)
+                        .help("Only this policy; may be repeated"),
+                )
+                .arg(
+                    Arg::new("check")
+                        .long("check")
+                        .action(ArgAction::SetTrue)
+                        .help("Check the file and exit"),
+                ),
+        )
+        .subcommand(
+            Command::new("latency")
+                .about("Measures what entry and agent add to a direct call")
+                .arg(number("seconds", "4", "Length of each measurement")),
+        )
+        .subcommand(
+            Command::new("slopes")
+                .about("Measures the slopes that docs/CAPACITY.md uses"),
+        )
+}
+
+fn listen() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .value_name("ADDRESS")
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Address to listen on")
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u32))
+        .help(help)
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::place::{Placement, Wish};
 use crate::queue::{Bounds, Item, Queue, Turn, Waiting};
 use crate::view::{Report, View};
-use dogwoodhill_core::ids::{ClassId, DomainId, EndpointId, Tier};
+use dogwoodhill_core::ids::{ClassId, DomainId, EndpointId, Fence, Tier};
 use rand::Rng;
 
 /// Shortest time in which any endpoint answers: a request with less time
@@ -32,6 +32,8 @@
     pub endpoint: EndpointId,
     /// Whether its class was owed the start.
     pub due: bool,
+    /// Highest fencing number the endpoint's agent has shown.
+    pub fence: Fence,
     /// The request itself.
     pub waiting: Waiting<P>,
 }
@@ -270,6 +272,7 @@
             view,
             endpoint: self.views[view].name.clone(),
             due,
+            fence: self.views[view].fence(),
             waiting,
         })
     }
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -8,7 +8,7 @@
 //! refusal, which brings a fresh report.
 
 use crate::Moment;
-use dogwoodhill_core::ids::{DomainId, EndpointId, Tier};
+use dogwoodhill_core::ids::{DomainId, EndpointId, Fence, Tier};
 
 /// Time in which the believed load of others fades to about a third.
 const FADE: Moment = Moment::from_millis(400);
@@ -36,6 +36,8 @@
     pub first_us: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Fencing number of its agent's lease.
+    pub fence: Fence,
 }
 
 /// Belief about one endpoint.
@@ -56,6 +58,7 @@
     paused: Moment,
     leaving: bool,
     listed: bool,
+    fence: Fence,
 }
 
 impl View {
@@ -75,6 +78,7 @@
             paused: Moment::ZERO,
             leaving: false,
             listed: true,
+            fence: 0,
         }
     }
 
@@ -139,6 +143,11 @@
         self.own = self.own.saturating_sub(1);
     }
 
+    /// Highest fencing number seen.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
     /// Takes a report in. `own_included` is the number of this entry's own
     /// requests that the report counts.
     pub fn report(&mut self, now: Moment, report: &Report, own_included: u32) {
@@ -146,6 +155,7 @@
         self.limit = report.limit;
         self.reserve = report.reserve;
         self.leaving = report.leaving;
+        self.fence = self.fence.max(report.fence);
         self.told = now;
         mix(&mut self.gap, f64::from(report.gap_us) / 1e6);
         mix(&mut self.first, f64::from(report.first_us) / 1e6);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -22,6 +22,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -72,6 +73,24 @@
     schedule: Schedule,
     faults: Faults,
     history: Mutex<VecDeque<Sample>>,
+    made: Made,
+}
+
+/// Tokens an engine has made. Clones share the count.
+#[derive(Clone, Debug, Default)]
+pub struct Made {
+    count: Arc<AtomicU64>,
+}
+
+impl Made {
+    /// Tokens made so far.
+    pub fn count(&self) -> u64 {
+        self.count.load(Ordering::Relaxed)
+    }
+
+    fn add(&self) {
+        self.count.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -96,6 +115,7 @@
             schedule: Schedule::new(speed.slots),
             faults: Faults::default(),
             history: Mutex::default(),
+            made: Made::default(),
         };
         Ok(Self {
             listener: Listener::bind(address).await?,
@@ -113,6 +133,11 @@
         self.core.faults.clone()
     }
 
+    /// Its count of tokens.
+    pub fn made(&self) -> Made {
+        self.core.made.clone()
+    }
+
     /// Its scheduler, to watch what runs.
     pub fn schedule(&self) -> Schedule {
         self.core.schedule.clone()
@@ -256,6 +281,7 @@
         let gap = self.core.speed.gap + self.core.speed.crowd * crowd;
         self.due += gap * self.core.faults.slowness();
         sleep_until(self.due).await;
+        self.core.made.add();
         self.sent += 1;
     }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -28,6 +28,9 @@
     pub revision: Revision,
     /// Only this service's documents, for an agent.
     pub service: Option<ServiceId>,
+    /// Number of entries the daemon was told last; another number is answered
+    /// at once.
+    pub entries: u32,
     /// Longest wait.
     pub wait: Duration,
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -21,6 +21,10 @@
     pub first_us: u32,
     /// Whether the endpoint takes no new work.
     pub leaving: bool,
+    /// Fencing number of the agent's lease; 0 where none is in use.
+    pub fence: Fence,
+    /// Highest revision of its service's document that the agent knows.
+    pub revision: Revision,
 }
 
 /// Why an agent refused an attempt. All but [`Reason::Repeated`] say that no
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,10 +13,12 @@
 //! * no message is longer than [`codec::MAX_FRAME`].
 
 pub mod answer;
+pub mod ask;
 pub mod attempt;
 pub mod client;
 pub mod codec;
 pub mod control;
+pub mod follow;
 pub mod frame;
 
 /// The names most modules need, for one import line.
--- a/src/bin/dogwoodhill-local.rs
+++ b/src/bin/dogwoodhill-local.rs
@@ -1,13 +1,14 @@
 //! Every role and two stand-in endpoints in one process on loopback.
 
 use dogwoodhill::daemon::run::{EXIT_USAGE, block_on, describe, start_log};
-use dogwoodhill::local::{Local, Places, SAMPLE_KEY};
+use dogwoodhill::local::{Local, OPERATOR_KEY, Places, SAMPLE_KEY};
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::Duration;
 
 /// Port for callers.
 const CALLERS: u16 = 8080;
+/// Port for operators.
+const OPERATORS: u16 = 8081;
 
 fn main() -> ExitCode {
     start_log();
@@ -19,23 +20,33 @@
         let usage = error.use_stderr();
         return ExitCode::from(if usage { EXIT_USAGE } else { 0 });
     }
+    let loopback = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let data = format!("dogwoodhill-local-{}", std::process::id());
     let places = Places {
-        callers: SocketAddr::from(([127, 0, 0, 1], CALLERS)),
-        linger: Duration::ZERO,
+        callers: loopback(CALLERS),
+        operators: loopback(OPERATORS),
+        data: std::env::temp_dir().join(data),
     };
-    block_on(|drain| async move {
+    let data = places.data.clone();
+    let code = block_on(|drain| async move {
         let local = Local::start(places, drain).await.map_err(describe)?;
-        print_examples(local.callers);
+        print_examples(local.callers, local.operators);
         local.finish().await;
         Ok::<(), String>(())
-    })
+    });
+    // State of a sample is of no use once it stopped.
+    let _ = std::fs::remove_dir_all(data);
+    code
 }
 
-fn print_examples(callers: SocketAddr) {
+fn print_examples(callers: SocketAddr, operators: SocketAddr) {
     println!(
-        "serving callers at {callers}. Try:\n\n\
+        "serving callers at {callers} and operators at {operators}. Try:\n\n\
          curl -N http://{callers}/v1/chat/completions -H 'Authorization: Bearer {SAMPLE_KEY}' \\\n  \
          -d '{{\"model\":\"chat\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'\n\n\
-         curl http://{callers}/services/lookup/titles?q=harbour -H 'Authorization: Bearer {SAMPLE_KEY}'\n"
+         curl http://{callers}/services/lookup/titles?q=harbour -H 'Authorization: Bearer {SAMPLE_KEY}'\n\n\
+         curl -X POST http://{callers}/services/lookup/vouchers -H 'Authorization: Bearer {SAMPLE_KEY}' \\\n  \
+         -H 'Idempotency-Key: seat-1' -d 'one basket seat'\n\n\
+         curl http://{operators}/v1/services/chat -H 'Authorization: Bearer {OPERATOR_KEY}'\n"
     );
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`entry`]: the daemon that takes callers' requests;
 //! * [`agent`]: the daemon beside each endpoint;
 //! * [`control`]: the daemon that keeps durable state;
+//! * [`ctl`]: the operator's command line;
+//! * [`load`]: load and experiments;
 //! * [`standin`]: stand-in endpoints;
 //! * [`local`]: every role in one process.
 
@@ -14,7 +16,9 @@
 pub use dogwoodhill_agent as agent;
 pub use dogwoodhill_control as control;
 pub use dogwoodhill_core as core;
+pub use dogwoodhill_ctl as ctl;
 pub use dogwoodhill_daemon as daemon;
 pub use dogwoodhill_entry as entry;
+pub use dogwoodhill_load as load;
 pub use dogwoodhill_standin as standin;
 pub use dogwoodhill_wire as wire;
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -1,45 +1,82 @@
 //! The whole path: caller, entry, agent, endpoint and back.
 
-use crate::support::{chat, header, local, request, send, streamed_text};
+use crate::support::{Running, chat, header, streamed_text};
+use dogwoodhill::standin::faults::Fault;
 use dogwoodhill::standin::text::answer;
 
 #[tokio::test]
 async fn chat_streamed() {
-    let (local, drain) = local().await;
-    let body = chat("hello", 5, true);
-    let asked = request("POST", local.callers, "/v1/chat/completions", &[], &body);
-    let got = send(asked).await;
+    let running = Running::start().await;
+    let got = running.chat(&[], &chat("hello", 5, true)).await;
     assert_eq!(got.status(), 200);
     assert_eq!(header(&got, "x-outcome"), "ran");
     assert!(got.body().ends_with("data: [DONE]\n\n"), "{}", got.body());
     assert_eq!(streamed_text(got.body()), answer("hello", 5));
-    drain.begin();
-    local.finish().await;
+    running.stop().await;
 }
 
 #[tokio::test]
 async fn chat_whole() {
-    let (local, drain) = local().await;
-    let body = chat("good morning", 7, false);
+    let running = Running::start().await;
     let id = [("x-request-id", "mine")];
-    let asked = request("POST", local.callers, "/v1/chat/completions", &id, &body);
-    let got = send(asked).await;
+    let got = running.chat(&id, &chat("good morning", 7, false)).await;
     assert_eq!(got.status(), 200);
     assert_eq!(header(&got, "x-request-id"), "mine");
     let read: serde_json::Value = serde_json::from_str(got.body()).unwrap();
     let text = read["choices"][0]["message"]["content"].as_str().unwrap();
     assert_eq!(text, answer("good morning", 7));
-    drain.begin();
-    local.finish().await;
+    running.stop().await;
 }
 
 #[tokio::test]
 async fn plain_passed_through() {
-    let (local, drain) = local().await;
+    let running = Running::start().await;
     let path = "/services/lookup/titles?q=a%20b";
-    let got = send(request("PUT", local.callers, path, &[], "abc")).await;
+    let got = running.call("PUT", path, &[], "abc").await;
     assert_eq!(got.status(), 200);
     assert_eq!(got.body(), "PUT /titles?q=a%20b key= body=abc");
-    drain.begin();
-    local.finish().await;
+    running.stop().await;
+}
+
+#[tokio::test]
+async fn voucher_resent_runs_once() {
+    let running = Running::start().await;
+    let key = [("idempotency-key", "seat-1")];
+    let path = "/services/lookup/vouchers";
+    let first = running.call("POST", path, &key, "seat").await;
+    assert_eq!(first.status(), 200, "{}", first.body());
+    // The end is reported while the caller is answered: a resend right after
+    // may still find it in progress, but never runs it again.
+    let again = loop {
+        let again = running.call("POST", path, &key, "seat").await;
+        if again.status() != 409 {
+            break again;
+        }
+    };
+    assert_eq!(again.status(), 200);
+    assert_eq!(again.body(), first.body(), "the recorded answer");
+    let other = running.call("POST", path, &key, "another seat").await;
+    assert_eq!(other.status(), 422);
+    assert_eq!(header(&other, "x-outcome"), "not-run");
+    assert_eq!(running.local.calls.of("seat-1"), 1);
+    running.stop().await;
+}
+
+#[tokio::test]
+async fn voucher_lost_answer_never_repeated() {
+    let running = Running::start().await;
+    let key = [("idempotency-key", "seat-2")];
+    let path = "/services/lookup/vouchers";
+    running.local.plain.set(Fault::CloseMiddle);
+    let lost = running.call("POST", path, &key, "seat").await;
+    assert_eq!(lost.status(), 502, "{}", lost.body());
+    assert_eq!(header(&lost, "x-outcome"), "unknown");
+    running.local.plain.set(Fault::None);
+    for _ in 0..3 {
+        let again = running.call("POST", path, &key, "seat").await;
+        assert_ne!(header(&again, "x-outcome"), "not-run");
+        assert_ne!(again.status(), 200);
+    }
+    assert_eq!(running.local.calls.of("seat-2"), 1);
+    running.stop().await;
 }
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -8,17 +8,81 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 
-/// Starts the all-in-one deployment on free ports.
-pub(crate) async fn local() -> (Local, Drain) {
-    let drain = Drain::default();
-    let places = Places {
-        callers: SocketAddr::from(([127, 0, 0, 1], 0)),
-        linger: Duration::ZERO,
-    };
-    let local = Local::start(places, drain.clone()).await.unwrap();
-    (local, drain)
+/// A folder of its own for one test, removed when it is dropped.
+pub(crate) struct Folder(pub(crate) PathBuf);
+
+impl Folder {
+    pub(crate) fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("dogwoodhill-test-{}-{number}", std::process::id());
+        Self(std::env::temp_dir().join(name))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// An address with a free port.
+pub(crate) fn free() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The all-in-one deployment on free ports.
+pub(crate) struct Running {
+    pub(crate) local: Local,
+    pub(crate) drain: Drain,
+    _folder: Folder,
+}
+
+impl Running {
+    pub(crate) async fn start() -> Self {
+        let drain = Drain::default();
+        let folder = Folder::new();
+        let places = Places {
+            callers: free(),
+            operators: free(),
+            data: folder.0.clone(),
+        };
+        let local = Local::start(places, drain.clone()).await.unwrap();
+        Self {
+            local,
+            drain,
+            _folder: folder,
+        }
+    }
+
+    pub(crate) async fn stop(self) {
+        self.drain.begin();
+        self.local.finish().await;
+    }
+
+    /// Calls the entry.
+    pub(crate) async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Response<String> {
+        send(request(method, self.local.callers, path, headers, body)).await
+    }
+
+    /// Sends a chat request.
+    pub(crate) async fn chat(
+        &self,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Response<String> {
+        self.call("POST", "/v1/chat/completions", headers, body)
+            .await
+    }
 }
 
 /// A request to `address` with the sample key.
