Gate: limit capped by the endpoint's own report; headroom only while needed

Cause: at 4 times capacity the most urgent class missed first-token targets although slots came free often enough. The learned limit had risen above the engine's 16 slots (token gaps stay fine while requests wait inside it), and the headroom of 3% of 16 rounded down to nothing. Change: a report of requests waiting inside the endpoint caps the limit for a minute; headroom is computed for the tier as a whole and kept only while a more urgent tier started something within 2 s; agents report their ceilings.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -460,6 +460,7 @@
         }
         if let Some(report) = core.endpoint.load().await {
             core.close_gate(Source::Endpoint, report.leaving);
+            core.gate.saw_report(report.running, report.waiting);
         }
         if let Some(platform) = &core.platform {
             heed_platform(&core, platform.as_ref()).await;
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -40,7 +40,8 @@
     ///
     /// [`Refusal`] where it does not start.
     pub fn admit(&self, ask: &Ask) -> Result<Slot, Refusal> {
-        self.lock().admit(ask)?;
+        let now = self.start.elapsed();
+        self.lock().admit(now, ask)?;
         Ok(Slot { gate: self.clone() })
     }
 
@@ -61,11 +62,12 @@
 
     /// The load as it is now.
     pub fn load(&self) -> Load {
+        let now = self.start.elapsed();
         let gate = self.lock();
         Load {
             running: gate.running(),
             limit: gate.limit(),
-            reserve: gate.reserve(),
+            ceilings: gate.ceilings(now),
             gap_us: gate.gap().as_micros() as u32,
             first_us: gate.first().as_micros() as u32,
             leaving: gate.leaving(),
@@ -79,6 +81,12 @@
         self.lock().saw_first(first);
     }
 
+    /// Notes the endpoint's own report.
+    pub fn saw_report(&self, running: u32, waiting: u32) {
+        let now = self.start.elapsed();
+        self.lock().saw_report(now, running, waiting);
+    }
+
     /// Notes a token gap, and the gap the class allows.
     pub fn saw_gap(&self, gap: Moment, allowed: Option<Moment>) {
         let now = self.start.elapsed();
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -191,7 +191,7 @@
     Report {
         running: load.running,
         limit: load.limit,
-        reserve: load.reserve,
+        ceilings: load.ceilings,
         gap_us: load.gap_us,
         first_us: load.first_us,
         leaving: load.leaving,
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -154,8 +154,8 @@
         let _ = write!(line, " {} |", class.name);
         rule.push_str(" --- |");
     }
-    line.push_str(" in target | goodput tok/s | wasted | wrong | not whole |");
-    rule.push_str(" --- | --- | --- | --- | --- |");
+    line.push_str(" top p99 first ms | top slow first/gap | in target | goodput tok/s | wasted | wrong | not whole |");
+    rule.push_str(" --- | --- | --- | --- | --- | --- | --- |");
     format!("{line}\n{rule}\n")
 }
 
@@ -175,6 +175,10 @@
     }
     let of =
         |value: fn(&Outcome) -> f64| mean(&runs.iter().map(value).collect::<Vec<_>>());
+    let p99 = of(|run| run.classes[0].first.value_at_quantile(0.99) as f64 / 1000.0);
+    let slow_first = of(|run| run.classes[0].slow_first as f64);
+    let slow_gap = of(|run| run.classes[0].slow_gap as f64);
+    let _ = write!(line, " {p99:.0} | {slow_first:.0}/{slow_gap:.0} |");
     let attained = of(|run| run.attained() as f64);
     let goodput = of(|run| run.good as f64 / run.lasting.as_secs_f64());
     let wasted = of(|run| run.wasted() * 100.0);
--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -135,7 +135,7 @@
             let mut first = Histogram::<u64>::new(3).expect("a valid precision");
             while Instant::now() < end {
                 if let Some(taken) = one(&client, target).await {
-                    first.saturating_record(taken.as_micros() as u64);
+                    let _ = first.record(taken.as_micros() as u64);
                 }
             }
             first
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -78,6 +78,10 @@
     pub wrong: u64,
     /// All other ends.
     pub failed: u64,
+    /// Whole ones whose first token came too late.
+    pub slow_first: u64,
+    /// Whole ones whose tokens came too slowly.
+    pub slow_gap: u64,
     /// First byte, in microseconds.
     pub first: Histogram<u64>,
 }
@@ -133,8 +137,10 @@
                     && load.gap.is_none_or(|limit| gap <= limit)
                     && load.finish.is_none_or(|limit| total <= limit);
                 class.attained += u64::from(met);
+                class.slow_first += u64::from(load.first.is_some_and(|l| first > l));
+                class.slow_gap += u64::from(load.gap.is_some_and(|l| gap > l));
                 self.good += if met { u64::from(result.tokens) } else { 0 };
-                class.first.saturating_record(first.as_micros() as u64);
+                let _ = class.first.record(first.as_micros() as u64);
             }
             Ended::Shed => class.shed += 1,
             Ended::Wrong => class.wrong += 1,
@@ -171,6 +177,8 @@
         shed: 0,
         wrong: 0,
         failed: 0,
+        slow_first: 0,
+        slow_gap: 0,
         first: Histogram::new(DIGITS).expect("a valid precision"),
     }
 }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -1,19 +1,22 @@
 //! The agent's decision to start a request or refuse it.
 //!
 //! The agent is the only authority on its endpoint, so its decision is exact
-//! where an entry can only guess. A request of tier `t` starts while at least
-//! `t * reserve` slots stay free after it; tier 0 may use all of them. A class
-//! that is owed a start ([`crate::queue::OWED`]) is treated as tier 0, which
+//! where an entry can only guess. While more urgent requests were seen lately,
+//! each step of tier leaves a part of the slots free for them; tier 0 may use
+//! all. Without such requests nothing is kept free, so a queue of patient work
+//! drains at full speed. A class that is owed a start ([`crate::queue::OWED`]) is treated as tier 0, which
 //! is how the least urgent class progresses under endless urgent load.
 //! Nothing that runs is ever stopped to make room.
 
 use crate::Moment;
 use crate::limit::Limit;
-use dogwoodhill_core::ids::{AttemptId, Tier};
+use dogwoodhill_core::ids::{AttemptId, TIERS, Tier};
 use std::collections::VecDeque;
 
 /// Part of the limit that each step of tier leaves free.
 const RESERVE: f64 = 0.03;
+/// How long after its last start a tier counts as seen lately.
+const LATELY: Moment = Moment::from_secs(2);
 /// Attempt ids remembered in order to refuse a second delivery. An attempt is
 /// delivered again at most by a broken connection or a repeated frame, within
 /// seconds; an endpoint starts far fewer requests than this in that time.
@@ -51,6 +54,7 @@
     leaving: bool,
     gap: f64,
     first: f64,
+    starts: [Option<Moment>; TIERS],
     seen: Vec<AttemptId>,
     order: VecDeque<AttemptId>,
 }
@@ -64,6 +68,7 @@
             leaving: false,
             gap: 0.0,
             first: 0.0,
+            starts: [None; TIERS],
             seen: Vec::new(),
             order: VecDeque::new(),
         }
@@ -79,9 +84,20 @@
         self.limit.value()
     }
 
-    /// Slots kept free for each step of tier.
-    pub fn reserve(&self) -> u32 {
-        (f64::from(self.limit.value()) * RESERVE) as u32
+    /// Most requests that may run for one more of `tier` to start, for each
+    /// tier.
+    pub fn ceilings(&self, now: Moment) -> [u32; TIERS] {
+        let limit = self.limit.value();
+        let mut ceilings = [limit; TIERS];
+        let lately = |start: &Option<Moment>| start.is_some_and(|at| now < at + LATELY);
+        let Some(urgent) = self.starts.iter().position(lately) else {
+            return ceilings;
+        };
+        for (tier, ceiling) in ceilings.iter_mut().enumerate().skip(urgent + 1) {
+            let kept = (f64::from(limit) * RESERVE * tier as f64) as u32;
+            *ceiling = (limit - kept.min(limit)).max(1);
+        }
+        ceilings
     }
 
     /// Whether new work is refused.
@@ -109,7 +125,7 @@
     /// # Errors
     ///
     /// [`Refusal`]; the request has not been and will not be started.
-    pub fn admit(&mut self, ask: &Ask) -> Result<(), Refusal> {
+    pub fn admit(&mut self, now: Moment, ask: &Ask) -> Result<(), Refusal> {
         if self.leaving {
             return Err(Refusal::Leaving);
         }
@@ -117,11 +133,12 @@
         let Err(place) = place else {
             return Err(Refusal::Repeated);
         };
-        let steps = if ask.due { 0 } else { u32::from(ask.tier) };
-        let kept = self.reserve() * steps;
-        if self.running + kept + 1 > self.limit.value() {
+        let tier = usize::from(ask.tier);
+        let ceiling = self.ceilings(now)[if ask.due { 0 } else { tier }];
+        if self.running + 1 > ceiling {
             return Err(Refusal::Full);
         }
+        self.starts[tier] = Some(now);
         self.remember(place, ask.attempt);
         self.running += 1;
         Ok(())
@@ -138,6 +155,14 @@
         mix(&mut self.first, first);
     }
 
+    /// Notes the endpoint's own report. Requests that wait inside it are
+    /// beyond what it runs at once.
+    pub fn saw_report(&mut self, now: Moment, running: u32, waiting: u32) {
+        if waiting > 0 {
+            self.limit.cap(now, running);
+        }
+    }
+
     /// Notes a token gap, and the gap its class allows.
     pub fn saw_gap(&mut self, now: Moment, gap: Moment, allowed: Option<Moment>) {
         mix(&mut self.gap, gap);
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -6,11 +6,17 @@
 //! and changes at most once in [`HOLD`], so that the effect of one change is
 //! seen before the next (a decision is held for a minimum time, as in section
 //! 6.2 of "You Can Teach Elephants to Dance").
+//!
+//! An endpoint that reports requests waiting inside it says how many it runs
+//! at once; that number caps the limit until it has not been confirmed for
+//! [`CAP_KEPT`], since an endpoint may be given more slots later.
 
 use crate::Moment;
 
 /// Shortest time between two changes.
 pub const HOLD: Moment = Moment::from_millis(250);
+/// How long a reported cap holds.
+pub const CAP_KEPT: Moment = Moment::from_secs(60);
 /// Factor of a decrease.
 const BACK_OFF: f64 = 0.85;
 /// Part of the allowed gap up to which the limit may rise.
@@ -25,6 +31,13 @@
     least: u32,
     most: u32,
     changed: Moment,
+    cap: Option<Cap>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cap {
+    value: u32,
+    since: Moment,
 }
 
 impl Limit {
@@ -37,6 +50,7 @@
             least,
             most,
             changed: Moment::ZERO,
+            cap: None,
         }
     }
 
@@ -45,6 +59,13 @@
         self.value as u32
     }
 
+    /// The endpoint ran `running` requests at once while others waited in it.
+    pub fn cap(&mut self, now: Moment, running: u32) {
+        let value = running.clamp(self.least, self.most);
+        self.cap = Some(Cap { value, since: now });
+        self.value = self.value.min(f64::from(value));
+    }
+
     /// Learns from a mean `gap` measured while `running` requests ran, of
     /// which the most demanding allows `allowed`.
     pub fn learn(&mut self, now: Moment, gap: Moment, allowed: Moment, running: u32) {
@@ -59,7 +80,9 @@
         } else {
             return;
         };
-        self.value = next.clamp(f64::from(self.least), f64::from(self.most));
+        let cap = self.cap.filter(|cap| now < cap.since + CAP_KEPT);
+        let most = cap.map_or(self.most, |cap| cap.value);
+        self.value = next.clamp(f64::from(self.least), f64::from(most));
         self.changed = now;
     }
 }
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -8,7 +8,7 @@
 //! refusal, which brings a fresh report.
 
 use crate::Moment;
-use dogwoodhill_core::ids::{DomainId, EndpointId, Fence, Tier};
+use dogwoodhill_core::ids::{DomainId, EndpointId, Fence, TIERS, Tier};
 
 /// Time in which the believed load of others fades to about a third.
 const FADE: Moment = Moment::from_millis(400);
@@ -28,8 +28,8 @@
     pub running: u32,
     /// Most that its agent lets run.
     pub limit: u32,
-    /// Slots kept free per tier step.
-    pub reserve: u32,
+    /// Most requests that may run for one more of each tier to start.
+    pub ceilings: [u32; TIERS],
     /// Mean token gap in microseconds; 0 where unknown.
     pub gap_us: u32,
     /// Mean time to the first token in microseconds; 0 where unknown.
@@ -50,7 +50,7 @@
     own: u32,
     others: f64,
     limit: u32,
-    reserve: u32,
+    ceilings: [u32; TIERS],
     told: Moment,
     first: f64,
     gap: f64,
@@ -70,7 +70,7 @@
             own: 0,
             others: 0.0,
             limit: FIRST_LIMIT,
-            reserve: 0,
+            ceilings: [FIRST_LIMIT; TIERS],
             told: Moment::ZERO,
             first: 0.0,
             gap: 0.0,
@@ -108,9 +108,8 @@
         if !self.open(now) {
             return false;
         }
-        let steps = if due { 0 } else { u32::from(tier) };
-        let kept = f64::from(self.reserve * steps);
-        self.running(now) + kept + 1.0 <= f64::from(self.limit).max(1.0)
+        let tier = if due { 0 } else { usize::from(tier) };
+        self.running(now) + 1.0 <= f64::from(self.ceilings[tier]).max(1.0)
     }
 
     /// Believed cost of one more request: the token gap or first-token time
@@ -153,7 +152,7 @@
     pub fn report(&mut self, now: Moment, report: &Report, own_included: u32) {
         self.others = f64::from(report.running.saturating_sub(own_included));
         self.limit = report.limit;
-        self.reserve = report.reserve;
+        self.ceilings = report.ceilings;
         self.leaving = report.leaving;
         self.fence = self.fence.max(report.fence);
         self.told = now;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,8 +13,8 @@
     pub running: u32,
     /// Most requests the agent lets run at once.
     pub limit: u32,
-    /// Slots kept free for each tier step; see the agent's gate.
-    pub reserve: u32,
+    /// Most requests that may run for one more of each tier to start.
+    pub ceilings: [u32; TIERS],
     /// Mean time between tokens lately, in microseconds; 0 where unknown.
     pub gap_us: u32,
     /// Mean time to the first token lately, in microseconds; 0 where unknown.
