--- /dev/null
+++ b/crates/report/tests/report.rs
@@ -0,0 +1,97 @@
+//! Merging, windows, and what the report shows.
+
+use dogwoodhill_core::burn::{Counts, MINUTES, Ring};
+use dogwoodhill_report::burn::{Burn, merge, row};
+use dogwoodhill_report::page::page;
+use dogwoodhill_report::table::table;
+
+const NOW: u64 = 1_000_000;
+
+fn counts(attained: u64, missed: u64) -> Counts {
+    Counts {
+        attained,
+        missed,
+        tokens: attained * 10,
+        ..Counts::default()
+    }
+}
+
+fn ring(class: &str, buckets: &[(u64, Counts)]) -> Ring {
+    let mut ring = Ring::new("chat".to_string(), class.to_string());
+    ring.objective = 0.95;
+    ring.target = "first_token 500ms".to_string();
+    for (ago, counts) in buckets {
+        ring.add(NOW - ago, *counts);
+    }
+    ring
+}
+
+fn sample() -> Burn {
+    let first = vec![ring(
+        "interactive",
+        &[(90, counts(5, 5)), (30, counts(80, 20))],
+    )];
+    let second = vec![
+        ring("batch", &[(2, counts(0, 0))]),
+        ring("interactive", &[(30, counts(100, 0)), (1, counts(99, 1))]),
+    ];
+    let rings = merge(vec![first, second]);
+    Burn {
+        minute: NOW,
+        read: vec!["127.0.0.1:1".to_string()],
+        unread: vec!["127.0.0.1:2".to_string()],
+        rows: rings.iter().map(|ring| row(ring, NOW)).collect(),
+    }
+}
+
+#[test]
+fn merge_adds_same_minutes() {
+    let burn = sample();
+    let row = &burn.rows[1];
+    assert_eq!(row.class, "interactive");
+    assert_eq!(row.short.counts, counts(99, 1));
+    assert_eq!(row.long.counts.judged(), 300);
+    assert_eq!(row.long.counts.missed, 21);
+    assert_eq!(row.total.counts.judged(), 310);
+    // 21 of 300 missed where 15 are allowed.
+    assert!((row.long.burn.unwrap() - 1.4).abs() < 1e-9);
+}
+
+#[test]
+fn merge_order_does_not_matter() {
+    let lists = || {
+        vec![
+            vec![ring("a", &[(3, counts(1, 0))])],
+            vec![ring("a", &[(3, counts(0, 2)), (1, counts(4, 0))])],
+        ]
+    };
+    let mut turned = lists();
+    turned.reverse();
+    assert_eq!(merge(lists()), merge(turned));
+}
+
+#[test]
+fn ring_forgets_beyond_an_hour() {
+    let mut ring = ring("a", &[]);
+    for minute in 0..200 {
+        ring.add(minute, counts(1, 0));
+    }
+    assert_eq!(ring.buckets.len(), MINUTES);
+    assert_eq!(ring.total.attained, 200);
+}
+
+#[test]
+fn table_shows_rows_and_unread_entries() {
+    insta::assert_snapshot!(table(&sample()));
+}
+
+#[test]
+fn page_stands_alone_and_escapes() {
+    let mut burn = sample();
+    burn.rows[0].class = "<script>".to_string();
+    let page = page(&burn).unwrap();
+    assert!(page.contains("<svg"), "the plot is part of the page");
+    assert!(!page.contains("<script"), "names are escaped");
+    assert!(!page.contains("http://") || page.contains("w3.org"));
+    assert!(page.contains("not read: 127.0.0.1:2"));
+}
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -185,7 +185,7 @@
     let mut second = settings(0, &folder, three.internal.clone());
     second.name = "control-9".to_string();
     let refused = Control::bind(second, Drain::default()).await.unwrap_err();
-    let text = format!("{:?}", refused);
+    let text = format!("{refused:?}");
     assert!(text.contains("start with --join"), "{text}");
     three.drains.iter().for_each(Drain::begin);
     three.folders.clear();
