Deltas of documents, fair baselines, one lock per start

Cause: (1) a change sent 173 KiB to each entry with 2,100 workspaces, 2.4 of the 3 KB/s a daemon may spend. (3) The folder's lock was taken twice at the first start; a test of the lock failed once in about ten runs, because a process that a test library forks holds the lock until it starts. (4) dogwoodhill-load ignored SIGTERM while measuring.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -225,42 +225,27 @@
     caller: &Caller,
 ) -> Result<Opened, Report<ControlError>> {
     let fault = ControlError::Store;
-    match Store::open(disk(settings)?) {
-        Ok(_) if settings.start == Start::Bootstrap => {
-            Err(Report::new(StoreError::Occupied).change_context(fault))
-        }
-        Ok(opened) => Ok(opened),
-        Err(StoreError::Empty) => create(settings, caller).await,
-        Err(error) => Err(Report::new(error).change_context(fault)),
-    }
-}
-
-fn disk(settings: &Settings) -> Result<Box<DiskFiles>, Report<ControlError>> {
-    let files = DiskFiles::open(&settings.data).change_context(ControlError::Store)?;
-    Ok(Box::new(files))
-}
-
-async fn create(
-    settings: &Settings,
-    caller: &Caller,
-) -> Result<Opened, Report<ControlError>> {
-    let cluster = match settings.start {
-        Start::Again => {
-            return Err(
-                Report::new(StoreError::Empty).change_context(ControlError::Store)
-            );
-        }
-        Start::Bootstrap => {
+    let files = DiskFiles::open(&settings.data).change_context(fault)?;
+    let vacant = Store::vacant(&files).change_context(ControlError::Store)?;
+    let opened = match (vacant, settings.start) {
+        (true, Start::Again) => Err(StoreError::Empty),
+        (false, Start::Bootstrap) => Err(StoreError::Occupied),
+        (false, _) => Store::open(Box::new(files)),
+        (true, Start::Bootstrap) => {
             refuse_second_cluster(settings, caller).await?;
-            rand::rng().random()
+            create(files, rand::rng().random())
         }
-        Start::Join => find_cluster(settings, caller).await?,
+        (true, Start::Join) => create(files, find_cluster(settings, caller).await?),
     };
+    opened.change_context(ControlError::Store)
+}
+
+fn create(files: DiskFiles, cluster: u128) -> Result<Opened, StoreError> {
     let identity = Identity {
         cluster,
         node: rand::rng().random(),
     };
-    Store::create(disk(settings)?, identity).change_context(ControlError::Store)
+    Store::create(Box::new(files), identity)
 }
 
 /// A new cluster beside an existing one would put older documents in force.
--- a/crates/control/src/state/documents.rs
+++ b/crates/control/src/state/documents.rs
@@ -1,8 +1,9 @@
 //! Documents in force and their history.
 
 use crate::command::{Acceptance, Put, PutError};
+use dogwoodhill_core::document::Delta;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_wire::control::Accepted;
+use dogwoodhill_wire::control::{Accepted, News};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
@@ -11,6 +12,10 @@
 /// kept for all versions, so that a resend is recognised however late.
 const KEPT_TEXTS: usize = 20;
 
+/// Earlier documents that are kept to tell daemons only what changed. They are
+/// no part of the replicated state: without them whole documents are sent.
+const KEPT_DOCUMENTS: usize = 8;
+
 /// One accepted version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -29,6 +34,9 @@
     pub document: Arc<ServiceDocument>,
     /// All versions, oldest first.
     pub entries: Vec<Entry>,
+    /// The newest earlier documents, oldest first.
+    #[serde(skip)]
+    earlier: Vec<Accepted>,
 }
 
 /// All services, sorted by name.
@@ -50,19 +58,14 @@
         &self.services
     }
 
-    /// The documents accepted after `revision`, of one service or of all.
-    pub fn since(&self, revision: Revision, service: Option<&str>) -> Vec<Accepted> {
+    /// What changed after `revision`, in one service or in all.
+    pub fn since(&self, revision: Revision, service: Option<&str>) -> Vec<News> {
         let wanted = |history: &&Arc<History>| {
             let name = history.document.service.as_str();
             service.is_none_or(|service| service == name) && history.revision() > revision
         };
         let changed = self.services.iter().filter(wanted);
-        changed
-            .map(|history| Accepted {
-                revision: history.revision(),
-                document: history.document.as_ref().clone(),
-            })
-            .collect()
+        changed.map(|history| history.news(revision)).collect()
     }
 
     pub(super) fn put(
@@ -116,13 +119,19 @@
         match found {
             Ok(at) => {
                 let history = Arc::make_mut(&mut self.services[at]);
+                history.keep();
                 history.document = document;
                 history.entries.push(entry);
                 history.forget_texts();
             }
             Err(at) => {
                 let entries = vec![entry];
-                let history = History { document, entries };
+                let earlier = Vec::new();
+                let history = History {
+                    document,
+                    entries,
+                    earlier,
+                };
                 self.services.insert(at, Arc::new(history));
             }
         }
@@ -142,6 +151,34 @@
             .map_or(0, |entry| entry.acceptance.revision)
     }
 
+    /// The document in force, for a daemon that has those up to `revision`.
+    fn news(&self, revision: Revision) -> News {
+        let now = self.accepted();
+        let mut earlier = self.earlier.iter().rev();
+        match earlier.find(|accepted| accepted.revision <= revision) {
+            Some(base) => News::Patch {
+                base: base.revision,
+                revision: now.revision,
+                delta: Box::new(Delta::between(&base.document, &now.document)),
+            },
+            None => News::Whole(now),
+        }
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted {
+            revision: self.revision(),
+            document: Arc::clone(&self.document),
+        }
+    }
+
+    /// Keeps the document in force before another one takes its place.
+    fn keep(&mut self) {
+        self.earlier.push(self.accepted());
+        let excess = self.earlier.len().saturating_sub(KEPT_DOCUMENTS);
+        self.earlier.drain(..excess);
+    }
+
     /// The accepted version with this number.
     pub fn version(&self, version: Version) -> Option<&Entry> {
         let at = usize::try_from(version.checked_sub(1)?).ok()?;
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -3,8 +3,10 @@
 use crate::presence::Presence;
 use crate::replica::Standing;
 use crate::service::Service;
+use crate::state::Documents;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_wire::control::{Accepted, Answered, Changes, Unable, Watch};
+use dogwoodhill_wire::control::{Accepted, Answered, News, Unable, Update, Watch};
+use std::sync::Arc;
 use tokio::sync::watch::Receiver;
 use tokio::time::{Instant, sleep_until};
 
@@ -25,7 +27,7 @@
     service: &Service,
     presence: &Presence,
     watch: Watch,
-) -> Answered<Changes> {
+) -> Answered<Update> {
     let _polling = watch.entry.then(|| presence.poll(&watch.daemon));
     service.confirm().await?;
     let mut applied = service.replica().applied.clone();
@@ -38,7 +40,7 @@
         applied.mark_unchanged();
         let entries = *count.borrow_and_update();
         let changes = changes(service, &watch, entries);
-        let news = !changes.documents.is_empty() || changes.revision < watch.revision;
+        let news = !changes.news.is_empty() || changes.revision < watch.revision;
         let counted = watch.entry && entries != watch.entries;
         if news || counted || Instant::now() >= end {
             return Ok(changes);
@@ -52,29 +54,38 @@
     }
 }
 
-fn changes(service: &Service, watch: &Watch, entries: u32) -> Changes {
+fn changes(service: &Service, watch: &Watch, entries: u32) -> Update {
     let documents = service.replica().documents.load();
-    let mut changed = documents.since(watch.revision, watch.service.as_deref());
-    if !watch.entry {
-        changed
-            .iter_mut()
-            .for_each(|accepted| trim(accepted, watch));
-    }
-    Changes {
+    let news = match watch.entry {
+        true => documents.since(watch.revision, watch.service.as_deref()),
+        false => own_part(&documents, watch),
+    };
+    Update {
         revision: documents.revision,
-        documents: changed,
+        news,
         entries,
     }
 }
 
-/// Leaves out what an agent has no use for: workspaces, and endpoints other
-/// than its own.
-fn trim(accepted: &mut Accepted, watch: &Watch) {
-    let document = &mut accepted.document;
+/// What an agent needs of its service's document: everything but workspaces
+/// and the other endpoints.
+fn own_part(documents: &Documents, watch: &Watch) -> Vec<News> {
+    let history = watch
+        .service
+        .as_ref()
+        .and_then(|name| documents.service(name));
+    let Some(history) = history.filter(|h| h.revision() > watch.revision) else {
+        return Vec::new();
+    };
+    let mut document = history.document.as_ref().clone();
     document.workspaces.clear();
     document
         .endpoints
         .retain(|endpoint| endpoint.name == watch.daemon);
+    vec![News::Whole(Accepted {
+        revision: history.revision(),
+        document: Arc::new(document),
+    })]
 }
 
 /// Ends once contact has been lost for [`CONTACT_LOSS`] without a break.
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -8,6 +8,7 @@
 //! recognisable.
 
 mod check;
+mod delta;
 mod parse;
 
 use crate::ids::*;
@@ -17,6 +18,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use delta::{Delta, ListDelta, Named};
+
 pub use check::{MAX_CLASSES, MAX_ENDPOINTS, MAX_WORKSPACES};
 
 /// What stands behind a service.
--- a/crates/core/tests/text.rs
+++ b/crates/core/tests/text.rs
@@ -1,5 +1,6 @@
 //! Text from people: any input gives a value or faults, never a panic.
 
+use dogwoodhill_core::document::Delta;
 use dogwoodhill_core::event::Event;
 use dogwoodhill_core::keys::{KeyHash, KeyRing};
 use dogwoodhill_core::prelude::*;
@@ -13,6 +14,39 @@
     "domain": "d" } ]
 }"#;
 
+/// A document whose lists hold what the numbers say.
+fn listed(version: u64, workspaces: &[u8], endpoints: &[u8]) -> ServiceDocument {
+    let mut document = ServiceDocument::parse("base", DOCUMENT).unwrap();
+    document.version = version;
+    let workspace = document.workspaces[0].clone();
+    let endpoint = document.endpoints[0].clone();
+    let mut names: Vec<u8> = workspaces.to_vec();
+    names.sort_unstable();
+    names.dedup();
+    document.workspaces = names
+        .iter()
+        .map(|n| Workspace {
+            name: format!("w-{:03}", n / 2),
+            weight: u32::from(n % 2) + 1,
+            ..workspace.clone()
+        })
+        .collect();
+    document.workspaces.dedup_by(|a, b| a.name == b.name);
+    let mut names: Vec<u8> = endpoints.to_vec();
+    names.sort_unstable();
+    names.dedup();
+    document.endpoints = names
+        .iter()
+        .map(|n| Endpoint {
+            name: format!("e-{:03}", n / 2),
+            leaving: n % 2 == 0,
+            ..endpoint.clone()
+        })
+        .collect();
+    document.endpoints.dedup_by(|a, b| a.name == b.name);
+    document
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 400,
@@ -38,6 +72,17 @@
         }
     }
 
+    #[test]
+    fn delta_gives_newer_document(
+        old in proptest::collection::vec(any::<u8>(), 0..40),
+        new in proptest::collection::vec(any::<u8>(), 0..40),
+    ) {
+        let old = listed(1, &old, &new);
+        let new = listed(2, &new, &old.workspaces.iter().map(|w| w.weight as u8).collect::<Vec<_>>());
+        let delta = Delta::between(&old, &new);
+        prop_assert_eq!(delta.apply(&old), new);
+    }
+
     #[test]
     fn event_stays_one_line(value in any::<String>()) {
         let event = Event::new("test").field("value", value);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -26,10 +26,8 @@
 use dogwoodhill_policy::quota::{Excess, Limits};
 use dogwoodhill_wire::ask::ControlSet;
 use dogwoodhill_wire::client::Caller;
-use dogwoodhill_wire::control::{
-    Changes, ClaimKey, Ended, Finish, Recorded, Take, Taken,
-};
-use dogwoodhill_wire::follow::Follower;
+use dogwoodhill_wire::control::{ClaimKey, Ended, Finish, Recorded, Take, Taken};
+use dogwoodhill_wire::follow::{Changes, Follower};
 use error_stack::Report;
 use http::HeaderValue;
 use http::request::Parts;
@@ -282,7 +280,7 @@
         let documents = changes.documents.into_iter();
         let services = documents.map(|accepted| Service {
             revision: accepted.revision,
-            document: Arc::new(accepted.document),
+            document: accepted.document,
         });
         core.install(changes.revision, services.collect());
     };
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -22,6 +22,15 @@
     match matches.subcommand() {
         Some(("engine", sub)) => engine(sub, drain).await,
         Some(("plain", sub)) => plain(sub, drain).await,
+        _ => tokio::select! {
+            measured = measure(matches) => measured,
+            () = drain.wait() => Err("stopped before the end".to_string()),
+        },
+    }
+}
+
+async fn measure(matches: &ArgMatches) -> Result<(), String> {
+    match matches.subcommand() {
         Some(("run", sub)) => scenarios(sub).await,
         Some(("latency", sub)) => measure_latency(sub).await,
         Some(("slopes", _)) => crate::slopes::run().await,
--- a/crates/load/src/slopes/memory.rs
+++ b/crates/load/src/slopes/memory.rs
@@ -100,6 +100,11 @@
         classes: (0..6).map(class).collect(),
         endpoints: (0..endpoints).map(endpoint).collect(),
     };
+    // Each version moves one endpoint, as most real changes are.
+    let moved = version as usize % document.endpoints.len().max(1);
+    if let Some(endpoint) = document.endpoints.get_mut(moved) {
+        endpoint.leaving = version.is_multiple_of(2);
+    }
     document.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
     document.endpoints.sort_by(|a, b| a.name.cmp(&b.name));
     document
--- a/crates/load/src/slopes/watchers.rs
+++ b/crates/load/src/slopes/watchers.rs
@@ -7,10 +7,7 @@
 use crate::slopes::recovery::{Alone, put};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::client::Caller;
-use dogwoodhill_wire::control::Changes;
-use dogwoodhill_wire::follow::Follower;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use dogwoodhill_wire::follow::{Changes, Follower};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
@@ -53,7 +50,7 @@
     let alone = Alone::start().await?;
     let memory = resident();
     let (told, mut heard) = mpsc::unbounded_channel();
-    let bytes = Arc::new(AtomicU64::new(0));
+    let mut bytes = 0;
     let mut tasks = JoinSet::new();
     for number in 0..size {
         let follower = Follower {
@@ -64,14 +61,11 @@
             caller: Caller::new(alone.secret.clone()),
             spread: u64::from(number) + 1,
         };
-        let (told, bytes) = (told.clone(), Arc::clone(&bytes));
+        let told = told.clone();
         let heed = move |changes: Changes| {
-            if changes.documents.is_empty() {
-                return;
+            if !changes.documents.is_empty() {
+                let _ = told.send(());
             }
-            let length = rmp_serde::to_vec(&changes).map_or(0, |encoded| encoded.len());
-            bytes.fetch_add(length as u64, Ordering::Relaxed);
-            let _ = told.send(());
         };
         tasks.spawn(follower.run(heed, || {}));
     }
@@ -83,6 +77,7 @@
     let mut times = Vec::new();
     let before = cpu_time();
     for version in 1..=CHANGES {
+        let revision = alone.service.replica().documents.load().revision;
         let accepted = put(
             &alone.service,
             document("svc", version, ENDPOINTS, WORKSPACES),
@@ -94,6 +89,15 @@
             told.map_err(|_| "a daemon missed a change for 10 s".to_string())?;
         }
         times.push(start.elapsed().as_secs_f64() * 1000.0);
+        let news = alone
+            .service
+            .replica()
+            .documents
+            .load()
+            .since(revision, None);
+        if version > 1 {
+            bytes += rmp_serde::to_vec(&news).map_or(0, |encoded| encoded.len());
+        }
     }
     let used = cpu_time().saturating_sub(before);
     tasks.shutdown().await;
@@ -106,7 +110,7 @@
         times[times.len() - 1],
         used.as_micros() as f64 / each,
         idle.as_micros() as f64 / IDLE.as_secs_f64() / f64::from(size),
-        bytes.load(Ordering::Relaxed) as f64 / 1024.0 / each,
+        bytes as f64 / 1024.0 / (CHANGES - 1) as f64,
         memory as f64 / 1024.0,
     ])
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -197,13 +197,16 @@
     if b == 0 { a } else { gcd(b, a % b) }
 }
 
+/// What baselines choose from: endpoints believed to have a free slot. Without
+/// this they would send everything that waits to full endpoints over and over,
+/// and be measured for that instead of their choice.
 fn open(views: &[View], wish: &Wish, tried: &[usize]) -> Vec<usize> {
     (0..views.len())
-        .filter(|i| views[*i].open(wish.now) && !tried.contains(i))
+        .filter(|i| views[*i].room(wish.now, 0, false) && !tried.contains(i))
         .collect()
 }
 
-/// Baseline: any open endpoint, whatever its load.
+/// Baseline: any endpoint with room.
 #[derive(Debug)]
 pub struct Random;
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -64,6 +64,15 @@
 }
 
 impl Store {
+    /// Whether a folder holds no state.
+    ///
+    /// # Errors
+    ///
+    /// What the disk refuses.
+    pub fn vacant(files: &dyn Files) -> Result<bool, StoreError> {
+        Ok(!names(files)?.iter().any(|name| name == IDENTITY))
+    }
+
     /// Sets a new data folder up.
     ///
     /// # Errors
@@ -74,8 +83,7 @@
         mut files: Box<dyn Files>,
         identity: Identity,
     ) -> Result<Opened, StoreError> {
-        let names = names(files.as_ref())?;
-        if names.iter().any(|name| name == IDENTITY) {
+        if !Self::vacant(files.as_ref())? {
             return Err(StoreError::Occupied);
         }
         let mut bytes = header();
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -3,9 +3,11 @@
 use crate::attempt::Header;
 use bytes::Bytes;
 use derive_more::Display;
+use dogwoodhill_core::document::Delta;
 use dogwoodhill_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Path of [`Watch`].
 pub const WATCH_PATH: &str = "/internal/watch";
@@ -41,18 +43,34 @@
     /// Revision at which it was accepted.
     pub revision: Revision,
     /// The document.
-    pub document: ServiceDocument,
+    pub document: Arc<ServiceDocument>,
 }
 
-/// Answer to [`Watch`]: the newest document of each service that changed.
+/// What changed in one service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Changes {
+pub enum News {
+    /// The whole document.
+    Whole(Accepted),
+    /// Only what differs from the document the daemon has.
+    Patch {
+        /// Revision of the document it has.
+        base: Revision,
+        /// Revision of the new one.
+        revision: Revision,
+        /// The difference.
+        delta: Box<Delta>,
+    },
+}
+
+/// Answer to [`Watch`]: what changed in each service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Update {
     /// Revision the daemon has once it has taken these in. The control
     /// instance confirmed with a majority that nothing newer was accepted
     /// when the watch arrived.
     pub revision: Revision,
-    /// Changed documents.
-    pub documents: Vec<Accepted>,
+    /// Changes.
+    pub news: Vec<News>,
     /// Entries that watch now; 0 where not known.
     pub entries: u32,
 }
--- a/crates/wire/src/follow.rs
+++ b/crates/wire/src/follow.rs
@@ -7,9 +7,10 @@
 
 use crate::ask::ControlSet;
 use crate::client::Caller;
-use crate::control::{Answered, Changes, WATCH_PATH, Watch};
+use crate::control::{Accepted, Answered, News, Update, WATCH_PATH, Watch};
 use dogwoodhill_core::prelude::*;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::time::{sleep, timeout};
 
 /// Longest poll. Short enough that a frozen instance, which closes nothing,
@@ -22,6 +23,68 @@
 /// Longest such pause.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// Documents that changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changes {
+    /// Revision up to which everything is known.
+    pub revision: Revision,
+    /// The new documents, whole.
+    pub documents: Vec<Accepted>,
+    /// Entries that watch now; 0 where not known.
+    pub entries: u32,
+}
+
+/// The documents a daemon has, sorted by service, to apply differences to.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    documents: Vec<Accepted>,
+}
+
+impl Known {
+    /// Takes an update in; `None` where a difference is to a document that
+    /// this daemon does not have, and everything has to be asked for anew.
+    pub fn take(&mut self, update: Update) -> Option<Changes> {
+        let mut changed = Vec::new();
+        for news in update.news {
+            let accepted = match news {
+                News::Whole(accepted) => accepted,
+                News::Patch {
+                    base,
+                    revision,
+                    delta,
+                } => {
+                    let at = self.find(delta.service()).ok()?;
+                    let old = &self.documents[at];
+                    if old.revision != base {
+                        return None;
+                    }
+                    let document = Arc::new(delta.apply(&old.document));
+                    Accepted { revision, document }
+                }
+            };
+            self.put(accepted.clone());
+            changed.push(accepted);
+        }
+        Some(Changes {
+            revision: update.revision,
+            documents: changed,
+            entries: update.entries,
+        })
+    }
+
+    fn put(&mut self, accepted: Accepted) {
+        match self.find(&accepted.document.service) {
+            Ok(at) => self.documents[at] = accepted,
+            Err(at) => self.documents.insert(at, accepted),
+        }
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.documents
+            .binary_search_by(|known| known.document.service.as_str().cmp(service))
+    }
+}
+
 /// Who follows.
 #[derive(Clone, Debug)]
 pub struct Follower {
@@ -60,15 +123,23 @@
             entries: 0,
             wait: POLL,
         };
+        let mut known = Known::default();
         let mut pause = MIN_PAUSE;
         let mut jitter = self.spread;
         loop {
             match self.poll(&set, &watch).await {
-                Some(changes) if changes.revision >= watch.revision => {
-                    watch.revision = changes.revision;
-                    watch.entries = changes.entries;
+                Some(update) if update.revision >= watch.revision => {
                     pause = MIN_PAUSE;
-                    heed(changes);
+                    match known.take(update) {
+                        Some(changes) => {
+                            watch.revision = changes.revision;
+                            watch.entries = changes.entries;
+                            heed(changes);
+                        }
+                        // Whole documents come next time; none of them can
+                        // be older than what this daemon has.
+                        None => watch.revision = 0,
+                    }
                 }
                 _ => {
                     failed();
@@ -81,11 +152,11 @@
         }
     }
 
-    async fn poll(&self, set: &ControlSet, watch: &Watch) -> Option<Changes> {
+    async fn poll(&self, set: &ControlSet, watch: &Watch) -> Option<Update> {
         let address = set.instance()?;
         let call = self
             .caller
-            .call::<_, Answered<Changes>>(address, WATCH_PATH, watch);
+            .call::<_, Answered<Update>>(address, WATCH_PATH, watch);
         let answered = timeout(POLL + SLACK, call).await.ok()?.ok()?;
         answered.ok()
     }
