--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,11 +1,12 @@
 //! The agent's HTTP service and its life from start to drain.
 
 use crate::endpoint::{Endpoint, HttpEndpoint, SendError};
-use crate::lease::{Holding, Right, give_back, keep};
+use crate::lease::{Holding, Right};
 use crate::leaving::{Source, Sources};
 use crate::relay::Relay;
 use crate::settings::{Platform, Settings};
 use crate::slot::{SharedGate, Slot};
+use crate::watch::{Following, look};
 use axum::Router;
 use axum::body::Body as HttpBody;
 use axum::extract::{DefaultBodyLimit, State};
@@ -18,16 +19,11 @@
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::gate::{Ask, Gate, Refusal};
 use dogwoodhill_policy::limit::Limit;
-use dogwoodhill_wire::ask::ControlSet;
-use dogwoodhill_wire::client::Caller;
-use dogwoodhill_wire::control::Acquire;
-use dogwoodhill_wire::follow::{Changes, Follower};
 use dogwoodhill_wire::prelude::*;
 use error_stack::Report;
 use futures_util::stream;
 use http::{HeaderMap, StatusCode};
 use prometheus::{IntCounterVec, IntGauge};
-use rand::RngExt;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,18 +50,18 @@
 }
 
 #[derive(Debug)]
-struct Core {
-    settings: Settings,
-    endpoint: Box<dyn Endpoint>,
-    platform: Option<Box<dyn PlatformList>>,
-    gate: SharedGate,
-    sources: Sources,
-    holding: Holding,
-    drain: Drain,
-    metrics: Metrics,
-    attempts: IntCounterVec,
-    running: IntGauge,
-    limit: IntGauge,
+pub(crate) struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) endpoint: Box<dyn Endpoint>,
+    pub(crate) platform: Option<Box<dyn PlatformList>>,
+    pub(crate) gate: SharedGate,
+    pub(crate) sources: Sources,
+    pub(crate) holding: Holding,
+    pub(crate) drain: Drain,
+    pub(crate) metrics: Metrics,
+    pub(crate) attempts: IntCounterVec,
+    pub(crate) running: IntGauge,
+    pub(crate) limit: IntGauge,
 }
 
 impl Agent {
@@ -102,15 +98,15 @@
             .field("endpoint", &self.core.settings.endpoint)
             .field("listen", self.address())
             .info();
-        let watch = tokio::spawn(watch(Arc::clone(&self.core)));
-        let control = Control::start(&self.core);
+        let looking = tokio::spawn(look(Arc::clone(&self.core)));
+        let control = Following::start(&self.core);
         let drain = self.drain.clone();
         let router = router(&self.core);
         self.listener
             .serve(router, drain.clone(), self.linger)
             .await;
         drain.idle().await;
-        watch.abort();
+        looking.abort();
         if let Some(control) = control {
             control.stop().await;
         }
@@ -154,7 +150,8 @@
         }
     }
 
-    fn close_gate(&self, source: Source, leaving: bool) {
+    /// Notes what a source says of leaving.
+    pub(crate) fn close_gate(&self, source: Source, leaving: bool) {
         let before = self.sources.leaving();
         self.sources.say(source, leaving);
         let now = self.sources.leaving();
@@ -230,7 +227,10 @@
             Ok(Err(SendError::Unreachable | SendError::Invalid)) => {
                 Err(Body::Refused(Reason::Unreachable))
             }
-            Ok(Err(lost @ SendError::Lost)) => Err(Body::Broken(lost.to_string())),
+            Ok(Err(lost @ SendError::Lost)) => {
+                self.gate.saw_end(false);
+                Err(Body::Broken(lost.to_string()))
+            }
             Err(_) => Err(Body::Broken("the deadline passed".to_string())),
         }
     }
@@ -379,105 +379,3 @@
         _ => "broken".to_string(),
     }
 }
-
-/// What the agent does with the control instances.
-struct Control {
-    set: ControlSet,
-    acquire: Acquire,
-    tasks: [tokio::task::JoinHandle<()>; 2],
-}
-
-impl Control {
-    fn start(core: &Arc<Core>) -> Option<Self> {
-        let settings = &core.settings;
-        if settings.control.is_empty() {
-            return None;
-        }
-        let caller = Caller::new(settings.secret.clone());
-        let spread: u64 = rand::rng().random();
-        let addresses = settings.control.clone();
-        let set = ControlSet::new(caller.clone(), addresses.clone(), spread as usize);
-        let acquire = Acquire {
-            service: settings.service.clone(),
-            endpoint: settings.endpoint.clone(),
-            holder: rand::rng().random(),
-            lasting: settings.lease,
-        };
-        let follower = Follower {
-            daemon: settings.endpoint.clone(),
-            entry: false,
-            service: Some(settings.service.clone()),
-            control: addresses,
-            caller,
-            spread,
-        };
-        let heeding = Arc::clone(core);
-        let tasks = [
-            tokio::spawn(keep(core.holding.clone(), set.clone(), acquire.clone())),
-            tokio::spawn(async move {
-                let heed = |changes: Changes| heed_changes(&heeding, &changes);
-                follower.run(heed, || {}).await;
-            }),
-        ];
-        Some(Self {
-            set,
-            acquire,
-            tasks,
-        })
-    }
-
-    async fn stop(self) {
-        for task in &self.tasks {
-            task.abort();
-        }
-        give_back(&self.set, &self.acquire).await;
-    }
-}
-
-/// Heeds the document: an endpoint that is not listed, or listed as leaving,
-/// gets no new work.
-fn heed_changes(core: &Core, changes: &Changes) {
-    for accepted in &changes.documents {
-        let listed = accepted.document.endpoint(&core.settings.endpoint);
-        let leaving = listed.is_none_or(|endpoint| endpoint.leaving);
-        core.close_gate(Source::Document, leaving);
-        core.gate.set_revision(accepted.revision);
-    }
-}
-
-/// Follows the platform's list, the endpoint's reports and the own drain.
-async fn watch(core: Arc<Core>) {
-    let mut ticks = tokio::time::interval(core.settings.poll);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = core.drain.wait(), if !core.sources.leaving() => {
-                core.close_gate(Source::Agent, true);
-            }
-        }
-        if core.drain.begun() {
-            core.close_gate(Source::Agent, true);
-        }
-        if let Some(report) = core.endpoint.load().await {
-            core.close_gate(Source::Endpoint, report.leaving);
-            core.gate.saw_report(report.running, report.waiting);
-        }
-        if let Some(platform) = &core.platform {
-            heed_platform(&core, platform.as_ref()).await;
-        }
-    }
-}
-
-async fn heed_platform(core: &Core, platform: &dyn PlatformList) {
-    match platform.fetch().await {
-        Ok(list) => {
-            let leaving = list.leaving(core.settings.address.ip());
-            core.close_gate(Source::Platform, leaving);
-        }
-        Err(error) => {
-            Event::new("platform-list-unread")
-                .field("error", error.current_context())
-                .warn();
-        }
-    }
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod relay;
 pub mod settings;
 pub mod slot;
+mod watch;
 
 pub use agent::Agent;
 pub use settings::Settings;
--- a/crates/agent/src/relay.rs
+++ b/crates/agent/src/relay.rs
@@ -68,7 +68,8 @@
 enum Step {
     Data(Bytes),
     End,
-    Fault(String),
+    Late,
+    Lost,
 }
 
 impl Relay {
@@ -126,7 +127,8 @@
             match self.read().await {
                 Step::Data(data) => self.data(&data),
                 Step::End => self.end(),
-                Step::Fault(cause) => self.broken(&cause),
+                Step::Late => self.stop("the deadline passed"),
+                Step::Lost => self.broken("the endpoint broke off"),
             }
         }
         // Whatever is ready goes out in one piece: the first frames of a
@@ -143,9 +145,9 @@
             return Step::End;
         };
         match timeout_at(self.deadline, source.frame()).await {
-            Err(_) => Step::Fault("the deadline passed".to_string()),
+            Err(_) => Step::Late,
             Ok(None) => Step::End,
-            Ok(Some(Err(_))) => Step::Fault("the endpoint broke off".to_string()),
+            Ok(Some(Err(_))) => Step::Lost,
             Ok(Some(Ok(frame))) => Step::Data(frame.into_data().unwrap_or_default()),
         }
     }
@@ -224,11 +226,18 @@
 
     fn whole(&mut self, tokens: u32) {
         let bytes = self.bytes;
+        self.gate.saw_end(true);
         self.close();
         self.push(Body::End { bytes, tokens });
     }
 
+    /// Ends an answer that the endpoint did not give whole.
     fn broken(&mut self, cause: &str) {
+        self.gate.saw_end(false);
+        self.stop(cause);
+    }
+
+    fn stop(&mut self, cause: &str) {
         self.close();
         self.push(Body::Broken(cause.to_string()));
     }
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -81,6 +81,16 @@
         self.lock().saw_first(first);
     }
 
+    /// Notes how an answer ended at the endpoint's side.
+    pub fn saw_end(&self, whole: bool) {
+        let now = self.start.elapsed();
+        let mut gate = self.lock();
+        match whole {
+            true => gate.saw_whole(),
+            false => gate.saw_broken(now),
+        }
+    }
+
     /// Notes the endpoint's own report.
     pub fn saw_report(&self, running: u32, waiting: u32) {
         let now = self.start.elapsed();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fault;
 pub mod ids;
 pub mod keys;
+pub mod load;
 pub mod outcome;
 pub mod text;
 
--- a/crates/core/src/text.rs
+++ b/crates/core/src/text.rs
@@ -12,8 +12,10 @@
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::str::FromStr;
 use std::time::Duration;
 
 /// One text being read, and the faults found so far.
@@ -229,28 +231,7 @@
         range: RangeInclusive<u64>,
         default: Option<u64>,
     ) -> u64 {
-        let what = format!("a whole number from {} to {}", range.start(), range.end());
-        let fallback = default.unwrap_or(*range.start());
-        match self.value(key) {
-            None => {
-                if default.is_none() {
-                    self.missing(key, &what);
-                }
-                fallback
-            }
-            Some(Value::NumberLit(lit)) => match lit.value.parse::<u64>() {
-                Ok(number) if range.contains(&number) => number,
-                _ => {
-                    let problem = format!("is {}", lit.value);
-                    self.fault(key, &problem, &format!("write {what}"));
-                    fallback
-                }
-            },
-            Some(_) => {
-                self.fault(key, "is not a number", &format!("write {what}"));
-                fallback
-            }
-        }
+        self.numeral(key, "a whole number", range, default)
     }
 
     /// Number within `range`; required where `default` is `None`.
@@ -260,7 +241,20 @@
         range: RangeInclusive<f64>,
         default: Option<f64>,
     ) -> f64 {
-        let what = format!("a number from {} to {}", range.start(), range.end());
+        self.numeral(key, "a number", range, default)
+    }
+
+    fn numeral<N>(
+        &mut self,
+        key: &str,
+        kind: &str,
+        range: RangeInclusive<N>,
+        default: Option<N>,
+    ) -> N
+    where
+        N: FromStr + PartialOrd + Copy + Display,
+    {
+        let what = format!("{kind} from {} to {}", range.start(), range.end());
         let fallback = default.unwrap_or(*range.start());
         match self.value(key) {
             None => {
@@ -269,7 +263,7 @@
                 }
                 fallback
             }
-            Some(Value::NumberLit(lit)) => match lit.value.parse::<f64>() {
+            Some(Value::NumberLit(lit)) => match lit.value.parse::<N>() {
                 Ok(number) if range.contains(&number) => number,
                 _ => {
                     let problem = format!("is {}", lit.value);
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -17,6 +17,7 @@
 use dogwoodhill_wire::prelude::*;
 use rand::RngExt;
 use std::sync::{Arc, Mutex};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Memory of a waiting request beside its body and headers.
@@ -33,6 +34,8 @@
     pub caller: Caller,
     /// Maker of attempt ids.
     pub ids: Arc<AttemptIds>,
+    /// Newest revision that an agent's answer showed.
+    pub heard: watch::Sender<Revision>,
 }
 
 /// What one service's calls share.
@@ -139,6 +142,7 @@
                     answer,
                 } => {
                     if let Some(load) = answer.load() {
+                        self.hear(load);
                         place.report(load);
                     }
                     return Open::new(call, place, status, headers, answer);
@@ -150,6 +154,7 @@
                     return Err(Stopped::Lost(broken));
                 }
                 Tried::Refused { reason, load } => {
+                    load.iter().for_each(|load| self.hear(load));
                     if matches!(reason, Reason::Unreachable | Reason::Misdirected) {
                         place.unreachable();
                     }
@@ -163,6 +168,15 @@
         }
     }
 
+    /// Notes the revision an agent knows.
+    fn hear(&self, load: &Load) {
+        self.heard.send_if_modified(|newest| {
+            let newer = load.revision > *newest;
+            *newest = load.revision.max(*newest);
+            newer
+        });
+    }
+
     async fn attempt(&self, call: &Call, place: &Place, deadline: Instant) -> Tried {
         let document = &call.service.document;
         let Some(endpoint) = document.endpoint(place.endpoint()) else {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,55 +1,29 @@
-//! The entry's HTTP service and its life from start to drain.
+//! The entry's life from start to drain, and what its requests share.
 
 use crate::attempt::AttemptIds;
-use crate::call::{Lane, Ran, Runner};
+use crate::call::{Lane, Runner};
 use crate::claims::{Claims, ControlClaims, NoClaims};
-use crate::deliver::{Content, respond};
 use crate::pool::{Pool, TICK};
-use crate::quotas::{Held, Quotas};
-use crate::refusal::{Cause, REQUEST_HEADER, Refusal, mark};
-use crate::request::{Call, bearer, given_id, model_call, plain_call};
+use crate::quotas::Quotas;
+use crate::routes::router;
 use crate::settings::Settings;
-use crate::stats::{Counting, Stats};
+use crate::stats::Stats;
 use crate::table::{Service, Table};
 use arc_swap::ArcSwap;
-use axum::body::Body;
-use axum::extract::{Request, State};
-use axum::response::{IntoResponse, Response};
-use axum::routing::{any, get, post};
-use axum::{Json, Router};
-use bytes::Bytes;
-use dogwoodhill_core::burn::Counts;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::dispatch::Listed;
-use dogwoodhill_policy::quota::{Excess, Limits};
+use dogwoodhill_policy::subset;
 use dogwoodhill_wire::ask::ControlSet;
 use dogwoodhill_wire::client::Caller;
-use dogwoodhill_wire::control::{ClaimKey, Ended, Finish, Recorded, Take, Taken};
 use dogwoodhill_wire::follow::{Changes, Follower};
 use error_stack::Report;
-use http::HeaderValue;
-use http::request::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use prometheus::IntGauge;
 use rand::RngExt;
-use serde::Serialize;
-use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
-use tokio::time::Instant;
-
-/// Largest answer that is recorded with a claim.
-const MAX_RECORDED: usize = 64 * 1024;
-/// Time beyond the deadline until a claim without a reported end counts as
-/// unknown: the agent reads a non-idempotent answer on after its entry died.
-const CLAIM_GRACE: Duration = Duration::from_secs(30);
-/// Advice to a caller over its limit of requests in flight.
-const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
-/// Advice where control does not answer.
-const CONTROL_RETRY: Duration = Duration::from_secs(2);
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::watch;
 
 /// An entry that is listening.
 #[derive(Debug)]
@@ -60,7 +34,7 @@
 
 /// Waiting and placement of one service, under its name.
 #[derive(Clone, Debug)]
-struct Named {
+pub(crate) struct Named {
     service: ServiceId,
     lane: Lane,
 }
@@ -68,20 +42,20 @@
 /// What requests share.
 #[derive(Debug)]
 pub struct Core {
-    settings: Settings,
-    table: ArcSwap<Table>,
-    lanes: ArcSwap<Vec<Named>>,
-    change: Mutex<()>,
-    quotas: Quotas,
-    entries: AtomicU32,
-    runner: Runner,
-    claims: Arc<dyn Claims>,
-    stats: Stats,
-    metrics: Metrics,
-    drain: Drain,
-    revision: IntGauge,
-    waiting: IntGauge,
-    cut_off: IntGauge,
+    pub(crate) settings: Settings,
+    pub(crate) table: ArcSwap<Table>,
+    pub(crate) lanes: ArcSwap<Vec<Named>>,
+    pub(crate) change: Mutex<()>,
+    pub(crate) quotas: Quotas,
+    pub(crate) entries: AtomicU32,
+    pub(crate) runner: Runner,
+    pub(crate) claims: Arc<dyn Claims>,
+    pub(crate) stats: Stats,
+    pub(crate) metrics: Metrics,
+    pub(crate) drain: Drain,
+    pub(crate) revision: IntGauge,
+    pub(crate) waiting: IntGauge,
+    pub(crate) cut_off: IntGauge,
 }
 
 impl Entry {
@@ -166,6 +140,7 @@
             runner: Runner {
                 caller: Caller::new(settings.secret.clone()),
                 ids: Arc::new(AttemptIds::new(run)),
+                heard: watch::Sender::new(0),
             },
             claims,
             stats: Stats::new(&metrics),
@@ -189,9 +164,22 @@
         self.table.load().revision
     }
 
-    /// Sets the number of entries that share workspaces' limits.
+    /// Sets the number of entries, which share workspaces' limits and the
+    /// endpoints.
     pub fn share(&self, entries: u32) {
-        self.entries.store(entries.max(1), Ordering::Relaxed);
+        let entries = entries.max(1);
+        let before = self.entries.swap(entries, Ordering::Relaxed);
+        if before != entries {
+            let _one = self.changing();
+            self.lanes(self.table.load().services());
+        }
+    }
+
+    /// Lets one change at a time happen.
+    fn changing(&self) -> MutexGuard<'_, ()> {
+        self.change
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
     }
 
     /// Puts documents in force. Those of services not named stay; an older
@@ -227,11 +215,19 @@
                 lanes.insert(at, self.lane(name));
                 at
             });
-            lanes[at].lane.pool.list(&listed(&service.document));
+            lanes[at].lane.pool.list(&self.used(&service.document));
         }
         self.lanes.store(Arc::new(lanes));
     }
 
+    /// The endpoints this entry uses.
+    fn used(&self, document: &ServiceDocument) -> Vec<Listed> {
+        let entries = self.entries.load(Ordering::Relaxed) as usize;
+        let settings = &self.settings;
+        let open = listed(document);
+        subset::choose(&settings.name, &settings.domain, &open, entries)
+    }
+
     fn lane(&self, service: &ServiceId) -> Named {
         let seed = rand::rng().random();
         let settings = &self.settings;
@@ -245,7 +241,8 @@
         }
     }
 
-    fn find_lane(&self, service: &str) -> Option<Lane> {
+    /// Waiting and placement of one service.
+    pub(crate) fn find_lane(&self, service: &str) -> Option<Lane> {
         let lanes = self.lanes.load();
         let at = lanes.binary_search_by(|lane| lane.service.as_str().cmp(service));
         at.ok().map(|at| lanes[at].lane.clone())
@@ -273,6 +270,7 @@
         control: core.settings.control.clone(),
         caller: core.runner.caller.clone(),
         spread: rand::rng().random(),
+        heard: core.runner.heard.subscribe(),
     };
     let heed = |changes: Changes| {
         core.share(changes.entries);
@@ -302,404 +300,3 @@
         core.waiting.set(waiting as i64);
     }
 }
-
-fn router(core: &Arc<Core>) -> Router {
-    let ready_core = Arc::clone(core);
-    let ready = Arc::new(move || !ready_core.lanes.load().is_empty());
-    Router::new()
-        .route("/v1/chat/completions", post(model))
-        .route("/v1/completions", post(model))
-        .route("/v1/models", get(models))
-        .route("/services/{*path}", any(plain))
-        .route("/v1/burn", get(burn))
-        .fallback(unknown_path)
-        .with_state(Arc::clone(core))
-        .merge(health::routes(&core.drain, &core.metrics, ready))
-}
-
-type Reader = fn(&Arc<Table>, RequestId, &Parts, Bytes) -> Result<Call, Refusal>;
-
-async fn model(State(core): State<Arc<Core>>, request: Request) -> Response {
-    answer(core, request, model_call).await
-}
-
-async fn plain(State(core): State<Arc<Core>>, request: Request) -> Response {
-    answer(core, request, plain_call).await
-}
-
-async fn unknown_path(request: Request) -> Response {
-    let refusal = Refusal::not_run(
-        Cause::UnknownService,
-        &format!("there is nothing at {}", request.uri().path()),
-        "use /v1/chat/completions, /v1/completions, /v1/models or /services/...",
-    );
-    let id = request_id(request.headers());
-    with_id(refusal.into_response(), &id)
-}
-
-async fn burn(State(core): State<Arc<Core>>) -> Response {
-    Json(core.stats.rings()).into_response()
-}
-
-fn request_id(headers: &http::HeaderMap) -> RequestId {
-    given_id(headers).unwrap_or_else(|| format!("{:032x}", rand::rng().random::<u128>()))
-}
-
-fn with_id(mut response: Response, id: &str) -> Response {
-    if let Ok(value) = HeaderValue::try_from(id) {
-        response.headers_mut().insert(REQUEST_HEADER, value);
-    }
-    response
-}
-
-async fn answer(core: Arc<Core>, request: Request, read: Reader) -> Response {
-    let arrived = Instant::now();
-    let busy = core.drain.enter();
-    let (parts, body) = request.into_parts();
-    let id = request_id(&parts.headers);
-    let served = match read_body(body, core.settings.max_body).await {
-        Ok(body) => {
-            let table = core.table.load_full();
-            match read(&table, id.clone(), &parts, body) {
-                Ok(call) => serve(core, call, arrived, busy).await,
-                Err(refusal) => Err(refusal),
-            }
-        }
-        Err(refusal) => Err(refusal),
-    };
-    let response = served.unwrap_or_else(|refusal| {
-        Event::new("request-refused")
-            .field("request", &id)
-            .field("cause", refusal.cause)
-            .field("outcome", refusal.outcome)
-            .info();
-        refusal.into_response()
-    });
-    with_id(response, &id)
-}
-
-async fn read_body(body: Body, most: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, most).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
-            Cause::TooLarge,
-            &format!("the body is larger than {most} bytes"),
-            "send a smaller body",
-        )),
-        Err(_) => Err(Refusal::not_run(
-            Cause::BadRequest,
-            "the body broke off",
-            "send the whole body",
-        )),
-    }
-}
-
-/// Runs a call, a non-idempotent one in a task of its own so that a caller
-/// who goes away does not cut it off.
-async fn serve(
-    core: Arc<Core>,
-    call: Call,
-    arrived: Instant,
-    busy: Busy,
-) -> Result<Response, Refusal> {
-    match call.class.repeat {
-        Repeat::Allowed => run(&core, call, arrived, busy).await,
-        Repeat::Never => {
-            let task =
-                tokio::spawn(async move { once(&core, call, arrived, busy).await });
-            task.await.unwrap_or_else(|_| {
-                Err(Refusal::unknown(
-                    Cause::BrokenAnswer,
-                    "the request's task failed",
-                    "report this fault; the request may have run",
-                ))
-            })
-        }
-    }
-}
-
-async fn run(
-    core: &Arc<Core>,
-    call: Call,
-    arrived: Instant,
-    busy: Busy,
-) -> Result<Response, Refusal> {
-    let done = attempt(core, &call, arrived).await;
-    let Done { ran, held } = done.inspect_err(|refusal| {
-        core.stats
-            .add(&call, counts_of(refusal), &refusal.outcome.to_string());
-    })?;
-    Ok(finish(core, call, ran, held, arrived, busy))
-}
-
-/// A call with an answer, and its workspace's count.
-struct Done {
-    ran: Ran,
-    held: Held,
-}
-
-async fn attempt(
-    core: &Arc<Core>,
-    call: &Call,
-    arrived: Instant,
-) -> Result<Done, Refusal> {
-    let document = &call.service.document;
-    let held = admit(core, call)?;
-    let lane = core
-        .find_lane(&document.service)
-        .filter(|_| !document.endpoints.is_empty())
-        .ok_or_else(no_endpoint)?;
-    let deadline = arrived + call.timeout;
-    let most = core.settings.max_held;
-    let ran = core.runner.run(call, &lane, deadline, most).await?;
-    core.stats.refused(&document.service, ran.effort.refused);
-    Ok(Done { ran, held })
-}
-
-fn no_endpoint() -> Refusal {
-    Refusal::not_run(
-        Cause::Unavailable,
-        "the service has no endpoint",
-        "ask the service's owner to list one",
-    )
-}
-
-fn admit(core: &Arc<Core>, call: &Call) -> Result<Held, Refusal> {
-    let limits = Limits {
-        in_flight: call.workspace.in_flight,
-        rate: call.workspace.rate,
-        entries: core.entries.load(Ordering::Relaxed),
-    };
-    let service = &call.service.document.service;
-    let taken = core.quotas.take(service, &call.workspace.name, &limits);
-    taken.map_err(|excess| {
-        let after = match excess {
-            Excess::InFlight => IN_FLIGHT_RETRY,
-            Excess::Rate(wait) => wait,
-        };
-        let spread = rand::rng().random_range(1.0..1.5);
-        Refusal::not_run(
-            Cause::OverLimit,
-            &format!("the workspace {} is over its limits", call.workspace.name),
-            "come back after the time in Retry-After, or ask for a higher limit",
-        )
-        .come_back(after.mul_f64(spread))
-    })
-}
-
-fn counts_of(refusal: &Refusal) -> Counts {
-    let mut counts = Counts::default();
-    match (refusal.outcome, refusal.cause) {
-        (Outcome::Unknown | Outcome::Ran, _) => counts.unknown = 1,
-        (_, Cause::Shed | Cause::OverLimit) => counts.shed = 1,
-        _ => counts.failed = 1,
-    }
-    counts
-}
-
-fn finish(
-    core: &Arc<Core>,
-    mut call: Call,
-    ran: Ran,
-    held: Held,
-    arrived: Instant,
-    busy: Busy,
-) -> Response {
-    // A long stream need not hold what was sent.
-    call.body = Bytes::new();
-    call.headers = Vec::new();
-    let counting = Counting {
-        stats: core.stats.clone(),
-        call,
-        arrived,
-        first: ran.opened.first,
-        status: ran.opened.status,
-        wasted: ran.effort.wasted,
-        busy,
-        held,
-    };
-    let mut response = respond(ran.opened, counting);
-    mark(&mut response, Outcome::Ran);
-    response
-}
-
-/// Runs a non-idempotent call: claimed first where it carries a key.
-async fn once(
-    core: &Arc<Core>,
-    call: Call,
-    arrived: Instant,
-    busy: Busy,
-) -> Result<Response, Refusal> {
-    let Some(take) = take_of(core, &call) else {
-        return run(core, call, arrived, busy).await;
-    };
-    if let Some(response) = claim(core, &take).await? {
-        return Ok(response);
-    }
-    let done = attempt(core, &call, arrived).await;
-    let ended = match &done {
-        Ok(done) => Ended::Ran(recorded(&done.ran)),
-        Err(refusal) if refusal.outcome == Outcome::NotRun => Ended::NotRun,
-        Err(_) => Ended::Unknown,
-    };
-    let report = Finish {
-        claim: take.claim,
-        holder: take.holder,
-        ended,
-    };
-    tokio::spawn(report_end(Arc::clone(core), report, call.id.clone()));
-    let Done { ran, held } = done.inspect_err(|refusal| {
-        core.stats
-            .add(&call, counts_of(refusal), &refusal.outcome.to_string());
-    })?;
-    Ok(finish(core, call, ran, held, arrived, busy))
-}
-
-/// Reports how a claimed request ended, while its caller is answered already.
-/// Should this entry stop before, the claim becomes unknown, which is safe:
-/// the key is never granted again.
-async fn report_end(core: Arc<Core>, report: Finish, request: RequestId) {
-    let _busy = core.drain.enter();
-    if core.claims.finish(&report).await.is_err() {
-        Event::new("claim-end-unreported")
-            .field("request", request)
-            .warn();
-    }
-}
-
-fn take_of(core: &Arc<Core>, call: &Call) -> Option<Take> {
-    let key = call.key.clone()?;
-    let mut digest = Sha256::new();
-    for part in [call.method.as_bytes(), call.path.as_bytes(), &call.body] {
-        digest.update((part.len() as u64).to_be_bytes());
-        digest.update(part);
-    }
-    Some(Take {
-        claim: ClaimKey {
-            service: call.service.document.service.clone(),
-            workspace: call.workspace.name.clone(),
-            key,
-        },
-        digest: digest.finalize().into(),
-        holder: core.runner.ids.make(),
-        lasting: call.timeout + CLAIM_GRACE,
-        retention: call.service.document.retention,
-    })
-}
-
-/// Claims a request; a response where it ended before.
-async fn claim(core: &Arc<Core>, take: &Take) -> Result<Option<Response>, Refusal> {
-    let taken = core.claims.take(take).await.map_err(|unconfirmed| {
-        Refusal::not_run(
-            Cause::Unavailable,
-            &unconfirmed.to_string(),
-            "send the request again with the same Idempotency-Key",
-        )
-        .come_back(CONTROL_RETRY)
-    })?;
-    match taken {
-        Taken::Granted => Ok(None),
-        Taken::InProgress => Err(Refusal::unknown(
-            Cause::KeyInProgress,
-            "a request with this Idempotency-Key is in progress",
-            "ask again later with the same key and body",
-        )
-        .come_back(CONTROL_RETRY)),
-        Taken::Reused => Err(Refusal::not_run(
-            Cause::KeyReused,
-            "the Idempotency-Key was used with another request",
-            "use a new key for a new request",
-        )),
-        Taken::Ended(Ended::Ran(recorded)) => replay(recorded).map(Some),
-        Taken::Ended(_) => Err(Refusal::unknown(
-            Cause::BrokenAnswer,
-            "the request with this Idempotency-Key may have run; its answer was lost",
-            "find out from the service whether it ran; it will not be run again",
-        )),
-    }
-}
-
-fn recorded(ran: &Ran) -> Recorded {
-    let body = match &ran.opened.content {
-        Content::Whole { body, .. } if body.len() <= MAX_RECORDED => Some(body.clone()),
-        _ => None,
-    };
-    Recorded {
-        status: ran.opened.status,
-        headers: ran.opened.headers.clone(),
-        body,
-    }
-}
-
-/// The recorded answer, as it was.
-fn replay(recorded: Recorded) -> Result<Response, Refusal> {
-    let Some(body) = recorded.body else {
-        return Err(Refusal {
-            outcome: Outcome::Ran,
-            ..Refusal::not_run(
-                Cause::KeyInProgress,
-                "the request with this Idempotency-Key ran; its answer was too large to keep",
-                "find its result at the service; it will not be run again",
-            )
-        });
-    };
-    let mut response = Response::new(Body::from(body));
-    *response.status_mut() = http::StatusCode::from_u16(recorded.status)
-        .unwrap_or(http::StatusCode::BAD_GATEWAY);
-    dogwoodhill_wire::attempt::add_headers(response.headers_mut(), &recorded.headers);
-    mark(&mut response, Outcome::Ran);
-    Ok(response)
-}
-
-#[derive(Serialize)]
-struct ModelList {
-    object: &'static str,
-    data: Vec<ModelItem>,
-}
-
-#[derive(Serialize)]
-struct ModelItem {
-    id: ServiceId,
-    object: &'static str,
-    created: u64,
-    owned_by: TeamId,
-}
-
-async fn models(State(core): State<Arc<Core>>, request: Request) -> Response {
-    let id = request_id(request.headers());
-    let response = match list_models(&core, request.headers()) {
-        Ok(list) => Json(list).into_response(),
-        Err(refusal) => refusal.into_response(),
-    };
-    with_id(response, &id)
-}
-
-fn list_models(core: &Core, headers: &http::HeaderMap) -> Result<ModelList, Refusal> {
-    let key = bearer(headers)?;
-    let table = core.table.load();
-    let services: Vec<&Service> = table
-        .grants(&key)
-        .filter_map(|grant| table.service(&grant.service))
-        .filter(|service| service.document.kind == Kind::Model)
-        .collect();
-    if table.grants(&key).next().is_none() {
-        return Err(Refusal::not_run(
-            Cause::UnknownKey,
-            "the key is unknown",
-            "use a key whose hash stands in a service document",
-        ));
-    }
-    let data = services
-        .iter()
-        .map(|service| ModelItem {
-            id: service.document.service.clone(),
-            object: "model",
-            created: 0,
-            owned_by: service.document.owner.clone(),
-        })
-        .collect();
-    Ok(ModelList {
-        object: "list",
-        data,
-    })
-}
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -10,7 +10,6 @@
 use dogwoodhill_policy::dispatch::{Action, Dispatcher, Listed, Started};
 use dogwoodhill_policy::place::Policy;
 use dogwoodhill_policy::queue::{Bounds, Item, Waiting};
-use dogwoodhill_policy::view::Report;
 use dogwoodhill_wire::frame::Load;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -146,10 +145,9 @@
 
     fn end(&self, view: usize, load: Option<&Load>, whole: bool) -> Vec<Action<Reply>> {
         let now = self.now();
-        let report = load.map(report_of);
         let mut state = self.lock();
         let State { machine, random } = &mut *state;
-        machine.ended(now, view, report.as_ref(), whole, random)
+        machine.ended(now, view, load, whole, random)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -187,18 +185,6 @@
     }
 }
 
-fn report_of(load: &Load) -> Report {
-    Report {
-        running: load.running,
-        limit: load.limit,
-        ceilings: load.ceilings,
-        gap_us: load.gap_us,
-        first_us: load.first_us,
-        leaving: load.leaving,
-        fence: load.fence,
-    }
-}
-
 /// A request's place at an endpoint; its drop counts the request out.
 #[derive(Debug)]
 pub struct Place {
@@ -239,8 +225,7 @@
     /// Takes in a load report that arrived with an answer.
     pub fn report(&self, load: &Load) {
         let now = self.pool.now();
-        let report = report_of(load);
-        self.pool.lock().machine.report(now, self.view(), &report);
+        self.pool.lock().machine.report(now, self.view(), load);
     }
 
     /// Notes that the endpoint or its agent could not be reached.
@@ -272,12 +257,11 @@
         let (reply, turn) = oneshot::channel();
         let waiting: Waiting<Reply> = started.waiting.swap(reply).waiting;
         let now = pool.now();
-        let report = load.map(report_of);
         let actions = {
             let mut state = pool.lock();
             let State { machine, random } = &mut *state;
             let view = started.view;
-            machine.refused(now, view, report.as_ref(), waiting, tried, random)
+            machine.refused(now, view, load, waiting, tried, random)
         };
         pool.act(actions);
         pool.wait(turn).await
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,167 @@
+//! The entry's HTTP routes: from a caller's request to the call it asks for.
+
+use crate::entry::Core;
+use crate::refusal::{Cause, REQUEST_HEADER, Refusal};
+use crate::request::{Call, bearer, given_id, model_call, plain_call};
+use crate::serve::serve;
+use crate::table::{Service, Table};
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get, post};
+use axum::{Json, Router};
+use bytes::Bytes;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::health;
+use http::HeaderValue;
+use http::request::Parts;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use rand::RngExt;
+use serde::Serialize;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// All routes.
+pub(crate) fn router(core: &Arc<Core>) -> Router {
+    let ready_core = Arc::clone(core);
+    let ready = Arc::new(move || !ready_core.lanes.load().is_empty());
+    Router::new()
+        .route("/v1/chat/completions", post(model))
+        .route("/v1/completions", post(model))
+        .route("/v1/models", get(models))
+        .route("/services/{*path}", any(plain))
+        .route("/v1/burn", get(burn))
+        .fallback(unknown_path)
+        .with_state(Arc::clone(core))
+        .merge(health::routes(&core.drain, &core.metrics, ready))
+}
+
+type Reader = fn(&Arc<Table>, RequestId, &Parts, Bytes) -> Result<Call, Refusal>;
+
+async fn model(State(core): State<Arc<Core>>, request: Request) -> Response {
+    answer(core, request, model_call).await
+}
+
+async fn plain(State(core): State<Arc<Core>>, request: Request) -> Response {
+    answer(core, request, plain_call).await
+}
+
+async fn unknown_path(request: Request) -> Response {
+    let refusal = Refusal::not_run(
+        Cause::UnknownService,
+        &format!("there is nothing at {}", request.uri().path()),
+        "use /v1/chat/completions, /v1/completions, /v1/models or /services/...",
+    );
+    let id = request_id(request.headers());
+    with_id(refusal.into_response(), &id)
+}
+
+async fn burn(State(core): State<Arc<Core>>) -> Response {
+    Json(core.stats.rings()).into_response()
+}
+
+fn request_id(headers: &http::HeaderMap) -> RequestId {
+    given_id(headers).unwrap_or_else(|| format!("{:032x}", rand::rng().random::<u128>()))
+}
+
+fn with_id(mut response: Response, id: &str) -> Response {
+    if let Ok(value) = HeaderValue::try_from(id) {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    response
+}
+
+async fn answer(core: Arc<Core>, request: Request, read: Reader) -> Response {
+    let arrived = Instant::now();
+    let busy = core.drain.enter();
+    let (parts, body) = request.into_parts();
+    let id = request_id(&parts.headers);
+    let served = match read_body(body, core.settings.max_body).await {
+        Ok(body) => {
+            let table = core.table.load_full();
+            match read(&table, id.clone(), &parts, body) {
+                Ok(call) => serve(core, call, arrived, busy).await,
+                Err(refusal) => Err(refusal),
+            }
+        }
+        Err(refusal) => Err(refusal),
+    };
+    let response = served.unwrap_or_else(|refusal| {
+        Event::new("request-refused")
+            .field("request", &id)
+            .field("cause", refusal.cause)
+            .field("outcome", refusal.outcome)
+            .info();
+        refusal.into_response()
+    });
+    with_id(response, &id)
+}
+
+async fn read_body(body: Body, most: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
+            Cause::TooLarge,
+            &format!("the body is larger than {most} bytes"),
+            "send a smaller body",
+        )),
+        Err(_) => Err(Refusal::not_run(
+            Cause::BadRequest,
+            "the body broke off",
+            "send the whole body",
+        )),
+    }
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelItem>,
+}
+
+#[derive(Serialize)]
+struct ModelItem {
+    id: ServiceId,
+    object: &'static str,
+    created: u64,
+    owned_by: TeamId,
+}
+
+async fn models(State(core): State<Arc<Core>>, request: Request) -> Response {
+    let id = request_id(request.headers());
+    let response = match list_models(&core, request.headers()) {
+        Ok(list) => Json(list).into_response(),
+        Err(refusal) => refusal.into_response(),
+    };
+    with_id(response, &id)
+}
+
+fn list_models(core: &Core, headers: &http::HeaderMap) -> Result<ModelList, Refusal> {
+    let key = bearer(headers)?;
+    let table = core.table.load();
+    let services: Vec<&Service> = table
+        .grants(&key)
+        .filter_map(|grant| table.service(&grant.service))
+        .filter(|service| service.document.kind == Kind::Model)
+        .collect();
+    if table.grants(&key).next().is_none() {
+        return Err(Refusal::not_run(
+            Cause::UnknownKey,
+            "the key is unknown",
+            "use a key whose hash stands in a service document",
+        ));
+    }
+    let data = services
+        .iter()
+        .map(|service| ModelItem {
+            id: service.document.service.clone(),
+            object: "model",
+            created: 0,
+            owned_by: service.document.owner.clone(),
+        })
+        .collect();
+    Ok(ModelList {
+        object: "list",
+        data,
+    })
+}
--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -89,10 +89,10 @@
     let direct: Vec<SocketAddr> = bench.endpoints.iter().map(|e| e.address).collect();
     let entries = bench.entries();
     // Connections and code are warmed up before anything is counted.
-    load(&entries, streams, lasting / 4).await;
-    load(&direct, streams, lasting / 4).await;
-    let plain = load(&direct, streams, lasting).await;
-    let routed = load(&entries, streams, lasting).await;
+    load(&entries, streams, TOKENS, lasting / 4).await;
+    load(&direct, streams, TOKENS, lasting / 4).await;
+    let plain = load(&direct, streams, TOKENS, lasting).await;
+    let routed = load(&entries, streams, TOKENS, lasting).await;
     bench.stop().await;
     Point {
         streams,
@@ -103,6 +103,19 @@
     }
 }
 
+/// Processor time that entry and agent together take for one request of
+/// `tokens` tokens: that of a routed request less that of a direct one.
+pub async fn cost(streams: u32, tokens: u32, lasting: Duration) -> Duration {
+    let bench = Bench::start(&suite(ENDPOINTS), Policy::Predicted).await;
+    let direct: Vec<SocketAddr> = bench.endpoints.iter().map(|e| e.address).collect();
+    let entries = bench.entries();
+    load(&entries, streams, tokens, lasting / 4).await;
+    let plain = load(&direct, streams, tokens, lasting).await;
+    let routed = load(&entries, streams, tokens, lasting).await;
+    bench.stop().await;
+    routed.cost().saturating_sub(plain.cost())
+}
+
 struct Loaded {
     first: Histogram<u64>,
     requests: u64,
@@ -122,7 +135,12 @@
     }
 }
 
-async fn load(targets: &[SocketAddr], streams: u32, lasting: Duration) -> Loaded {
+async fn load(
+    targets: &[SocketAddr],
+    streams: u32,
+    tokens: u32,
+    lasting: Duration,
+) -> Loaded {
     let client: Client<HttpConnector, Full<Bytes>> =
         Client::builder(TokioExecutor::new()).build_http();
     let before = cpu_time();
@@ -134,7 +152,7 @@
         tasks.spawn(async move {
             let mut first = Histogram::<u64>::new(3).expect("a valid precision");
             while Instant::now() < end {
-                if let Some(taken) = one(&client, target).await {
+                if let Some(taken) = one(&client, target, tokens).await {
                     let _ = first.record(taken.as_micros() as u64);
                 }
             }
@@ -157,9 +175,10 @@
 async fn one(
     client: &Client<HttpConnector, Full<Bytes>>,
     target: SocketAddr,
+    tokens: u32,
 ) -> Option<Duration> {
     let body = format!(
-        "{{\"model\":\"{SERVICE}\",\"stream\":true,\"max_tokens\":{TOKENS},\"prompt\":\"x\"}}"
+        "{{\"model\":\"{SERVICE}\",\"stream\":true,\"max_tokens\":{tokens},\"prompt\":\"x\"}}"
     );
     let request = Request::post(format!("http://{target}/v1/completions"))
         .header(
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -8,6 +8,7 @@
 pub mod decision;
 pub mod memory;
 pub mod recovery;
+pub mod traffic;
 pub mod watchers;
 
 use std::fmt::Write;
@@ -115,6 +116,7 @@
     print!("{}", memory::waiting().text());
     print!("{}", memory::documents().text());
     print!("{}", memory::streams().await.text());
+    print!("{}", traffic::measure().await.text());
     print!("{}", watchers::measure().await?.text());
     print!("{}", claims::measure().await?.text());
     print!("{}", recovery::measure().await?.text());
--- a/crates/load/src/slopes/decision.rs
+++ b/crates/load/src/slopes/decision.rs
@@ -1,11 +1,11 @@
 //! Cost of one decision against the number of endpoints.
 
 use super::Table;
+use dogwoodhill_core::load::Load;
 use dogwoodhill_policy::Moment;
 use dogwoodhill_policy::dispatch::{Action, Dispatcher, Listed};
 use dogwoodhill_policy::place::Policy;
 use dogwoodhill_policy::queue::{Bounds, Item};
-use dogwoodhill_policy::view::Report;
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -89,14 +89,14 @@
     machine
 }
 
-fn report(running: u32) -> Report {
-    Report {
+fn report(running: u32) -> Load {
+    Load {
         running,
         limit: LIMIT,
         ceilings: [LIMIT; 6],
         gap_us: 35_000,
         first_us: 100_000,
-        ..Report::default()
+        ..Load::default()
     }
 }
 
--- a/crates/load/src/slopes/watchers.rs
+++ b/crates/load/src/slopes/watchers.rs
@@ -8,7 +8,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::client::Caller;
 use dogwoodhill_wire::follow::{Changes, Follower};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -60,6 +60,7 @@
             control: vec![alone.internal],
             caller: Caller::new(alone.secret.clone()),
             spread: u64::from(number) + 1,
+            heard: watch::Sender::new(0).subscribe(),
         };
         let told = told.clone();
         let heed = move |changes: Changes| {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -9,8 +9,9 @@
 use crate::Moment;
 use crate::place::{Placement, Wish};
 use crate::queue::{Bounds, Item, Queue, Turn, Waiting};
-use crate::view::{Report, View};
+use crate::view::View;
 use dogwoodhill_core::ids::{ClassId, DomainId, EndpointId, Fence, Tier};
+use dogwoodhill_core::load::Load;
 use rand::Rng;
 
 /// Shortest time in which any endpoint answers: a request with less time
@@ -72,6 +73,7 @@
     queue: Queue<P>,
     views: Vec<View>,
     policy: Box<dyn Placement>,
+    running: u32,
     pace: f64,
     last: Option<Moment>,
 }
@@ -83,6 +85,7 @@
             queue: Queue::new(bounds),
             views: Vec::new(),
             policy,
+            running: 0,
             pace: 0.0,
             last: None,
         }
@@ -100,19 +103,21 @@
 
     /// Follows the document: endpoints not in `listed` get no new work.
     pub fn list(&mut self, listed: &[Listed]) {
+        let mut wanted: Vec<&Listed> = listed.iter().collect();
+        wanted.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut known = vec![false; wanted.len()];
         for view in &mut self.views {
-            view.list(false);
-        }
-        for endpoint in listed {
-            let same = |view: &View| view.name == endpoint.name;
-            match self.views.iter().position(same) {
-                Some(i) => {
-                    self.views[i].domain.clone_from(&endpoint.domain);
-                    self.views[i].list(true);
-                }
-                None => self.add(endpoint),
+            let found = wanted.binary_search_by(|one| one.name.cmp(&view.name));
+            view.list(found.is_ok());
+            if let Ok(at) = found {
+                view.domain.clone_from(&wanted[at].domain);
+                known[at] = true;
             }
         }
+        let new = wanted.iter().zip(known).filter(|(_, known)| !known);
+        for (endpoint, _) in new {
+            self.add(endpoint);
+        }
     }
 
     /// Reuses the place of an endpoint that left and has no work, so that
@@ -152,12 +157,13 @@
         &mut self,
         now: Moment,
         view: usize,
-        report: Option<&Report>,
+        report: Option<&Load>,
         waiting: Waiting<P>,
         tried: &[usize],
         random: &mut dyn Rng,
     ) -> Vec<Action<P>> {
         self.views[view].end();
+        self.running -= 1;
         self.note(now, view, report);
         let mut actions = Vec::new();
         let wish = Wish {
@@ -165,6 +171,7 @@
             tier: waiting.item.tier,
             due: false,
             freed: None,
+            backlog: self.backlog(),
         };
         match self.policy.pick(&self.views, &wish, tried, random) {
             Some(next) => actions.push(self.start(next, false, waiting)),
@@ -183,11 +190,12 @@
         &mut self,
         now: Moment,
         view: usize,
-        report: Option<&Report>,
+        report: Option<&Load>,
         whole: bool,
         random: &mut dyn Rng,
     ) -> Vec<Action<P>> {
         self.views[view].end();
+        self.running -= 1;
         self.note(now, view, report);
         if whole {
             self.views[view].succeeded();
@@ -198,7 +206,7 @@
     }
 
     /// A report arrived while requests run.
-    pub fn report(&mut self, now: Moment, view: usize, report: &Report) {
+    pub fn report(&mut self, now: Moment, view: usize, report: &Load) {
         let own = self.views[view].own();
         self.views[view].report(now, report, own);
     }
@@ -219,7 +227,7 @@
         actions
     }
 
-    fn note(&mut self, now: Moment, view: usize, report: Option<&Report>) {
+    fn note(&mut self, now: Moment, view: usize, report: Option<&Load>) {
         if let Some(report) = report {
             self.report(now, view, report);
         }
@@ -268,6 +276,7 @@
             tier: turn.tier,
             due: turn.due,
             freed,
+            backlog: self.backlog(),
         };
         let view = self.policy.pick(&self.views, &wish, &[], random)?;
         let waiting = self.queue.take(turn)?;
@@ -277,6 +286,7 @@
 
     fn start(&mut self, view: usize, due: bool, waiting: Waiting<P>) -> Action<P> {
         self.views[view].start();
+        self.running += 1;
         Action::Start(Started {
             view,
             endpoint: self.views[view].name.clone(),
@@ -294,6 +304,11 @@
         }
     }
 
+    /// Waiting requests for each one that this entry has running.
+    fn backlog(&self) -> f64 {
+        self.queue.len() as f64 / f64::from(self.running.max(1))
+    }
+
     /// When the queue as it is now will have been worked off.
     fn advice(&self) -> Moment {
         let wait = self.pace * self.queue.len() as f64;
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -7,6 +7,12 @@
 //! drains at full speed. A class that is owed a start ([`crate::queue::OWED`]) is treated as tier 0, which
 //! is how the least urgent class progresses under endless urgent load.
 //! Nothing that runs is ever stopped to make room.
+//!
+//! An endpoint that breaks its answers off ends them sooner than a healthy
+//! one, so it always has free slots and would draw all work to itself. After
+//! [`BROKEN`] broken answers in a row the gate is on probation: nothing starts
+//! for a pause that doubles with each further one, then one request at a time
+//! until one is answered whole.
 
 use crate::Moment;
 use crate::limit::Limit;
@@ -17,6 +23,12 @@
 const RESERVE: f64 = 0.03;
 /// How long after its last start a tier counts as seen lately.
 const LATELY: Moment = Moment::from_secs(2);
+/// Broken answers in a row that put an endpoint on probation.
+pub const BROKEN: u32 = 2;
+/// First pause on probation.
+const MIN_PAUSE: Moment = Moment::from_millis(200);
+/// Longest pause.
+const MAX_PAUSE: Moment = Moment::from_secs(5);
 /// Attempt ids remembered in order to refuse a second delivery. An attempt is
 /// delivered again at most by a broken connection or a repeated frame, within
 /// seconds; an endpoint starts far fewer requests than this in that time.
@@ -55,6 +67,8 @@
     gap: f64,
     first: f64,
     starts: [Option<Moment>; TIERS],
+    broken: u32,
+    paused: Moment,
     seen: Vec<AttemptId>,
     order: VecDeque<AttemptId>,
 }
@@ -69,6 +83,8 @@
             gap: 0.0,
             first: 0.0,
             starts: [None; TIERS],
+            broken: 0,
+            paused: Moment::ZERO,
             seen: Vec::new(),
             order: VecDeque::new(),
         }
@@ -88,6 +104,10 @@
     /// tier.
     pub fn ceilings(&self, now: Moment) -> [u32; TIERS] {
         let limit = self.limit.value();
+        if self.broken >= BROKEN {
+            let probes = u32::from(now >= self.paused);
+            return [probes; TIERS];
+        }
         let mut ceilings = [limit; TIERS];
         let lately = |start: &Option<Moment>| start.is_some_and(|at| now < at + LATELY);
         let Some(urgent) = self.starts.iter().position(lately) else {
@@ -150,6 +170,24 @@
         self.running = self.running.saturating_sub(1);
     }
 
+    /// Notes that an answer broke off at the endpoint's side.
+    pub fn saw_broken(&mut self, now: Moment) {
+        // Those that were running together break together: one pause for all.
+        if self.broken >= BROKEN && now < self.paused {
+            return;
+        }
+        self.broken += 1;
+        if let Some(beyond) = self.broken.checked_sub(BROKEN) {
+            let pause = MIN_PAUSE * 2u32.saturating_pow(beyond.min(8));
+            self.paused = now + pause.min(MAX_PAUSE);
+        }
+    }
+
+    /// Notes that an answer arrived whole.
+    pub fn saw_whole(&mut self) {
+        self.broken = 0;
+    }
+
     /// Notes the time to a first token.
     pub fn saw_first(&mut self, first: Moment) {
         mix(&mut self.first, first);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`queue`]: requests that wait in the entry, ordered by tier, slack and
 //!   workspace share, bounded in count and bytes;
 //! * [`view`]: what an entry believes of one endpoint's load;
+//! * [`subset`]: which endpoints an entry uses at all;
 //! * [`place`]: the choice of an endpoint;
 //! * [`dispatch`]: the three above joined into one machine per service;
 //! * [`budget`]: how many retries a service may add to its load;
@@ -25,6 +26,7 @@
 pub mod place;
 pub mod queue;
 pub mod quota;
+pub mod subset;
 pub mod view;
 
 /// A point in time: the duration since the caller's clock started.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -17,8 +17,14 @@
 /// full the request waits, and the next freed slot is offered to it directly.
 pub const PROBES: usize = 48;
 /// An endpoint slower than this many times the median of its peers is a
-/// straggler and only used when nothing else has room.
+/// straggler. It is used only while so much waits that a request is done
+/// sooner on it than after waiting for another: with `n` requests running and
+/// `w` waiting, the queue is worked off in `w/n` times a request's length, so
+/// an endpoint `r` times slower is worth it while `r - 1 < w/n`.
 pub const STRAGGLER: f64 = 3.0;
+/// A straggler of which nothing was heard for this long gets one request that
+/// is not of the most urgent tier, so that it can show it recovered.
+const PROBE_AFTER: Moment = Moment::from_secs(3);
 /// Fewest endpoints among which a straggler can be told.
 const PEERS: usize = 3;
 
@@ -33,6 +39,8 @@
     pub due: bool,
     /// View of an endpoint that just got a free slot.
     pub freed: Option<usize>,
+    /// Waiting requests for each running one.
+    pub backlog: f64,
 }
 
 /// Chooses an endpoint.
@@ -152,13 +160,21 @@
         if views.is_empty() {
             return None;
         }
-        let bound = straggler_bound(views);
+        let median = median_speed(views);
+        let patient = (1.0 + wish.backlog).max(STRAGGLER);
+        let within = |i: usize, factor: f64| {
+            median.is_none_or(|median| views[i].speed() <= median * factor)
+        };
         let fresh = |i: usize| !tried.contains(&i);
-        let quick = |i: usize| fresh(i) && views[i].speed() <= bound;
+        let probed = |i: usize| {
+            wish.tier > 0 && views[i].own() == 0 && views[i].silent(wish.now, PROBE_AFTER)
+        };
+        let quick = |i: usize| fresh(i) && (within(i, STRAGGLER) || probed(i));
         let near = |i: usize| quick(i) && views[i].domain == self.domain;
+        let any = |i: usize| fresh(i) && within(i, patient);
         self.sample(views, wish, random, near)
             .or_else(|| self.sample(views, wish, random, quick))
-            .or_else(|| self.sample(views, wish, random, fresh))
+            .or_else(|| self.sample(views, wish, random, any))
     }
 
     fn tiered(&self) -> bool {
@@ -166,9 +182,9 @@
     }
 }
 
-/// Speed above which a view is a straggler: a multiple of the median of a
-/// bounded sample of the views with a known speed.
-fn straggler_bound(views: &[View]) -> f64 {
+/// Median speed of a bounded sample of the views whose speed is known; `None`
+/// where too few are.
+fn median_speed(views: &[View]) -> Option<f64> {
     const SAMPLE: usize = 32;
     let step = views.len().div_ceil(SAMPLE).max(1);
     let mut speeds: Vec<f64> = views
@@ -178,11 +194,11 @@
         .filter(|speed| *speed > 0.0)
         .collect();
     if speeds.len() < PEERS {
-        return f64::INFINITY;
+        return None;
     }
     let middle = speeds.len() / 2;
     let (_, median, _) = speeds.select_nth_unstable_by(middle, f64::total_cmp);
-    *median * STRAGGLER
+    Some(*median)
 }
 
 fn coprime(count: usize, wanted: usize) -> usize {
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -9,6 +9,7 @@
 
 use crate::Moment;
 use dogwoodhill_core::ids::{DomainId, EndpointId, Fence, TIERS, Tier};
+use dogwoodhill_core::load::Load;
 
 /// Time in which the believed load of others fades to about a third.
 const FADE: Moment = Moment::from_millis(400);
@@ -21,25 +22,6 @@
 /// Longest such pause.
 const MAX_PAUSE: Moment = Moment::from_secs(5);
 
-/// A load report, as it arrived.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Requests running on the endpoint.
-    pub running: u32,
-    /// Most that its agent lets run.
-    pub limit: u32,
-    /// Most requests that may run for one more of each tier to start.
-    pub ceilings: [u32; TIERS],
-    /// Mean token gap in microseconds; 0 where unknown.
-    pub gap_us: u32,
-    /// Mean time to the first token in microseconds; 0 where unknown.
-    pub first_us: u32,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Fencing number of its agent's lease.
-    pub fence: Fence,
-}
-
 /// Belief about one endpoint.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -82,6 +64,11 @@
         }
     }
 
+    /// Whether nothing was heard of the endpoint for `time`.
+    pub fn silent(&self, now: Moment, time: Moment) -> bool {
+        now >= self.told + time
+    }
+
     /// Requests of this entry on the endpoint.
     pub fn own(&self) -> u32 {
         self.own
@@ -149,7 +136,7 @@
 
     /// Takes a report in. `own_included` is the number of this entry's own
     /// requests that the report counts.
-    pub fn report(&mut self, now: Moment, report: &Report, own_included: u32) {
+    pub fn report(&mut self, now: Moment, report: &Load, own_included: u32) {
         self.others = f64::from(report.running.saturating_sub(own_included));
         self.limit = report.limit;
         self.ceilings = report.ceilings;
--- a/crates/wire/src/follow.rs
+++ b/crates/wire/src/follow.rs
@@ -11,6 +11,7 @@
 use dogwoodhill_core::prelude::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Longest poll. Short enough that a frozen instance, which closes nothing,
@@ -100,6 +101,10 @@
     pub caller: Caller,
     /// Random number that spreads daemons over instances and pauses.
     pub spread: u64,
+    /// Newest revision the daemon heard of elsewhere. When it is newer than
+    /// what the present poll gave, the instance polled may be cut off: the
+    /// next one is asked at once.
+    pub heard: watch::Receiver<Revision>,
 }
 
 impl Follower {
@@ -115,7 +120,7 @@
             self.control.clone(),
             self.spread as usize,
         );
-        let mut watch = Watch {
+        let mut asking = Watch {
             daemon: self.daemon.clone(),
             entry: self.entry,
             revision: 0,
@@ -123,22 +128,27 @@
             entries: 0,
             wait: POLL,
         };
+        let mut heard = self.heard.clone();
         let mut known = Known::default();
         let mut pause = MIN_PAUSE;
         let mut jitter = self.spread;
         loop {
-            match self.poll(&set, &watch).await {
-                Some(update) if update.revision >= watch.revision => {
+            let polled = tokio::select! {
+                polled = self.poll(&set, &asking) => polled,
+                () = newer(&mut heard, asking.revision) => None,
+            };
+            match polled {
+                Some(update) if update.revision >= asking.revision => {
                     pause = MIN_PAUSE;
                     match known.take(update) {
                         Some(changes) => {
-                            watch.revision = changes.revision;
-                            watch.entries = changes.entries;
+                            asking.revision = changes.revision;
+                            asking.entries = changes.entries;
                             heed(changes);
                         }
                         // Whole documents come next time; none of them can
                         // be older than what this daemon has.
-                        None => watch.revision = 0,
+                        None => asking.revision = 0,
                     }
                 }
                 _ => {
@@ -162,6 +172,18 @@
     }
 }
 
+/// Ends when a newer revision than `revision` is heard of for the first time.
+async fn newer(heard: &mut watch::Receiver<Revision>, revision: Revision) {
+    loop {
+        if heard.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if *heard.borrow() > revision {
+            return;
+        }
+    }
+}
+
 /// A step of a linear congruential generator (Knuth's MMIX constants): enough
 /// to spread pauses, and without a shared random source.
 fn next(state: u64) -> u64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`control`]: the daemon that keeps durable state;
 //! * [`ctl`]: the operator's command line;
 //! * [`load`]: load and experiments;
+//! * [`policy`]: the decisions themselves;
 //! * [`report`]: service-level burn;
 //! * [`standin`]: stand-in endpoints;
 //! * [`local`]: every role in one process.
@@ -21,6 +22,7 @@
 pub use dogwoodhill_daemon as daemon;
 pub use dogwoodhill_entry as entry;
 pub use dogwoodhill_load as load;
+pub use dogwoodhill_policy as policy;
 pub use dogwoodhill_report as report;
 pub use dogwoodhill_standin as standin;
 pub use dogwoodhill_wire as wire;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,8 +2,11 @@
 
 mod bad_input;
 mod broken_answers;
+mod burst;
 mod control;
 mod drain;
+mod lease;
+mod operator;
 mod path;
 mod programs;
 mod support;
