--- a/crates/agent/src/lease.rs
+++ b/crates/agent/src/lease.rs
@@ -23,8 +23,12 @@
 
 /// Renewals in the length of a lease.
 const RENEWALS: u32 = 3;
-/// Shortest pause before the lease is asked for again.
+/// Pause before a lease is asked for again that no control instance answered
+/// for.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a lease is asked for again that another agent holds. Short,
+/// because a drained agent gives its lease back long before it would end.
+const HELD_PAUSE: Duration = Duration::from_millis(500);
 
 /// What the agent may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,7 +128,7 @@
                 holding.heed(sent, lasting, lease);
                 match lease {
                     Lease::Held(_) => lasting / RENEWALS,
-                    Lease::Other(left) => (*left).clamp(MIN_PAUSE, lasting / RENEWALS),
+                    Lease::Other(left) => (*left).clamp(MIN_PAUSE, HELD_PAUSE),
                 }
             }
             Err(_) => MIN_PAUSE,
--- a/crates/control/src/presence.rs
+++ b/crates/control/src/presence.rs
@@ -2,8 +2,8 @@
 //! limits.
 //!
 //! Every instance knows the entries that poll it and tells the others every
-//! [`INTERVAL`]; a name not heard of for [`KEPT`] is dropped. The number is
-//! therefore behind by up to [`KEPT`] after an entry died, which makes the
+//! [`INTERVAL`]; a name not heard of for `KEPT` is dropped. The number is
+//! therefore behind by up to `KEPT` after an entry died, which makes the
 //! others' shares too small for that long, never too large.
 
 use dogwoodhill_core::prelude::*;
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -3,7 +3,7 @@
 //! One document declares a service's classes, targets, workspaces and
 //! endpoints. It is parsed and checked as a whole by [`ServiceDocument::parse`];
 //! a value of this type that came from there satisfies every rule listed in
-//! [`check`]. Two documents with the same content compare equal whatever
+//! `check`. Two documents with the same content compare equal whatever
 //! comments or layout their texts have, which is what makes a resent change
 //! recognisable.
 
--- a/crates/core/src/text.rs
+++ b/crates/core/src/text.rs
@@ -4,7 +4,7 @@
 //! each that is missing, unknown or out of range, so that a person sees every
 //! mistake at once instead of one for each try. A reader that met a fault
 //! still returns a value (a default), which must not be used: the caller asks
-//! [`Text::finish`] and gets either a value or all faults.
+//! `Text::finish` and gets either a value or all faults.
 
 use crate::fault::{Fault, Faults};
 use crate::ids::valid_name;
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -12,7 +12,8 @@
 //! one, so it always has free slots and would draw all work to itself. After
 //! [`BROKEN`] broken answers in a row the gate is on probation: nothing starts
 //! for a pause that doubles with each further one, then one request at a time
-//! until one is answered whole.
+//! until one is answered whole. The tiers that may least be lost are only
+//! risked as such a probe where nothing else has come for a while.
 
 use crate::Moment;
 use crate::limit::Limit;
@@ -27,6 +28,10 @@
 pub const BROKEN: u32 = 2;
 /// First pause on probation.
 const MIN_PAUSE: Moment = Moment::from_millis(200);
+/// Tiers up to this one are not risked as probes at first.
+const URGENT: usize = 1;
+/// How long after the pause they are kept from it.
+const SPARED: Moment = Moment::from_secs(3);
 /// Longest pause.
 const MAX_PAUSE: Moment = Moment::from_secs(5);
 /// Attempt ids remembered in order to refuse a second delivery. An attempt is
@@ -105,8 +110,11 @@
     pub fn ceilings(&self, now: Moment) -> [u32; TIERS] {
         let limit = self.limit.value();
         if self.broken >= BROKEN {
-            let probes = u32::from(now >= self.paused);
-            return [probes; TIERS];
+            let mut probes = [u32::from(now >= self.paused); TIERS];
+            if now < self.paused + SPARED {
+                probes[..=URGENT].fill(0);
+            }
+            return probes;
         }
         let mut ceilings = [limit; TIERS];
         let lately = |start: &Option<Moment>| start.is_some_and(|at| now < at + LATELY);
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -80,3 +80,33 @@
     assert_eq!(running.local.calls.of("seat-2"), 1);
     running.stop().await;
 }
+
+#[tokio::test]
+async fn slow_readers_hold_up_nobody_else() {
+    const READERS: usize = 24;
+    const SIZE: usize = 3 * 1024 * 1024;
+    let running = Running::start().await;
+    let large = "x".repeat(SIZE);
+    let client =
+        hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+            .build_http();
+    // Together far more than one connection's window, and none of it read.
+    let mut unread = Vec::new();
+    for _ in 0..READERS {
+        let callers = running.local.callers;
+        let path = "/services/lookup/large";
+        let asked = crate::support::request("PUT", callers, path, &[], &large);
+        let got = client.request(asked).await.unwrap();
+        assert_eq!(got.status(), 200);
+        unread.push(got);
+    }
+    let other = running.call("GET", "/services/lookup/small", &[], "").await;
+    assert_eq!(other.status(), 200);
+    // The slow ones get their whole answers once they read.
+    use http_body_util::BodyExt;
+    for got in unread {
+        let body = got.into_body().collect().await.unwrap().to_bytes();
+        assert!(body.len() > SIZE && body.ends_with(b"x"));
+    }
+    running.stop().await;
+}
