Route sets, and seats for replaced control instances

Cause: a cluster whose lost instance was replaced at another address kept the dead voter for ever, so the second loss after a repair stopped it. Ruled out: replacing both in one change, since two majorities of three voters need not share an instance then. Change: members have seats; a silent voter leaves while there are more voters than seats. Route sets: one versioned value over all services, checked whole.

--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -15,6 +15,16 @@
     pub address: SocketAddr,
     /// Whether it votes. A learner only follows.
     pub voter: bool,
+    /// Whether it counts towards the size that the cluster is meant to have.
+    /// An instance that came as a replacement has no seat until the one it
+    /// replaces is gone.
+    #[serde(default = "seated")]
+    pub seat: bool,
+}
+
+/// Members written before there were seats all had one.
+fn seated() -> bool {
+    true
 }
 
 /// All instances, sorted by id.
@@ -52,6 +62,24 @@
             .map(|member| member.id)
     }
 
+    /// Whether there are more voters than the cluster is meant to have.
+    pub fn oversize(&self) -> bool {
+        let seats = self.0.iter().filter(|member| member.seat).count();
+        self.voters().count() > seats
+    }
+
+    /// The same without `id`; its seat, where it has one, goes to `heir`.
+    #[must_use]
+    pub fn succeed(&self, id: NodeId, heir: NodeId) -> Self {
+        let seat = self.get(id).is_some_and(|member| member.seat);
+        let mut members = self.without(id);
+        let mut list = members.0.iter_mut();
+        if let Some(heir) = list.find(|member| member.id == heir) {
+            heir.seat |= seat;
+        }
+        members
+    }
+
     /// Smallest number of voters that is more than half of them.
     pub fn majority(&self) -> usize {
         self.voters().count() / 2 + 1
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -1,11 +1,18 @@
 //! Changes of members, one at a time.
 //!
 //! A new instance is added as a learner. Once it has caught up the leader
-//! makes it a voter by itself, after it removed an earlier voter of the same
+//! makes it a voter by itself, after it removed an earlier instance of the same
 //! name: that is the same instance before it lost its disk.
+//!
+//! An instance of another name that joins a formed cluster is a replacement
+//! for one that is gone or will be. It votes beside the others at first, and
+//! takes the seat of the first voter that stays silent. Each change adds or
+//! removes one voter, so any two majorities in a row share an instance; an
+//! instance that was removed while it was only slow finds that out by asking,
+//! and joins anew.
 
 use crate::log::Payload;
-use crate::members::Member;
+use crate::members::{Member, Members};
 use crate::node::{Node, Peer, Refused, Role};
 use crate::{Index, Moment, NodeId};
 use rand::Rng;
@@ -47,27 +54,60 @@
         self.change(now, Payload::Members(members))
     }
 
-    /// The leader's own steps: learners that caught up become voters.
+    /// The leader's own steps: learners that caught up become voters, and
+    /// instances that were replaced or never came up leave.
     pub(crate) fn arrange(&mut self, now: Moment) {
-        let Some(learner) = self.caught_up() else {
-            return;
-        };
+        // A refusal here only means that it is tried again at the next tick.
+        if let Some(learner) = self.caught_up() {
+            let _ = self.promote(now, learner);
+        } else if let Some(members) = self.without_gone(now) {
+            let _ = self.change(now, Payload::Members(members));
+        }
+    }
+
+    /// Makes a learner a voter. An earlier instance of the same name is the
+    /// same one before it lost its disk: it leaves first and leaves its seat.
+    fn promote(&mut self, now: Moment, learner: Member) -> Result<(), Refused> {
         let same = |member: &&Member| {
-            member.voter && member.name == learner.name && member.id != self.id
+            member.name == learner.name
+                && member.id != learner.id
+                && member.id != self.id
         };
         let earlier = self.members().iter().find(same).map(|member| member.id);
-        // A refusal here only means that it is tried again at the next tick.
-        let _ = match earlier {
-            Some(id) => self.remove(now, id),
-            None => {
-                let voter = Member {
-                    voter: true,
-                    ..learner
-                };
-                let members = self.members().with(voter);
-                self.change(now, Payload::Members(members))
-            }
+        let members = match earlier {
+            Some(id) => self.members().succeed(id, learner.id),
+            None => self.members().with(Member {
+                voter: true,
+                ..learner
+            }),
         };
+        self.change(now, Payload::Members(members))
+    }
+
+    /// The members without one that is gone: a silent voter while there are
+    /// more voters than seats, or a learner that never caught up.
+    fn without_gone(&self, now: Moment) -> Option<Members> {
+        let Role::Leader(leading) = &self.role else {
+            return None;
+        };
+        let members = self.members();
+        let longest = |voter: bool, limit: Moment| {
+            let silent = leading.peers.iter().filter(|peer| {
+                members.votes(peer.id) == voter && now >= peer.heard + limit
+            });
+            silent.min_by_key(|peer| peer.heard).map(|peer| peer.id)
+        };
+        if members.oversize()
+            && let Some(gone) = longest(true, self.timing.gone)
+        {
+            let extra = |member: &&Member| {
+                member.voter && !member.seat && member.id != gone
+            };
+            let heir = members.iter().find(extra).map_or(gone, |heir| heir.id);
+            return Some(members.succeed(gone, heir));
+        }
+        let forgotten = longest(false, self.timing.forget)?;
+        Some(members.without(forgotten))
     }
 
     fn caught_up(&self) -> Option<Member> {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -9,6 +9,14 @@
 use rand::Rng;
 use rand::RngExt;
 
+/// A crash and restart of an instance takes under 2 s, an election about 1 s:
+/// who is silent for longer while a replacement waits does not come back soon,
+/// and a second loss must find the replacement counted.
+const GONE: Moment = Moment::from_millis(2_500);
+/// Long against a snapshot's transfer, short against the wear of a cluster
+/// whose instances are replaced every day.
+const FORGET: Moment = Moment::from_secs(20);
+
 /// Fixed times of a node.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -17,6 +25,12 @@
     /// Shortest time without a leader until an election. A follower that
     /// heard from a leader within it grants no vote.
     pub election: Moment,
+    /// Time without a word after which a leader takes an instance for gone
+    /// where a replacement stands ready.
+    pub gone: Moment,
+    /// Time without a word after which a leader forgets an instance that
+    /// never became a voter.
+    pub forget: Moment,
 }
 
 impl Default for Timing {
@@ -27,6 +41,8 @@
         Self {
             heartbeat: Moment::from_millis(100),
             election: Moment::from_millis(500),
+            gone: GONE,
+            forget: FORGET,
         }
     }
 }
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -18,6 +18,7 @@
         name: format!("control-{id}"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         voter: true,
+        seat: true,
     }
 }
 
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -136,3 +136,24 @@
     (0..3).for_each(|i| group.run(&Step::Compact(i)));
     group.settle();
 }
+
+#[test]
+fn invariants_four_instances() {
+    explore(4, 4);
+}
+
+#[test]
+fn replacement_takes_the_seat_of_the_gone() {
+    for count in [3, 4, 5] {
+        let mut group = Group::new(count);
+        let leader = group.leader().unwrap();
+        // One after the other, each right after the last repair.
+        for i in 1..count {
+            group.run(&Step::Replace((leader + i) % count));
+            group.settle();
+        }
+        group.run(&Step::Replace(leader));
+        group.settle();
+        assert_eq!(group.seats(), count, "no instance is left over");
+    }
+}
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -34,6 +34,8 @@
     Crash(usize, CrashPoint),
     Restart(usize),
     LoseDisk(usize),
+    /// An instance is gone for good; an empty one with another name comes.
+    Replace(usize),
     Propose(usize),
     Read(usize),
     Compact(usize),
@@ -60,6 +62,7 @@
         6 => any::<usize>().prop_map(Step::Restart),
         1 => any::<usize>().prop_map(Step::Isolate),
         1 => any::<usize>().prop_map(Step::LoseDisk),
+        1 => any::<usize>().prop_map(Step::Replace),
         10 => any::<usize>().prop_map(Step::Propose),
         2 => any::<usize>().prop_map(Step::Read),
         1 => any::<usize>().prop_map(Step::Compact),
@@ -73,6 +76,8 @@
 struct Place {
     id: NodeId,
     name: String,
+    /// Whether it asks to join as a replacement.
+    replaces: bool,
     node: Option<Node<SmallRng>>,
     durable: Durable,
     /// Commands applied, as the owner's state.
@@ -125,6 +130,7 @@
             name: first.name.clone(),
             address: address(),
             voter: true,
+            seat: true,
         };
         first.node.as_mut().unwrap().bootstrap(member);
         group.settle();
@@ -139,6 +145,7 @@
         let place = Place {
             id,
             name: format!("control-{i}"),
+            replaces: false,
             node: Some(node),
             durable: Durable::default(),
             state: Vec::new(),
@@ -177,6 +184,7 @@
             Step::Crash(n, at) => self.places[n % count].crash = *at,
             Step::Restart(n) => self.restart(n % count),
             Step::LoseDisk(n) => self.lose_disk(n % count),
+            Step::Replace(n) => self.replace(n % count),
             Step::Propose(n) => self.propose(n % count),
             Step::Read(n) => self.read(n % count),
             Step::Compact(n) => self.compact(n % count),
@@ -241,6 +249,7 @@
                 name: place.name.clone(),
                 address: address(),
                 voter: false,
+                seat: !place.replaces,
             })
             .collect();
         for i in 0..self.places.len() {
@@ -343,6 +352,21 @@
         }
     }
 
+    /// Another instance takes the place of one that never returns. As with a
+    /// lost disk, only where every other one is up.
+    fn replace(&mut self, i: usize) {
+        if self.voters > 1
+            && self.whole()
+            && self.places.iter().all(|place| place.node.is_some())
+        {
+            self.spawn(i);
+            let place = &mut self.places[i];
+            place.name = format!("replacement-{}", place.id);
+            place.replaces = true;
+            self.join_missing();
+        }
+    }
+
     fn propose(&mut self, i: usize) {
         let command = vec![self.chosen.len() as u8];
         self.with(i, |node| {
@@ -530,6 +554,12 @@
         }
     }
 
+    pub(crate) fn seats(&self) -> usize {
+        let leader = self.leader().expect("a leader");
+        let node = self.places[leader].node.as_ref().unwrap();
+        node.members().iter().filter(|member| member.seat).count()
+    }
+
     pub(crate) fn term(&self, i: usize) -> Term {
         self.places[i].node.as_ref().map_or(0, Node::term)
     }
--- /dev/null
+++ b/crates/route/tests/route.rs
@@ -0,0 +1,107 @@
+//! Checks of route sets and look-ups in them.
+
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_route::prelude::*;
+use dogwoodhill_route::set::{JsonFormat, SetFormat};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_string(),
+        host: "studio.example".to_string(),
+        prefix: prefix.to_string(),
+        targets: vec![Target {
+            service: "voice".to_string(),
+            weight: 1,
+        }],
+        repeat: Repeat::Never,
+        events: None,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        tier: 2,
+        tries: 1,
+        public: false,
+    }
+}
+
+fn set(routes: Vec<Route>) -> RouteSet {
+    RouteSet {
+        version: 3,
+        routes,
+        services: vec!["voice".to_string()],
+        ..RouteSet::default()
+    }
+}
+
+fn workspace(name: &str, keys: &[&str], tier: Option<Tier>) -> RouteWorkspace {
+    RouteWorkspace {
+        name: name.to_string(),
+        keys: keys.iter().map(|key| (*key).to_string()).collect(),
+        tier,
+    }
+}
+
+#[test]
+fn check_usable_set() {
+    assert_eq!(set(vec![route("a", "/a/")]).check(), Ok(()));
+}
+
+#[test]
+fn check_each_fault() {
+    let mut unknown = route("a", "/a/");
+    unknown.targets[0].service = "other".to_string();
+    let mut weightless = route("a", "/a/");
+    weightless.targets[0].weight = 0;
+    let mut endless = route("a", "/a/");
+    endless.timeout = Duration::ZERO;
+    let same = vec![route("a", "/a/"), route("b", "/a/")];
+    for routes in [
+        vec![unknown],
+        vec![weightless],
+        vec![endless],
+        same,
+        vec![route("a", "/a")],
+    ] {
+        assert!(set(routes).check().is_err());
+    }
+}
+
+#[test]
+fn check_shared_key() {
+    let mut shared = set(vec![route("a", "/a/")]);
+    shared.workspaces =
+        Some(vec![workspace("x", &["k"], None), workspace("y", &["k"], None)]);
+    assert!(matches!(shared.check(), Err(Invalid::SharedKey { .. })));
+}
+
+#[test]
+fn find_longest_prefix() {
+    let table = RouteTable::new(set(vec![route("outer", "/a/"), route("inner", "/a/b/")]));
+    let name = |path: &str| table.find("studio.example", path).map(|r| r.name.clone());
+    assert_eq!(name("/a/b/c").as_deref(), Some("inner"));
+    assert_eq!(name("/a/bc").as_deref(), Some("outer"));
+    assert_eq!(name("/a"), None);
+    assert!(table.find("other.example", "/a/b").is_none());
+}
+
+#[test]
+fn admit_keys() {
+    let mut keyed = set(vec![route("a", "/a/"), route("open", "/o/")]);
+    keyed.routes[1].public = true;
+    keyed.workspaces = Some(vec![workspace("x", &["k"], Some(0))]);
+    let table = RouteTable::new(keyed);
+    let admit = |path: &str, key| table.admit("studio.example", path, key);
+    let known = admit("/a/", Some("k")).expect("the key is held");
+    assert_eq!((known.workspace.as_deref(), known.tier), (Some("x"), 0));
+    assert_eq!(admit("/a/", Some("other")).err(), Some(Denied::Key));
+    assert_eq!(admit("/a/", None).err(), Some(Denied::Key));
+    assert_eq!(admit("/n/", Some("k")).err(), Some(Denied::Route));
+    let open = admit("/o/", None).expect("the route is public");
+    assert_eq!((open.workspace, open.tier), (None, 2));
+}
+
+#[test]
+fn read_cut_text() {
+    let whole = serde_json::to_vec(&set(vec![route("a", "/a/")])).expect("encodes");
+    assert!(JsonFormat.read(&whole).is_ok());
+    assert!(JsonFormat.read(&whole[..whole.len() - 1]).is_err());
+}
