--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -27,6 +27,16 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Bytes of the command it carries.
+    pub fn size(&self) -> usize {
+        match &self.payload {
+            Payload::Command(bytes) => bytes.len(),
+            Payload::Empty | Payload::Members(_) => 0,
+        }
+    }
+}
+
 /// The state up to one position.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -69,9 +69,7 @@
     /// same one before it lost its disk: it leaves first and leaves its seat.
     fn promote(&mut self, now: Moment, learner: Member) -> Result<(), Refused> {
         let same = |member: &&Member| {
-            member.name == learner.name
-                && member.id != learner.id
-                && member.id != self.id
+            member.name == learner.name && member.id != learner.id && member.id != self.id
         };
         let earlier = self.members().iter().find(same).map(|member| member.id);
         let members = match earlier {
@@ -100,9 +98,8 @@
         if members.oversize()
             && let Some(gone) = longest(true, self.timing.gone)
         {
-            let extra = |member: &&Member| {
-                member.voter && !member.seat && member.id != gone
-            };
+            let extra =
+                |member: &&Member| member.voter && !member.seat && member.id != gone;
             let heir = members.iter().find(extra).map_or(gone, |heir| heir.id);
             return Some(members.succeed(gone, heir));
         }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,6 +1,6 @@
 //! From the leader's log to the others', and what is committed by it.
 
-use crate::log::Snapshot;
+use crate::log::{Entry, Snapshot};
 use crate::message::{Append, Appended, Body, Message};
 use crate::node::{Leading, Node, Role};
 use crate::{Index, Moment, NodeId};
@@ -8,6 +8,12 @@
 
 /// Most entries in one message.
 const BATCH: usize = 512;
+/// Most bytes of commands in one message, unless a single one is larger: a
+/// message must be sent well within a heartbeat on a link of 100 Mbit/s.
+const BATCH_BYTES: usize = 256 * 1024;
+/// Heartbeats without an answer after which a peer gets no entries, only
+/// probes: what piles up for one that is cut off would fill the memory.
+const SILENT_BEATS: u32 = 4;
 
 impl<R: Rng> Node<R> {
     /// A leader's work as time passes.
@@ -96,13 +102,22 @@
             return;
         };
         let round = leading.round;
+        let lately = leading
+            .beat
+            .saturating_sub(self.timing.heartbeat * SILENT_BEATS);
         let Some(peer) = leading.peers.iter_mut().find(|peer| peer.id == id) else {
             return;
         };
+        if peer.heard < lately {
+            if empty {
+                self.probe(id, round);
+            }
+            return;
+        }
         let prev = peer.next - 1;
         let body = match self.log.term(prev) {
             Some(prev_term) => {
-                let entries = self.log.slice(peer.next, BATCH).to_vec();
+                let entries = batch(self.log.slice(peer.next, BATCH)).to_vec();
                 if entries.is_empty() && !empty {
                     return;
                 }
@@ -125,6 +140,20 @@
         self.ready.prompt.push(message);
     }
 
+    /// Asks a silent peer for a word, without entries. Its answer tells where
+    /// its log ends.
+    fn probe(&mut self, id: NodeId, round: u64) {
+        let body = Body::Append(Append {
+            prev: self.log.last(),
+            prev_term: self.log.last_term(),
+            entries: Vec::new(),
+            commit: self.commit,
+            round,
+        });
+        let message = self.message(id, self.hard.term, body);
+        self.ready.prompt.push(message);
+    }
+
     pub(crate) fn take_append(&mut self, now: Moment, from: NodeId, append: &Append) {
         self.follow(now, self.hard.term, Some(from));
         let round = append.round;
@@ -322,3 +351,14 @@
     let voters = leading.peers.iter().filter(|peer| votes(peer.id));
     voters.map(|peer| peer.round).collect()
 }
+
+/// As many entries as one message may carry, but at least one.
+fn batch(entries: &[Entry]) -> &[Entry] {
+    let mut bytes = 0;
+    let fits = |entry: &&Entry| {
+        bytes += entry.size();
+        bytes <= BATCH_BYTES
+    };
+    let count = entries.iter().take_while(fits).count();
+    &entries[..count.max(1).min(entries.len())]
+}
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::control::{Acquire, Finish, Lease, Take, Taken};
+use dogwoodhill_wire::routes::HeldRoutes;
 use serde::{Deserialize, Serialize};
 
 /// A command with the time at which the leader took it.
@@ -27,6 +28,8 @@
     Finish(Finish),
     /// Takes or prolongs a lease.
     Acquire(Acquire),
+    /// Puts a route set in force, unless a newer one is.
+    Routes(HeldRoutes),
 }
 
 /// A document that an operator wants in force.
@@ -51,6 +54,8 @@
     Finished,
     /// To [`Action::Acquire`].
     Lease(Lease),
+    /// To [`Action::Routes`]: the version in force now.
+    Routes(Version),
 }
 
 /// A document is in force.
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,14 +1,16 @@
 //! A control instance's life from start to drain.
 
 use crate::internal;
-use crate::internal::{CLUSTER_PATH, Inside, JOIN_PATH};
+use crate::internal::{CLUSTER_PATH, Inside, JOIN_PATH, MEMBER_PATH};
 use crate::operators::{self, Outside};
 use crate::peers::Peers;
 use crate::presence::{INTERVAL, PRESENCE_PATH, Presence};
-use crate::replica::{Driver, Input, Made, Replica, make};
+use crate::replica::{Driver, Input, Limits, Made, Replica, Standing, make};
 use crate::service::Service;
 use crate::settings::{Settings, Start};
+use axum::Router;
 use derive_more::{Display, Error};
+use dogwoodhill_consensus::NodeId;
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
@@ -20,12 +22,17 @@
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time a joining instance looks for its cluster.
 const JOIN_PATIENCE: Duration = Duration::from_secs(60);
-/// Pause between tries to join.
-const JOIN_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between tries to join. A founding deployment has to take its first
+/// change within seconds of its start.
+const JOIN_PAUSE: Duration = Duration::from_millis(200);
+/// Time without contact after which an instance asks whether it is a member
+/// still; longer than an election usually takes.
+const DOUBT: Duration = Duration::from_millis(1_500);
 /// Longest wait for one peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for another instance to take leadership over.
@@ -56,6 +63,65 @@
     Alone,
 }
 
+/// Pause before an instance whose disk failed opens its folder again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(700);
+
+/// Runs an instance until its drain is complete. One whose disk fails takes no
+/// part until the folder can be opened again; what is on disk then decides, as
+/// after a crash. `extra` adds routes for operators.
+///
+/// # Errors
+///
+/// Text that says why the instance can't run.
+pub async fn run_until_drained(
+    mut settings: Settings,
+    drain: Drain,
+    changed: Changed<Settings>,
+    extra: fn(Service) -> Router,
+) -> Result<(), String> {
+    let known = watch::Sender::new(addresses(&settings));
+    let refresh = tokio::spawn(follow_seeds(changed, known.clone()));
+    loop {
+        settings.known = Some(known.subscribe());
+        let started = tokio::select! {
+            bound = Control::bind(settings.clone(), drain.clone()) => bound,
+            () = drain.wait() => break,
+        };
+        let ended = match started {
+            Ok(control) => {
+                let service = control.service();
+                control.run_with(extra(service)).await
+            }
+            Err(error) => Err(format!("{error:#}")),
+        };
+        match ended {
+            Ok(()) => break,
+            Err(error) if drain.begun() => return Err(error),
+            Err(error) => {
+                Event::new("control-restarts")
+                    .field("reason", error)
+                    .error();
+                sleep(REOPEN_PAUSE).await;
+            }
+        }
+    }
+    refresh.abort();
+    Ok(())
+}
+
+/// Takes addresses of other instances out of settings that changed.
+async fn follow_seeds(
+    mut changed: Changed<Settings>,
+    known: watch::Sender<Vec<SocketAddr>>,
+) {
+    while changed.changed().await.is_ok() {
+        let settings = changed.borrow_and_update().clone();
+        if let Some(settings) = settings {
+            known.send_replace(addresses(&settings));
+        }
+    }
+}
+
 /// A control instance that is listening.
 #[derive(Debug)]
 pub struct Control {
@@ -80,20 +146,23 @@
         settings: Settings,
         drain: Drain,
     ) -> Result<Self, Report<ControlError>> {
+        let caller = Caller::new(settings.secret.clone());
+        // Until the folder is open there is nothing to answer: who calls
+        // meanwhile is better refused than kept waiting.
+        let opened = open(&settings, &caller).await?;
         let operators = Listener::bind(settings.listen)
             .await
             .change_context(ControlError::Listen)?;
         let internal = Listener::bind(settings.internal)
             .await
             .change_context(ControlError::Listen)?;
-        let caller = Caller::new(settings.secret.clone());
-        let opened = open(&settings, &caller).await?;
         let identity = opened.identity.clone();
         let member = Member {
             id: identity.node,
             name: settings.name.clone(),
             address: internal.address(),
             voter: false,
+            seat: settings.start != Start::Seeded || settings.seeds.founding,
         };
         let peers = Peers::new(identity.cluster, caller.clone());
         let fresh = opened.durable.hard.term == 0;
@@ -101,8 +170,8 @@
         let Made {
             replica,
             mut driver,
-        } = make(opened, peers, settings.compact, seed);
-        if fresh && settings.start == Start::Bootstrap {
+        } = make(opened, peers, limits(&settings), seed);
+        if fresh && founds(&settings) {
             driver.bootstrap(member.clone());
         }
         Ok(Self {
@@ -139,6 +208,16 @@
     ///
     /// Text that says why the instance stopped.
     pub async fn run(self) -> Result<(), String> {
+        self.run_with(Router::new()).await
+    }
+
+    /// Serves like [`Control::run`], and `extra` beside the routes for
+    /// operators.
+    ///
+    /// # Errors
+    ///
+    /// Text that says why the instance stopped.
+    pub async fn run_with(self, extra: Router) -> Result<(), String> {
         Event::new("control-started")
             .field("name", &self.settings.name)
             .field("node", format!("{:016x}", self.member.id))
@@ -158,16 +237,19 @@
         let metrics = Metrics::default();
         let health =
             health::routes(&self.drain, &metrics, ready(&self.replica, &metrics));
-        let public = operators::routes(outside).merge(health.clone());
+        let public = operators::routes(outside)
+            .merge(health.clone())
+            .merge(extra);
         let private = internal::routes(inside).merge(health);
         let replica = self.replica.clone();
         let stop = hand_over(replica.clone(), self.drain.clone());
         let linger = self.settings.linger;
         let handle = replica.clone();
+        let known = self.settings.known();
         let mut driver = tokio::spawn(self.driver.run());
         let helpers = [
             tokio::spawn(tell(replica.clone(), presence, self.caller.clone())),
-            tokio::spawn(join(replica, self.member, self.settings.peers, self.caller)),
+            tokio::spawn(stay_member(replica, self.member, known, self.caller)),
         ];
         let stopping = Drain::default();
         let serve = async {
@@ -220,6 +302,31 @@
     })
 }
 
+fn limits(settings: &Settings) -> Limits {
+    Limits {
+        compact: settings.compact,
+        copies: settings.losses * 2 + 1,
+    }
+}
+
+/// Addresses at which other instances may answer.
+pub(crate) fn addresses(settings: &Settings) -> Vec<SocketAddr> {
+    let all = settings.peers.iter().chain(&settings.seeds.addresses);
+    let others = all.copied().filter(|address| *address != settings.internal);
+    others.collect()
+}
+
+/// Whether an instance without state is the one that makes a new cluster.
+fn founds(settings: &Settings) -> bool {
+    let seeds = &settings.seeds;
+    let first = seeds.addresses.iter().min() == Some(&settings.internal);
+    match settings.start {
+        Start::Bootstrap => true,
+        Start::Seeded => seeds.founding && first,
+        Start::Again | Start::Join => false,
+    }
+}
+
 async fn open(
     settings: &Settings,
     caller: &Caller,
@@ -231,11 +338,11 @@
         (true, Start::Again) => Err(StoreError::Empty),
         (false, Start::Bootstrap) => Err(StoreError::Occupied),
         (false, _) => Store::open(Box::new(files)),
-        (true, Start::Bootstrap) => {
+        (true, _) if founds(settings) => {
             refuse_second_cluster(settings, caller).await?;
             create(files, rand::rng().random())
         }
-        (true, Start::Join) => create(files, find_cluster(settings, caller).await?),
+        (true, _) => create(files, find_cluster(settings, caller).await?),
     };
     opened.change_context(ControlError::Store)
 }
@@ -253,7 +360,7 @@
     settings: &Settings,
     caller: &Caller,
 ) -> Result<(), Report<ControlError>> {
-    for address in settings.peers.iter().copied() {
+    for address in addresses(settings) {
         if cluster_of(caller, address).await.is_some() {
             return Err(Report::new(ControlError::Formed { address }));
         }
@@ -267,7 +374,8 @@
 ) -> Result<u128, Report<ControlError>> {
     let end = Instant::now() + JOIN_PATIENCE;
     while Instant::now() < end {
-        for address in settings.peers.iter().copied() {
+        let known = settings.known().borrow().clone();
+        for address in known {
             if let Some(cluster) = cluster_of(caller, address).await {
                 return Ok(cluster);
             }
@@ -282,23 +390,60 @@
     timeout(PEER_TIMEOUT, call).await.ok()?.ok()
 }
 
-/// Asks to be added until this instance is a member.
-async fn join(replica: Replica, member: Member, peers: Vec<SocketAddr>, caller: Caller) {
+/// Asks to be added whenever this instance is no member: because it is new, or
+/// because it was taken for gone and removed.
+async fn stay_member(
+    replica: Replica,
+    member: Member,
+    known: watch::Receiver<Vec<SocketAddr>>,
+    caller: Caller,
+) {
+    let mut contact = Instant::now();
     loop {
-        let known = replica.standing.borrow().members.get(member.id).is_some();
-        if known || replica.standing.borrow().leads {
-            return;
-        }
-        for address in peers.iter().copied() {
-            let call = caller.call::<_, Answered<()>>(address, JOIN_PATH, &member);
-            if matches!(timeout(PEER_TIMEOUT, call).await, Ok(Ok(Ok(())))) {
-                break;
+        let standing = replica.standing.borrow().clone();
+        let listed = standing.members.get(member.id).is_some();
+        if standing.contact {
+            contact = Instant::now();
+        } else if !listed || contact.elapsed() >= DOUBT {
+            let known = known.borrow().clone();
+            for address in others(&standing, &known) {
+                let absent = !listed || removed(&caller, address, member.id).await;
+                if absent && ask_to_join(&caller, address, &member).await {
+                    break;
+                }
             }
         }
         sleep(JOIN_PAUSE).await;
     }
 }
 
+/// Addresses of other instances, from the log and from the settings.
+fn others(standing: &Standing, known: &[SocketAddr]) -> Vec<SocketAddr> {
+    let members = standing.members.iter().filter(|m| m.id != standing.node);
+    let mut all: Vec<SocketAddr> = members.map(|member| member.address).collect();
+    all.extend(known);
+    all.sort_unstable();
+    all.dedup();
+    all
+}
+
+/// Whether the instance at `address` confirms that `id` is no member.
+async fn removed(caller: &Caller, address: SocketAddr, id: NodeId) -> bool {
+    let call = caller.call::<_, Answered<bool>>(address, MEMBER_PATH, &id);
+    matches!(timeout(PEER_TIMEOUT, call).await, Ok(Ok(Ok(false))))
+}
+
+async fn ask_to_join(caller: &Caller, address: SocketAddr, member: &Member) -> bool {
+    let call = caller.call::<_, Answered<()>>(address, JOIN_PATH, member);
+    let answer = timeout(PEER_TIMEOUT, call).await;
+    let joined = matches!(answer, Ok(Ok(Ok(()))));
+    Event::new("join-asked")
+        .field("address", address)
+        .field("accepted", joined)
+        .info();
+    joined
+}
+
 /// Tells the other instances which entries poll here.
 async fn tell(replica: Replica, presence: Presence, caller: Caller) {
     loop {
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -5,13 +5,14 @@
 use crate::presence::{Names, PRESENCE_PATH, Presence};
 use crate::replica::Input;
 use crate::service::{CONFIRM_PATH, SUBMIT_PATH, Service};
-use crate::watch;
+use crate::{routes, watch};
 use axum::Router;
 use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use bytes::Bytes;
+use dogwoodhill_consensus::NodeId;
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::codec::decode;
@@ -19,6 +20,7 @@
     Acquire, Answered, FINISH_PATH, Finish, LEASE_PATH, TAKE_PATH, Take, Unable,
     WATCH_PATH, Watch,
 };
+use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH};
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -29,6 +31,8 @@
 pub const CLUSTER_PATH: &str = "/internal/cluster";
 /// Path on which a new instance asks to be added.
 pub const JOIN_PATH: &str = "/internal/join";
+/// Path that tells whether an instance is a member.
+pub const MEMBER_PATH: &str = "/internal/member";
 /// Path on which the leader is told of a new instance.
 const ADD_PATH: &str = "/internal/add";
 /// Largest message: a snapshot.
@@ -61,6 +65,8 @@
         .route(CLUSTER_PATH, post(cluster))
         .route(JOIN_PATH, post(join))
         .route(ADD_PATH, post(add))
+        .route(MEMBER_PATH, post(member))
+        .route(ROUTES_PATH, post(follow_routes))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE))
         .layer(from_fn_with_state(inside.clone(), guard))
         .with_state(inside)
@@ -192,3 +198,21 @@
     })
     .await
 }
+
+/// Tells whether an instance is a member, as a majority has it now.
+async fn member(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |id: NodeId| async move {
+        inside.service.confirm().await?;
+        let standing = inside.service.replica().standing.borrow().clone();
+        let answer: Answered<bool> = Ok(standing.members.get(id).is_some());
+        answer
+    })
+    .await
+}
+
+async fn follow_routes(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |follow: FollowRoutes| async move {
+        routes::answer(&inside.service, &inside.presence, follow).await
+    })
+    .await
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,10 +17,11 @@
 pub mod peers;
 pub mod presence;
 pub mod replica;
+pub mod routes;
 pub mod service;
 pub mod settings;
 pub mod state;
 pub mod watch;
 
-pub use control::Control;
+pub use control::{Control, run_until_drained};
 pub use settings::Settings;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{Acceptance, Action, Put, PutError, Reply};
 use crate::presence::Presence;
+use crate::routes::RoutesError;
 use crate::service::Service;
 use crate::settings::Team;
 use crate::state::{Documents, History};
@@ -9,8 +10,10 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{Json, Router};
+use bytes::Bytes;
 use dogwoodhill_core::keys::{KeyHash, KeyRing};
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_route::set::JsonFormat;
 use http::{HeaderMap, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -62,6 +65,13 @@
     pub won: Option<Acceptance>,
 }
 
+/// Answer to `PUT /v1/routes`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutesAccepted {
+    /// Version in force now: the one sent, or a higher one.
+    pub version: Version,
+}
+
 /// One version in a service's history.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Past {
@@ -133,6 +143,7 @@
     Faults(Faults),
     Name { path: ServiceId, text: ServiceId },
     Put(PutError),
+    Routes(RoutesError),
 }
 
 impl IntoResponse for Refused {
@@ -163,6 +174,7 @@
                 (StatusCode::FORBIDDEN, error.to_string())
             }
             Self::Put(error) => (StatusCode::CONFLICT, error.to_string()),
+            Self::Routes(error) => (error.status(), error.to_string()),
         };
         let faults = match &self {
             Self::Faults(faults) => faults.0.iter().map(Fault::to_string).collect(),
@@ -182,6 +194,7 @@
     Router::new()
         .route("/v1/services/{service}", get(current).put(put))
         .route("/v1/services/{service}/history", get(history))
+        .route("/v1/routes", get(current_routes).put(put_routes))
         .route("/v1/status", get(status))
         .layer(DefaultBodyLimit::max(MAX_DOCUMENT))
         .with_state(outside)
@@ -272,6 +285,31 @@
     Ok(Json(past.collect()))
 }
 
+async fn put_routes(
+    State(outside): State<Outside>,
+    headers: HeaderMap,
+    source: Bytes,
+) -> Result<Json<RoutesAccepted>, Refused> {
+    outside.team(&headers)?;
+    let put = outside.service.put_routes(&JsonFormat, &source).await;
+    let version = put.map_err(Refused::Routes)?;
+    Ok(Json(RoutesAccepted { version }))
+}
+
+async fn current_routes(
+    State(outside): State<Outside>,
+    headers: HeaderMap,
+) -> Result<Response, Refused> {
+    outside.team(&headers)?;
+    let held = outside
+        .service
+        .get_routes()
+        .await
+        .map_err(Refused::Routes)?;
+    let kind = [(header::CONTENT_TYPE, "application/json")];
+    Ok((kind, held.source.clone()).into_response())
+}
+
 async fn status(
     State(outside): State<Outside>,
     headers: HeaderMap,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -18,6 +18,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_store::{Batch, Opened, Store, StoreError};
 use dogwoodhill_wire::control::{Answered, Unable};
+use dogwoodhill_wire::routes::HeldRoutes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::VecDeque;
@@ -28,6 +29,10 @@
 
 /// Interval of the log's clock.
 const TICK: Duration = Duration::from_millis(20);
+/// Bytes in the log on disk after which it is compacted, whatever the number
+/// of its entries: a route set of a few hundred routes takes over 100 KB, and
+/// the smallest disk we run on holds 64 MB.
+const COMPACT_BYTES: usize = 4 * 1024 * 1024;
 /// Inputs taken into one batch.
 const INPUTS: usize = 4096;
 
@@ -99,6 +104,8 @@
     inputs: mpsc::Sender<Input>,
     /// Documents, as far as applied.
     pub documents: Arc<ArcSwap<Documents>>,
+    /// Route set, as far as applied.
+    pub routes: watch::Receiver<Option<Arc<HeldRoutes>>>,
     /// Applied position.
     pub applied: watch::Receiver<Index>,
     /// Standing.
@@ -114,12 +121,14 @@
     peers: Peers,
     inputs: mpsc::Receiver<Input>,
     documents: Arc<ArcSwap<Documents>>,
+    routes: watch::Sender<Option<Arc<HeldRoutes>>>,
     applied: watch::Sender<Index>,
     standing: watch::Sender<Standing>,
     waiters: VecDeque<Waiter>,
     reads: Vec<Reading>,
     next_read: ReadId,
     compact: u64,
+    copies: usize,
     start: Instant,
     led: Option<Led>,
 }
@@ -145,6 +154,16 @@
     since: Instant,
 }
 
+/// What a replica keeps to.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Entries after which the log is compacted.
+    pub compact: u64,
+    /// Fewest voters with which a change is taken: with fewer, an acknowledged
+    /// change would not survive the losses that the settings speak of.
+    pub copies: usize,
+}
+
 /// A replica and the loop that drives it.
 #[derive(Debug)]
 pub struct Made {
@@ -159,7 +178,7 @@
 /// # Panics
 ///
 /// Where the snapshot, whose checksum was right, does not decode.
-pub fn make(opened: Opened, peers: Peers, compact: u64, seed: u64) -> Made {
+pub fn make(opened: Opened, peers: Peers, limits: Limits, seed: u64) -> Made {
     let (sender, inputs) = mpsc::channel(INPUTS);
     let snapshot = &opened.durable.snapshot;
     let state = decode(&snapshot.data);
@@ -173,11 +192,13 @@
         random,
     );
     let documents = Arc::new(ArcSwap::from_pointee(state.documents.clone()));
+    let routes = watch::Sender::new(state.routes.clone());
     let applied = watch::Sender::new(applied);
     let standing = watch::Sender::new(Standing::default());
     let replica = Replica {
         inputs: sender,
         documents: Arc::clone(&documents),
+        routes: routes.subscribe(),
         applied: applied.subscribe(),
         standing: standing.subscribe(),
     };
@@ -188,12 +209,14 @@
         peers,
         inputs,
         documents,
+        routes,
         applied,
         standing,
         waiters: VecDeque::new(),
         reads: Vec::new(),
         next_read: 0,
-        compact,
+        compact: limits.compact,
+        copies: limits.copies,
         start: Instant::now(),
         led: None,
     };
@@ -304,6 +327,15 @@
     }
 
     fn propose(&mut self, action: Action, reply: oneshot::Sender<Answered<Reply>>) {
+        if self.node.members().voters().count() < self.copies {
+            Event::new("change-refused")
+                .field("reason", "too-few-voters")
+                .field("voters", self.node.members().voters().count())
+                .field("needed", self.copies)
+                .warn();
+            let _ = reply.send(Err(Unable::NoMajority));
+            return;
+        }
         let command = Command {
             now: self.cluster_time(),
             wall: wall(),
@@ -381,6 +413,7 @@
         if let Some(snapshot) = &ready.snapshot {
             self.state = decode(&snapshot.data);
             self.documents.store(Arc::new(self.state.documents.clone()));
+            self.publish_routes();
             self.applied.send_replace(snapshot.index);
             self.fail_waiters(snapshot.index);
         }
@@ -437,11 +470,28 @@
         if self.state.documents.revision != before {
             self.documents.store(Arc::new(self.state.documents.clone()));
         }
+        self.publish_routes();
         if let Some(last) = entries.last() {
             self.applied.send_replace(last.index);
         }
     }
 
+    /// Tells followers of a newer route set.
+    fn publish_routes(&self) {
+        let version = |held: &Option<Arc<HeldRoutes>>| held.as_ref().map(|h| h.version);
+        self.routes.send_if_modified(|held| {
+            let newer = version(&self.state.routes) > version(held);
+            if newer {
+                held.clone_from(&self.state.routes);
+                Event::new("routes-in-force")
+                    .field("version", version(held).unwrap_or_default())
+                    .field("index", *self.applied.borrow())
+                    .info();
+            }
+            newer
+        });
+    }
+
     fn command(&mut self, index: Index, bytes: &[u8]) -> Option<Reply> {
         match rmp_serde::from_slice::<Command>(bytes) {
             Ok(command) => Some(self.state.apply(index, &command)),
@@ -501,7 +551,9 @@
     async fn compact(&mut self) -> Result<(), Stopped> {
         let applied = *self.applied.borrow();
         let base = self.node.log().snapshot().index;
-        if applied - base < self.compact {
+        let size = self.store.as_ref().map_or(0, Store::size);
+        let large = size >= COMPACT_BYTES && applied > base;
+        if applied - base < self.compact && !large {
             return Ok(());
         }
         let data = rmp_serde::to_vec(&self.state).expect("state encodes");
--- /dev/null
+++ b/crates/control/src/routes.rs
@@ -0,0 +1,146 @@
+//! The route set: accepting it from operators, handing it to entries.
+//!
+//! A set is checked before it enters the log, and refused there and then; the
+//! log itself keeps it as the text that was sent, so that a read returns what
+//! was written. The state machine lets the highest version win.
+
+use crate::command::{Action, Reply};
+use crate::presence::Presence;
+use crate::replica::Replica;
+use crate::service::Service;
+use derive_more::{Display, Error};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_route::check::Invalid;
+use dogwoodhill_route::set::SetFormat;
+use dogwoodhill_wire::control::{Answered, Unable};
+use dogwoodhill_wire::routes::{FollowRoutes, HeldRoutes, RoutesNews};
+use http::StatusCode;
+use std::sync::Arc;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Longest poll that is taken.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Why a route set was not accepted or could not be read.
+#[derive(Debug, Display, Error)]
+pub enum RoutesError {
+    /// The set is unusable, and nothing changed.
+    #[display("{source}")]
+    Invalid {
+        /// Why.
+        source: Invalid,
+    },
+    /// Whether the set is in force is not known.
+    #[display("no majority confirmed in time; send the same set again")]
+    NoMajority,
+    /// No set was accepted yet.
+    #[display("no route set was accepted yet; send one")]
+    Empty,
+}
+
+impl RoutesError {
+    /// The HTTP status that tells an operator of it.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Invalid { .. } => StatusCode::BAD_REQUEST,
+            Self::NoMajority => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Empty => StatusCode::NOT_FOUND,
+        }
+    }
+}
+
+impl Service {
+    /// Puts a route set in force and returns the version in force now.
+    ///
+    /// # Errors
+    ///
+    /// [`RoutesError`].
+    pub async fn put_routes(
+        &self,
+        format: &dyn SetFormat,
+        source: &[u8],
+    ) -> Result<Version, RoutesError> {
+        let set = format.read(source).map_err(|source| {
+            Event::new("routes-refused").field("reason", &source).warn();
+            RoutesError::Invalid { source }
+        })?;
+        let held = HeldRoutes {
+            version: set.version,
+            source: source.to_vec(),
+        };
+        let reply = self.submit(&Action::Routes(held)).await;
+        let outcome = match reply {
+            Ok(Reply::Routes(version)) => Ok(version),
+            _ => Err(RoutesError::NoMajority),
+        };
+        Event::new("routes-answered")
+            .field("version", set.version)
+            .field("in_force", outcome.as_ref().copied().unwrap_or_default())
+            .field("acknowledged", outcome.is_ok())
+            .info();
+        outcome
+    }
+
+    /// The route set in force, as a majority has it now.
+    ///
+    /// # Errors
+    ///
+    /// [`RoutesError`].
+    pub async fn get_routes(&self) -> Result<Arc<HeldRoutes>, RoutesError> {
+        let confirmed = self.confirm().await;
+        confirmed.map_err(|_| RoutesError::NoMajority)?;
+        let held = self.replica().routes.borrow().clone();
+        held.ok_or(RoutesError::Empty)
+    }
+}
+
+/// Answers one poll of an entry.
+///
+/// # Errors
+///
+/// [`Unable::NoMajority`] where an entry without a set asks and this instance
+/// can't confirm that the one it has is the newest.
+pub async fn answer(
+    service: &Service,
+    presence: &Presence,
+    follow: FollowRoutes,
+) -> Answered<RoutesNews> {
+    let _polling = presence.poll(&follow.entry);
+    if follow.held.is_none() {
+        service.confirm().await?;
+    }
+    let replica = service.replica();
+    let end = Instant::now() + follow.wait.min(MAX_WAIT);
+    let mut routes = replica.routes.clone();
+    let newer = |held: &Option<Arc<HeldRoutes>>| {
+        held.as_ref()
+            .is_some_and(|held| follow.held.is_none_or(|known| held.version > known))
+    };
+    let waited = timeout_at(end, routes.wait_for(newer)).await.is_ok();
+    if waited && follow.held.is_some() {
+        sleep(follow.lag).await;
+    }
+    news(replica, presence, &follow)
+}
+
+fn news(
+    replica: &Replica,
+    presence: &Presence,
+    follow: &FollowRoutes,
+) -> Answered<RoutesNews> {
+    let held = replica.routes.borrow().clone();
+    let newer = held.filter(|held| follow.held.is_none_or(|known| held.version > known));
+    let standing = replica.standing.borrow();
+    if follow.held.is_none() && newer.is_none() {
+        return Err(Unable::NoMajority);
+    }
+    Ok(RoutesNews {
+        newer: newer.map(|held| held.as_ref().clone()),
+        control: standing
+            .members
+            .iter()
+            .map(|member| member.address)
+            .collect(),
+        entries: *presence.count().borrow(),
+    })
+}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -5,6 +5,7 @@
 use dogwoodhill_core::text::Text;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use tokio::sync::watch;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Entries in the log after which it is compacted.
@@ -31,6 +32,24 @@
     Bootstrap,
     /// It joins the cluster its peers belong to.
     Join,
+    /// The seeds decide: see [`Seeds`].
+    Seeded,
+}
+
+/// Addresses that every instance is given alike, for deployments in which
+/// nobody names the first instance.
+///
+/// While the deployment starts for the first time, the instance with the
+/// lowest of the seeds' addresses founds the cluster and the others join it.
+/// Two can't found, since all are given the same seeds. Later an instance
+/// without state joins through whichever seed answers, and takes the place of
+/// one that is gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seeds {
+    /// Internal addresses of some instances; may name this one.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub founding: bool,
 }
 
 /// Settings of a control instance.
@@ -44,6 +63,12 @@
     pub internal: SocketAddr,
     /// Internal addresses of the other control instances.
     pub peers: Vec<SocketAddr>,
+    /// Seeds, in place of peers.
+    pub seeds: Seeds,
+    /// Losses at the same time that no acknowledged change may be lost by.
+    /// Changes are refused until twice as many voters and one more are there.
+    /// Default 0.
+    pub losses: usize,
     /// Data folder.
     pub data: PathBuf,
     /// Key shared by the router's processes.
@@ -58,6 +83,9 @@
     pub linger: Duration,
     /// How an instance without state comes to be; from the command line.
     pub start: Start,
+    /// Addresses of other instances, as they change while the instance runs;
+    /// `None` where they don't.
+    pub known: Option<watch::Receiver<Vec<SocketAddr>>>,
 }
 
 impl Settings {
@@ -69,15 +97,24 @@
             listen: free,
             internal: free,
             peers: Vec::new(),
+            seeds: Seeds::default(),
+            losses: 0,
             data,
             secret: String::new(),
             teams: Vec::new(),
             compact: DEFAULT_COMPACT,
             linger: DEFAULT_LINGER,
             start: Start::Again,
+            known: None,
         }
     }
 
+    /// Addresses of other instances, as they change.
+    pub(crate) fn known(&self) -> watch::Receiver<Vec<SocketAddr>> {
+        let fixed = || watch::channel(crate::control::addresses(self)).1;
+        self.known.clone().unwrap_or_else(fixed)
+    }
+
     /// Reads settings from JSON with comments.
     ///
     /// # Errors
@@ -89,18 +126,25 @@
 }
 
 fn read(s: &mut Section<'_, '_>) -> Settings {
-    let settings = Settings {
+    let mut settings = Settings {
         name: s.name("name"),
         listen: s.address("listen"),
         internal: s.address("internal"),
         peers: s.addresses("peers"),
+        seeds: Seeds::default(),
+        losses: s.count("losses", 0..=2, Some(0)) as usize,
         data: PathBuf::from(s.text("data")),
         secret: s.text("cluster_key"),
         teams: s.sections("teams", team),
         compact: s.count("compact_after", 16..=1_000_000, Some(DEFAULT_COMPACT)),
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
         start: Start::Again,
+        known: None,
     };
+    settings.seeds = seeds(s);
+    if !settings.seeds.addresses.is_empty() {
+        settings.start = Start::Seeded;
+    }
     if settings.peers.contains(&settings.internal) {
         let remedy = "list only the other instances";
         s.fault("peers", "name this instance itself", remedy);
@@ -108,6 +152,19 @@
     settings
 }
 
+fn seeds(s: &mut Section<'_, '_>) -> Seeds {
+    let mut addresses = s.addresses("seeds");
+    // 0: the seeds' own ports.
+    let port = s.count("seed_port", 0..=65_535, Some(0)) as u16;
+    for address in addresses.iter_mut().filter(|_| port > 0) {
+        address.set_port(port);
+    }
+    Seeds {
+        addresses,
+        founding: s.flag("founding", false),
+    }
+}
+
 fn team(s: &mut Section<'_, '_>) -> Team {
     let texts = s.texts("keys");
     let keys: Vec<KeyHash> = texts.iter().filter_map(|t| KeyHash::parse(t)).collect();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,9 @@
 use crate::command::{Action, Command, Reply};
 use claims::Claims;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::routes::HeldRoutes;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 pub use documents::{Documents, History};
 
@@ -23,6 +25,9 @@
     pub documents: Documents,
     claims: Claims,
     leases: leases::Leases,
+    /// Route set in force.
+    #[serde(default)]
+    pub routes: Option<Arc<HeldRoutes>>,
 }
 
 impl State {
@@ -38,9 +43,20 @@
                 Reply::Finished
             }
             Action::Acquire(acquire) => Reply::Lease(self.leases.acquire(now, acquire)),
+            Action::Routes(given) => Reply::Routes(self.put_routes(given)),
         }
     }
 
+    /// The highest version wins; one that is not higher changes nothing, be it
+    /// an older change that arrives late or the same one sent again.
+    fn put_routes(&mut self, given: &HeldRoutes) -> Version {
+        let held = self.routes.as_ref().map(|routes| routes.version);
+        if held.is_none_or(|held| given.version > held) {
+            self.routes = Some(Arc::new(given.clone()));
+        }
+        held.unwrap_or(given.version).max(given.version)
+    }
+
     /// Claims kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod drain;
 pub mod health;
 pub mod listen;
+pub mod log_queue;
 pub mod metrics;
 pub mod platform;
+pub mod reload;
 pub mod run;
 
 /// The names most modules need, for one import line.
@@ -19,4 +21,5 @@
     pub use crate::drain::{Busy, Drain};
     pub use crate::listen::{ListenError, Listener};
     pub use crate::metrics::Metrics;
+    pub use crate::reload::Changed;
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,8 @@
 //! The `main` of every daemon.
 
 use crate::drain::Drain;
+use crate::log_queue::{self, LogQueue};
+use crate::reload::{self, Changed};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use dogwoodhill_core::event::Event;
 use dogwoodhill_core::fault::Faults;
@@ -8,6 +10,7 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for a usage or settings error.
@@ -26,7 +29,7 @@
     /// One line for `--help`.
     const ABOUT: &'static str;
     /// Its settings.
-    type Settings;
+    type Settings: Send + Sync + 'static;
 
     /// Reads settings from text; `file` names it in messages.
     ///
@@ -48,6 +51,16 @@
         settings: Self::Settings,
         drain: Drain,
     ) -> impl Future<Output = Result<(), String>> + Send;
+
+    /// Runs like [`Daemon::run`] and follows changes of the settings. A daemon
+    /// that does not override it keeps the settings it started with.
+    fn run_reloading(
+        settings: Self::Settings,
+        drain: Drain,
+        _changed: Changed<Self::Settings>,
+    ) -> impl Future<Output = Result<(), String>> + Send {
+        Self::run(settings, drain)
+    }
 }
 
 /// Command line shared by all daemons.
@@ -87,29 +100,47 @@
         return ExitCode::SUCCESS;
     }
     D::adjust(&mut settings, &matches);
-    block_on(|drain| D::run(settings, drain))
+    let path = settings_path(&matches);
+    block_on(move |drain| async move {
+        let changed = reload::follow(path, D::settings);
+        D::run_reloading(settings, drain, changed).await
+    })
+}
+
+fn settings_path(matches: &ArgMatches) -> PathBuf {
+    let path = matches.get_one::<PathBuf>("settings");
+    path.expect("clap requires it").clone()
 }
 
 fn read<D: Daemon>(matches: &ArgMatches) -> Result<D::Settings, String> {
-    let path = matches
-        .get_one::<PathBuf>("settings")
-        .expect("clap requires it");
+    let path = settings_path(matches);
     let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| {
+    let text = std::fs::read_to_string(&path).map_err(|error| {
         format!("{file}: {error}; name a readable file of UTF-8 text")
     })?;
     D::settings(&file, &text).map_err(|faults| faults.to_string())
 }
 
-/// Runs `work` on a runtime of several threads with a drain that signals
-/// begin; a second signal ends the process at once.
+/// A runtime with a thread for each processor. On one processor a single
+/// thread does all, which saves the switches between threads.
+fn runtime() -> std::io::Result<Runtime> {
+    let processors = std::thread::available_parallelism().map_or(1, usize::from);
+    let mut builder = match processors {
+        1 => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    builder.enable_all().build()
+}
+
+/// Runs `work` on a runtime with a drain that signals begin; a second signal
+/// ends the process at once.
 pub fn block_on<W, F, E>(work: W) -> ExitCode
 where
     W: FnOnce(Drain) -> F,
     F: Future<Output = Result<(), E>>,
     E: std::fmt::Display,
 {
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = match runtime() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("can't start the runtime: {error}; raise the process limits");
@@ -118,13 +149,16 @@
     };
     let drain = Drain::default();
     runtime.spawn(follow_signals(drain.clone()));
-    match runtime.block_on(work(drain)) {
+    let ended = runtime.block_on(work(drain));
+    let code = match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
             ExitCode::from(EXIT_FAILURE)
         }
-    }
+    };
+    log_queue::finish();
+    code
 }
 
 async fn follow_signals(drain: Drain) {
@@ -150,10 +184,24 @@
     }
 }
 
-/// Sets up logging: one line for each event on standard error.
+/// Sets up logging of a daemon: one line for each event on standard output,
+/// written by a thread of its own so that nobody waits for a reader.
 pub fn start_log() {
+    log_to(std::io::stdout());
+}
+
+/// Sets up logging of a tool that prints its results: the lines go to standard
+/// error.
+pub fn start_tool_log() {
+    log_to(std::io::stderr());
+}
+
+fn log_to(out: impl Write + Send + 'static) {
     let environment = env_logger::Env::new().filter_or(LOG_VARIABLE, LOG_DEFAULT);
+    let queue = LogQueue::start(out);
     let _ = env_logger::Builder::from_env(environment)
+        .target(env_logger::Target::Pipe(Box::new(queue)))
+        .write_style(env_logger::WriteStyle::Never)
         .format(|out, record| {
             let at = std::time::SystemTime::now()
                 .duration_since(std::time::UNIX_EPOCH)
--- /dev/null
+++ b/crates/direct/src/dialect.rs
@@ -0,0 +1,163 @@
+//! The words of callers, endpoints and the list of endpoints, behind traits.
+//!
+//! Whoever deploys the router has headers and lists of their own. They are
+//! read once, here, into types whose fields say what they hold.
+
+use derive_more::{Display, Error};
+use dogwoodhill_core::prelude::*;
+use http::{HeaderMap, StatusCode};
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+/// What a caller asks beside method, path and body.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Identifier of this try of the caller.
+    pub id: RequestId,
+    /// How long the caller will wait from now.
+    pub patience: Option<Duration>,
+    /// Key of its workspace, in clear.
+    pub key: Option<String>,
+    /// Last event it has, where it resumes a stream.
+    pub resume: Option<EventId>,
+    /// What its prompt consists of.
+    pub prompt: Prompt,
+}
+
+/// Number of an event in its stream; it rises.
+pub type EventId = u64;
+
+/// A prompt, as far as placement needs to know it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Prompt {
+    /// Hash of the beginning that other requests share; `None` without one.
+    pub shared: Option<u64>,
+    /// Tokens of that beginning.
+    pub shared_tokens: u32,
+    /// Tokens of the whole prompt.
+    pub tokens: u32,
+    /// Most tokens that may be generated.
+    pub output: u32,
+}
+
+/// How callers speak.
+pub trait CallerDialect: Send + Sync + Debug {
+    /// Reads a request's head.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] where the head can't be read as a request.
+    fn read(&self, headers: &HeaderMap) -> Result<Ask, Malformed>;
+}
+
+/// A request's head is not one.
+#[derive(Clone, Debug, Display, Error)]
+#[display("header {name} is missing or malformed; send it as the interface says")]
+pub struct Malformed {
+    /// The header.
+    #[error(not(source))]
+    pub name: String,
+}
+
+/// What an endpoint is told beside method, path and body.
+#[derive(Clone, Debug)]
+pub struct Tell<'a> {
+    /// How much longer the answer is waited for.
+    pub left: Duration,
+    /// The endpoint that is meant.
+    pub endpoint: &'a str,
+    /// The caller's workspace.
+    pub workspace: Option<&'a str>,
+    /// Urgency; 0 is the most urgent.
+    pub tier: Tier,
+    /// Last event that the caller has.
+    pub resume: Option<EventId>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Said {
+    /// The request it answers.
+    pub request: Option<RequestId>,
+    /// Whether the endpoint's own proof is there.
+    pub proof: bool,
+    /// Whether the endpoint says that it did not run the request.
+    pub refused: bool,
+    /// Its load.
+    pub load: Option<Load>,
+    /// Whether the connection may carry another request.
+    pub keeps: bool,
+    /// How long an idle connection is kept.
+    pub idle: Option<Duration>,
+}
+
+/// An endpoint's load, as it tells it with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// How endpoints speak.
+pub trait EndpointDialect: Send + Sync + Debug {
+    /// Turns a caller's headers into those of the endpoint's request: what
+    /// only the router may say is taken out, and said.
+    fn write(&self, headers: &mut HeaderMap, tell: &Tell<'_>);
+
+    /// Reads the head of an answer.
+    fn read(&self, status: StatusCode, headers: &HeaderMap) -> Said;
+}
+
+/// One endpoint, as the list has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Identity; new with each start of the endpoint.
+    pub id: EndpointId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Requests it can run at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// The list could not be read; the last one stays in use.
+#[derive(Debug, Display, Error)]
+pub enum ListError {
+    /// No answer.
+    #[display("the list did not answer: {problem}")]
+    #[error(ignore)]
+    Unreachable {
+        /// What went wrong.
+        problem: String,
+    },
+    /// More calls than all daemons together may make.
+    #[display("the list refuses more calls for now")]
+    Busy,
+    /// The answer can't be read.
+    #[display("the list's answer can't be read: {problem}")]
+    #[error(ignore)]
+    Content {
+        /// What went wrong.
+        problem: String,
+    },
+}
+
+/// A list being fetched.
+pub type Fetch<'a> =
+    Pin<Box<dyn Future<Output = Result<Vec<Listed>, ListError>> + Send + 'a>>;
+
+/// Source of endpoints.
+pub trait EndpointList: Send + Sync + Debug {
+    /// Reads the whole list as it is now.
+    fn fetch(&self) -> Fetch<'_>;
+}
--- /dev/null
+++ b/crates/direct/src/directory.rs
@@ -0,0 +1,392 @@
+//! The endpoints an entry knows, and the choice among them.
+//!
+//! The list says which endpoints there are and which are leaving; what each is
+//! worth now is known from the entry's own requests and from the load that
+//! answers carry. Requests read a snapshot; only the list replaces it.
+
+use crate::dialect::{Listed, Load, Prompt};
+use crate::pool::Pool;
+use arc_swap::ArcSwap;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::affinity::{self, Candidate};
+use dogwoodhill_policy::trust::{Record, Trust};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+/// Prompt tokens that an endpoint reads in a millisecond, before an entry has
+/// seen any: the lower end of what the engines in use reach.
+const READ_RATE: f64 = 30.0;
+/// Time beyond the nearest endpoint's to one in another failure domain: the
+/// way there and back.
+const DISTANCE: Duration = Duration::from_millis(3);
+/// Shared beginnings that are remembered for each endpoint.
+const SHARED_KEPT: usize = 512;
+/// Time constant with which a reported load fades.
+const LOAD_FADES: f64 = 0.4;
+/// Tokens of a prompt of which nothing else is known.
+const USUAL_PROMPT: f64 = 1_500.0;
+/// Weight of the newest first event in the learned slowness.
+const NEWEST: f64 = 0.1;
+/// Bounds of the learned slowness.
+const SLOWNESS: (f64, f64) = (0.5, 30.0);
+/// Time until the first event beyond waiting and reading.
+const STEP: Duration = Duration::from_millis(25);
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Identity.
+    pub id: EndpointId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Connections to it.
+    pub pool: Pool,
+    hash: u64,
+    slots: u32,
+    leaving: AtomicBool,
+    start: Instant,
+    view: Mutex<View>,
+}
+
+/// What the entry believes of one endpoint.
+#[derive(Debug)]
+struct View {
+    record: Record,
+    load: Load,
+    loaded: Duration,
+    active: u32,
+    unread: f64,
+    slowness: f64,
+    shared: Vec<(u64, Duration)>,
+}
+
+impl View {
+    /// What is left of the load it told, after `age`.
+    fn told(&self, now: Duration, count: u32) -> f64 {
+        let age = now.saturating_sub(self.loaded).as_secs_f64();
+        f64::from(count) * (-age / LOAD_FADES).exp()
+    }
+
+    /// Tokens that are ahead of a request sent now.
+    fn ahead(&self, now: Duration) -> f64 {
+        let waiting = self.told(now, self.load.waiting);
+        self.unread.max(waiting * USUAL_PROMPT)
+    }
+
+    fn reading(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens / READ_RATE / 1_000.0 * self.slowness)
+    }
+}
+
+impl Endpoint {
+    fn new(listed: Listed, start: Instant) -> Self {
+        Self {
+            hash: affinity::hash(listed.id.as_bytes()),
+            id: listed.id,
+            service: listed.service,
+            address: listed.address,
+            domain: listed.domain,
+            slots: listed.slots.max(1),
+            leaving: AtomicBool::new(listed.leaving),
+            pool: Pool::default(),
+            start,
+            view: Mutex::new(View {
+                record: Record::default(),
+                load: Load::default(),
+                loaded: Duration::ZERO,
+                active: 0,
+                unread: 0.0,
+                slowness: 1.0,
+                shared: Vec::new(),
+            }),
+        }
+    }
+
+    /// Whether it is about to stop.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(self: &Arc<Self>, prompt: &Prompt) -> Sent {
+        let now = self.start.elapsed();
+        let mut view = self.view();
+        view.record.sent(now);
+        view.active += 1;
+        let fresh = prompt.tokens.saturating_sub(prompt.shared_tokens);
+        let known = prompt.shared.is_some_and(|key| view.remember(key, now));
+        let tokens = if known { fresh } else { prompt.tokens };
+        let expected = view.reading(view.ahead(now) + f64::from(tokens)) + STEP;
+        view.unread += f64::from(tokens);
+        drop(view);
+        Sent {
+            endpoint: Arc::clone(self),
+            tokens: f64::from(tokens),
+            expected,
+            since: now,
+            unread: true,
+            waits: true,
+        }
+    }
+
+    /// Bytes came.
+    pub fn heard(&self) {
+        let now = self.start.elapsed();
+        self.view().record.heard(now);
+    }
+
+    /// An answer came, or was lost.
+    pub fn judged(&self, failed: bool) {
+        let now = self.start.elapsed();
+        self.view().record.judged(now, failed);
+    }
+
+    /// It can't be reached, or said nothing for too long.
+    pub fn unreached(&self) {
+        let now = self.start.elapsed();
+        self.view().record.unreached(now);
+        self.pool.clear();
+    }
+
+    /// It told its load.
+    pub fn loaded(&self, load: Load) {
+        let now = self.start.elapsed();
+        let mut view = self.view();
+        view.load = load;
+        view.loaded = now;
+    }
+
+    /// How far it is trusted now.
+    pub fn trust(&self) -> Trust {
+        let now = self.start.elapsed();
+        self.view().record.trust(now)
+    }
+
+    fn candidate(&self, prompt: &Prompt, domain: &str, now: Duration) -> Candidate {
+        let view = self.view();
+        let seen = prompt.shared.and_then(|key| {
+            let at = view.shared.binary_search_by_key(&key, |item| item.0).ok()?;
+            Some(now.saturating_sub(view.shared[at].1))
+        });
+        let wait = if prompt.tokens > 0 {
+            view.reading(view.ahead(now))
+        } else {
+            self.queueing(&view, now)
+        };
+        Candidate {
+            hash: self.hash,
+            wait,
+            reading: view.reading(f64::from(prompt.shared_tokens)),
+            distance: if self.domain == domain {
+                Duration::ZERO
+            } else {
+                DISTANCE
+            },
+            seen,
+        }
+    }
+
+    /// Predicted wait for a slot of a plain service, from what runs there. A
+    /// request is taken to run for a few times the way to another domain.
+    fn queueing(&self, view: &View, now: Duration) -> Duration {
+        let told = view.told(now, view.load.running + view.load.waiting);
+        let busy = told.max(f64::from(view.active));
+        let share = busy / f64::from(self.slots);
+        DISTANCE.mul_f64(4.0 * share * view.slowness)
+    }
+
+    fn view(&self) -> MutexGuard<'_, View> {
+        // Beliefs stay usable even if a holder panicked.
+        self.view
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl View {
+    /// Notes a shared beginning; whether it was sent there before.
+    fn remember(&mut self, key: u64, now: Duration) -> bool {
+        match self.shared.binary_search_by_key(&key, |item| item.0) {
+            Ok(at) => {
+                self.shared[at].1 = now;
+                true
+            }
+            Err(at) => {
+                self.shared.insert(at, (key, now));
+                if self.shared.len() > SHARED_KEPT {
+                    self.forget_oldest();
+                }
+                false
+            }
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .shared
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, item)| item.1);
+        if let Some(at) = oldest.map(|(at, _)| at) {
+            self.shared.remove(at);
+        }
+    }
+}
+
+/// A request at an endpoint; its drop ends it.
+#[derive(Debug)]
+pub struct Sent {
+    endpoint: Arc<Endpoint>,
+    tokens: f64,
+    expected: Duration,
+    since: Duration,
+    unread: bool,
+    waits: bool,
+}
+
+impl Sent {
+    /// The endpoint.
+    pub fn endpoint(&self) -> &Arc<Endpoint> {
+        &self.endpoint
+    }
+
+    /// The first bytes of the answer came: its prompt is read.
+    pub fn begun(&mut self) {
+        let now = self.endpoint.start.elapsed();
+        if !std::mem::take(&mut self.unread) {
+            return;
+        }
+        let took = now.saturating_sub(self.since).as_secs_f64();
+        let ratio = took / self.expected.as_secs_f64();
+        let mut view = self.endpoint.view();
+        view.unread = (view.unread - self.tokens).max(0.0);
+        let slowness = view.slowness * (1.0 + (ratio.min(10.0) - 1.0) * NEWEST);
+        view.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
+    }
+
+    /// Nothing more is waited for.
+    pub fn ended(&mut self) {
+        if !std::mem::take(&mut self.waits) {
+            return;
+        }
+        let mut view = self.endpoint.view();
+        view.record.ended();
+        view.active = view.active.saturating_sub(1);
+        if std::mem::take(&mut self.unread) {
+            view.unread = (view.unread - self.tokens).max(0.0);
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.ended();
+    }
+}
+
+/// All endpoints an entry knows.
+#[derive(Debug)]
+pub struct Directory {
+    endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
+    domain: DomainId,
+    start: Instant,
+}
+
+impl Directory {
+    /// No endpoints yet; `domain` is the entry's own.
+    pub fn new(domain: DomainId) -> Self {
+        Self {
+            endpoints: ArcSwap::default(),
+            domain,
+            start: Instant::now(),
+        }
+    }
+
+    /// Takes a list in. Endpoints that stay keep what is believed of them.
+    pub fn update(&self, mut listed: Vec<Listed>) {
+        listed.sort_by(|a, b| a.id.cmp(&b.id));
+        let old = self.endpoints.load();
+        let endpoints = listed.into_iter().map(|listed| {
+            let found = old.binary_search_by(|known| known.id.cmp(&listed.id));
+            match found.ok().map(|at| &old[at]) {
+                Some(known) if known.address == listed.address => {
+                    known.mark(listed.leaving);
+                    Arc::clone(known)
+                }
+                _ => {
+                    log_change("endpoint-listed", &listed.id, &listed.service);
+                    Arc::new(Endpoint::new(listed, self.start))
+                }
+            }
+        });
+        let endpoints: Vec<Arc<Endpoint>> = endpoints.collect();
+        let stays = |id: &str| {
+            let found = endpoints.binary_search_by(|known| known.id.as_str().cmp(id));
+            found.is_ok()
+        };
+        for gone in old.iter().filter(|known| !stays(&known.id)) {
+            gone.mark(true);
+            gone.pool.clear();
+            log_change("endpoint-gone", &gone.id, &gone.service);
+        }
+        self.endpoints.store(Arc::new(endpoints));
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> Arc<Vec<Arc<Endpoint>>> {
+        self.endpoints.load_full()
+    }
+
+    /// Chooses an endpoint of `service` that is not in `tried`. Sound ones go
+    /// before failing ones, and those before silent ones.
+    pub fn place(
+        &self,
+        service: &str,
+        prompt: &Prompt,
+        tried: &[EndpointId],
+    ) -> Option<Arc<Endpoint>> {
+        let now = self.start.elapsed();
+        let endpoints = self.endpoints.load();
+        let usable = |endpoint: &&Arc<Endpoint>| {
+            endpoint.service == service
+                && !endpoint.leaving()
+                && !tried.contains(&endpoint.id)
+        };
+        let usable: Vec<&Arc<Endpoint>> = endpoints.iter().filter(usable).collect();
+        [Trust::Sound, Trust::Failing, Trust::Silent]
+            .into_iter()
+            .find_map(|trust| {
+                let some = usable.iter().filter(|endpoint| endpoint.trust() == trust);
+                let some: Vec<&&Arc<Endpoint>> = some.collect();
+                let candidates: Vec<Candidate> = some
+                    .iter()
+                    .map(|endpoint| endpoint.candidate(prompt, &self.domain, now))
+                    .collect();
+                let key = prompt.shared.unwrap_or_else(rand::random);
+                let at = affinity::choose(key, &candidates)?;
+                Some(Arc::clone(some[at]))
+            })
+    }
+}
+
+impl Endpoint {
+    fn mark(&self, leaving: bool) {
+        let before = self.leaving.swap(leaving, Ordering::AcqRel);
+        if leaving && !before {
+            log_change("endpoint-leaving", &self.id, &self.service);
+        }
+    }
+}
+
+fn log_change(event: &str, id: &str, service: &str) {
+    Event::new(event)
+        .field("endpoint", id)
+        .field("service", service)
+        .info();
+}
--- /dev/null
+++ b/crates/direct/src/exchange.rs
@@ -0,0 +1,319 @@
+//! One request at one endpoint.
+
+use crate::dialect::{EndpointDialect, Prompt, Said, Tell};
+use crate::directory::{Endpoint, Sent};
+use crate::pool::{self, Line};
+use bytes::Bytes;
+use derive_more::Display;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use tokio::time::{Instant, timeout_at};
+
+/// Largest answer that is held whole, in bytes.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+
+/// A request as it goes to endpoints.
+#[derive(Clone, Debug)]
+pub struct Outbound {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: http::uri::PathAndQuery,
+    /// Caller's headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// The head of its answer came.
+    Answered(Box<Answer>),
+    /// The endpoint says that it did not run the request.
+    Refused(Refusal),
+    /// No byte of the request went out.
+    Unsent,
+    /// The request went out; whether it ran is not known.
+    Lost(Loss),
+}
+
+/// An endpoint's refusal.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Refusal {
+    /// It is full.
+    #[display("full")]
+    Full,
+    /// It is not the endpoint that was meant.
+    #[display("misdirected")]
+    Misdirected,
+    /// The request's time ran out while it waited there.
+    #[display("expired")]
+    Expired,
+}
+
+/// Why an answer is missing.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Loss {
+    /// The connection broke.
+    #[display("connection-broke")]
+    Broke,
+    /// The answer belongs to another request.
+    #[display("foreign-answer")]
+    Foreign,
+    /// The answer is not one of this endpoint.
+    #[display("spoiled-answer")]
+    Spoiled,
+    /// Nothing came in time.
+    #[display("timeout")]
+    Timeout,
+}
+
+/// The head of an answer, with its connection.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers, without those of the connection.
+    pub headers: HeaderMap,
+    /// What the head says.
+    pub said: Said,
+    /// The body, unread.
+    pub body: Incoming,
+    /// The connection.
+    pub line: Line,
+    /// The request's place at the endpoint.
+    pub sent: Sent,
+}
+
+impl Answer {
+    /// Reads the whole body and gives the connection back.
+    ///
+    /// # Errors
+    ///
+    /// [`Loss`] where the body is not whole.
+    pub async fn whole(self, until: Instant) -> Result<Whole, Loss> {
+        let endpoint = Arc::clone(self.sent.endpoint());
+        let body = Limited::new(self.body, MAX_ANSWER).collect();
+        let collected = timeout_at(until, body).await;
+        let bytes = match collected {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                endpoint.judged(true);
+                return Err(Loss::Broke);
+            }
+            Err(_) => return Err(Loss::Timeout),
+        };
+        endpoint.heard();
+        if self.said.keeps {
+            endpoint.pool.give(self.line, self.said.idle);
+        }
+        Ok(Whole {
+            status: self.status,
+            headers: self.headers,
+            bytes,
+        })
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub bytes: Bytes,
+}
+
+/// Sends a request to `endpoint` and waits for the head of its answer.
+pub async fn send(
+    endpoint: &Arc<Endpoint>,
+    dialect: &dyn EndpointDialect,
+    outbound: &Outbound,
+    tell: &Tell<'_>,
+    ask: Asked<'_>,
+) -> Ended {
+    let mut sent = endpoint.enter(ask.prompt);
+    let request = request(dialect, outbound, tell, endpoint);
+    let tried = match endpoint.pool.take() {
+        Some(line) => attempt(line, request, ask.until).await,
+        None => Attempt::Unsent(request),
+    };
+    // A kept connection may have been closed before the request began to go
+    // out; a new one is tried once.
+    let tried = match tried {
+        Attempt::Unsent(request) => match connect(endpoint, ask.until).await {
+            Some(line) => attempt(line, request, ask.until).await,
+            None => Attempt::Unsent(request),
+        },
+        other => other,
+    };
+    match tried {
+        Attempt::Head(response, line) => {
+            endpoint.heard();
+            sent.begun();
+            read(dialect, response, line, sent, ask.id)
+        }
+        Attempt::Unsent(_) => {
+            endpoint.unreached();
+            Ended::Unsent
+        }
+        Attempt::Lost(loss) => {
+            endpoint.judged(loss != Loss::Timeout);
+            Ended::Lost(loss)
+        }
+    }
+}
+
+/// One request on one connection.
+enum Attempt {
+    Head(Response<Incoming>, Line),
+    /// Nothing of it went out.
+    Unsent(Request<Full<Bytes>>),
+    Lost(Loss),
+}
+
+async fn attempt(
+    mut line: Line,
+    request: Request<Full<Bytes>>,
+    until: Instant,
+) -> Attempt {
+    match timeout_at(until, line.sender.try_send_request(request)).await {
+        Err(_) => Attempt::Lost(Loss::Timeout),
+        Ok(Ok(response)) => Attempt::Head(response, line),
+        Ok(Err(mut error)) => match error.take_message() {
+            Some(request) => Attempt::Unsent(request),
+            None => Attempt::Lost(Loss::Broke),
+        },
+    }
+}
+
+/// What an exchange needs to know of the caller's request.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// Its prompt.
+    pub prompt: &'a Prompt,
+    /// When it is given up.
+    pub until: Instant,
+}
+
+async fn connect(endpoint: &Endpoint, until: Instant) -> Option<Line> {
+    let connecting = pool::connect(endpoint.address);
+    timeout_at(until, connecting).await.ok().flatten()
+}
+
+fn request(
+    dialect: &dyn EndpointDialect,
+    outbound: &Outbound,
+    tell: &Tell<'_>,
+    endpoint: &Endpoint,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outbound.body.clone()));
+    *request.method_mut() = outbound.method.clone();
+    *request.uri_mut() = outbound.target.clone().into();
+    let headers = request.headers_mut();
+    *headers = outbound.headers.clone();
+    dialect.write(headers, tell);
+    if !headers.contains_key(header::HOST)
+        && let Ok(host) = endpoint.address.to_string().parse()
+    {
+        headers.insert(header::HOST, host);
+    }
+    request
+}
+
+/// Judges the head of an answer.
+fn read(
+    dialect: &dyn EndpointDialect,
+    response: Response<Incoming>,
+    line: Line,
+    sent: Sent,
+    id: &str,
+) -> Ended {
+    let (parts, body) = response.into_parts();
+    let said = dialect.read(parts.status, &parts.headers);
+    let endpoint = sent.endpoint();
+    if said.request.as_deref().is_some_and(|other| other != id) {
+        endpoint.judged(true);
+        return Ended::Lost(Loss::Foreign);
+    }
+    if let Some(load) = said.load {
+        endpoint.loaded(load);
+    }
+    if said.refused {
+        let reason = match parts.status {
+            StatusCode::MISDIRECTED_REQUEST => Refusal::Misdirected,
+            StatusCode::SERVICE_UNAVAILABLE => Refusal::Full,
+            StatusCode::TOO_MANY_REQUESTS => Refusal::Full,
+            _ => Refusal::Expired,
+        };
+        keep(body, line, said, Arc::clone(endpoint));
+        return Ended::Refused(reason);
+    }
+    let foreign =
+        said.request.is_none() || parts.headers.contains_key(header::CONTENT_ENCODING);
+    if foreign || (parts.status.is_success() && !said.proof) {
+        endpoint.judged(true);
+        return Ended::Lost(Loss::Spoiled);
+    }
+    endpoint.judged(parts.status.is_server_error());
+    let mut headers = parts.headers;
+    strip(&mut headers);
+    Ended::Answered(Box::new(Answer {
+        status: parts.status,
+        headers,
+        said,
+        body,
+        line,
+        sent,
+    }))
+}
+
+/// Reads a refusal's body to its end, so that its connection can be kept.
+fn keep(body: Incoming, line: Line, said: Said, endpoint: Arc<Endpoint>) {
+    if !said.keeps {
+        return;
+    }
+    tokio::spawn(async move {
+        let end = Instant::now() + std::time::Duration::from_secs(1);
+        let collected = timeout_at(end, Limited::new(body, MAX_ANSWER).collect()).await;
+        if matches!(collected, Ok(Ok(_))) {
+            endpoint.pool.give(line, said.idle);
+        }
+    });
+}
+
+/// Removes what concerns one connection only.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(&name);
+    }
+    for name in [
+        header::CONNECTION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+        header::UPGRADE,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::EXPECT,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/crates/direct/src/settings.rs
@@ -0,0 +1,86 @@
+//! Settings of an entry that talks to endpoints directly.
+
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_core::text::Text;
+use std::net::SocketAddr;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Interval at which the list of endpoints is read.
+const DEFAULT_LIST: Duration = Duration::from_millis(1_000);
+/// How long new connections are accepted after a drain began.
+const DEFAULT_LINGER: Duration = Duration::from_secs(4);
+/// Longest drain.
+const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+
+/// Settings of a direct entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: String,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for readiness and metrics.
+    pub status: SocketAddr,
+    /// Internal addresses of some control instances.
+    pub control: Vec<SocketAddr>,
+    /// Key shared by the router's processes.
+    pub secret: String,
+    /// Address of the list of endpoints.
+    pub list: SocketAddr,
+    /// Interval at which the list is read. Default 1 s: an endpoint that
+    /// leaves must get no new work after a few seconds.
+    pub list_every: Duration,
+    /// How long new connections are accepted after a drain began. Default 4 s:
+    /// a balancer takes two missed checks, one a second, to stop sending them.
+    pub linger: Duration,
+    /// Time from the drain's beginning after which the process is killed.
+    /// Default 8 s.
+    pub grace: Duration,
+}
+
+impl Settings {
+    /// Reads settings from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text.
+    pub fn parse(file: &str, source: &str) -> Result<Self, Faults> {
+        Text::read(file, source, read)
+    }
+}
+
+fn read(s: &mut Section<'_, '_>) -> Settings {
+    let settings = Settings {
+        name: s.name("name"),
+        domain: s.name("domain"),
+        listen: s.address("listen"),
+        status: s.address("status"),
+        control: control(s),
+        secret: s.text("cluster_key"),
+        list: s.address("list"),
+        list_every: s.duration(
+            "list_every",
+            SECOND / 10..=60 * SECOND,
+            Some(DEFAULT_LIST),
+        ),
+        linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
+        grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
+    };
+    if settings.control.is_empty() {
+        let remedy = "list the control instances' internal addresses";
+        s.fault("control", "is empty", remedy);
+    }
+    settings
+}
+
+/// Addresses of control instances; `control_port` replaces their ports.
+fn control(s: &mut Section<'_, '_>) -> Vec<SocketAddr> {
+    let mut addresses = s.addresses("control");
+    let port = s.count("control_port", 0..=65_535, Some(0)) as u16;
+    for address in addresses.iter_mut().filter(|_| port > 0) {
+        address.set_port(port);
+    }
+    addresses
+}
--- /dev/null
+++ b/crates/direct/src/stats.rs
@@ -0,0 +1,166 @@
+//! What an entry tells operators: counters, histograms, and one line for each
+//! request.
+
+use crate::answer::Cause;
+use crate::dialect::EventId;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
+use prometheus::{Histogram, IntCounterVec, IntGaugeVec};
+use std::time::Instant;
+
+/// Counters and histograms of one entry. Clones share them. Labels come from
+/// the route set and from fixed words, never from callers.
+#[derive(Clone, Debug)]
+pub struct Stats {
+    /// Requests by service, status class and cause.
+    requests: IntCounterVec,
+    /// Second sends by service and reason.
+    seconds: IntCounterVec,
+    /// Streams by how they ended.
+    streams: IntCounterVec,
+    /// Time to the first byte of an answer.
+    first: Histogram,
+    /// What the entry believes.
+    pub beliefs: IntGaugeVec,
+}
+
+impl Stats {
+    /// Adds the metrics to a registry.
+    pub fn new(metrics: &Metrics) -> Self {
+        Self {
+            requests: metrics.counters(
+                "dogwoodhill_direct_requests_total",
+                "Requests by service, status and cause",
+                &["service", "status", "cause"],
+            ),
+            seconds: metrics.counters(
+                "dogwoodhill_direct_second_sends_total",
+                "Requests sent to a further endpoint, by service and reason",
+                &["service", "reason"],
+            ),
+            streams: metrics.counters(
+                "dogwoodhill_direct_streams_total",
+                "Streams by how they ended",
+                &["end", "cause"],
+            ),
+            first: metrics.seconds(
+                "dogwoodhill_direct_first_byte_seconds",
+                "Time from a request's head to the head of its answer",
+            ),
+            beliefs: metrics.gauges(
+                "dogwoodhill_direct_beliefs",
+                "Version of the route set, endpoints known and leaving, control instances",
+                &["what"],
+            ),
+        }
+    }
+
+    /// Counts a second send.
+    pub fn second(&self, service: &str, reason: &str) {
+        self.seconds.with_label_values(&[service, reason]).inc();
+    }
+}
+
+/// What is told of one request at its end.
+#[derive(Debug)]
+pub struct Record {
+    stats: Stats,
+    id: RequestId,
+    since: Instant,
+    /// Route, once it is known.
+    pub route: String,
+    /// Service, once it is chosen.
+    pub service: ServiceId,
+    /// Urgency.
+    pub tier: Tier,
+    /// Version of the route set that decided.
+    pub version: Version,
+    /// Endpoint it was sent to last.
+    pub endpoint: EndpointId,
+    /// Endpoints it was sent to.
+    pub sends: usize,
+}
+
+impl Record {
+    /// A record that begins now.
+    pub fn new(stats: Stats, id: RequestId) -> Self {
+        Self {
+            stats,
+            id,
+            since: Instant::now(),
+            route: String::from("-"),
+            service: String::from("-"),
+            tier: 0,
+            version: 0,
+            endpoint: String::from("-"),
+            sends: 0,
+        }
+    }
+
+    /// Id of the request.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// The endpoint's answer goes to the caller.
+    pub fn answered(&self, status: u16) {
+        self.stats.first.observe(self.since.elapsed().as_secs_f64());
+        self.count(status, "endpoint");
+        self.line("request-answered", status, "endpoint").info();
+    }
+
+    /// The router answers itself.
+    pub fn refused(&self, cause: Cause, again: Option<Duration>) {
+        let status = cause.status().as_u16();
+        let cause = cause.to_string();
+        self.count(status, &cause);
+        let again = again.unwrap_or_default().as_millis();
+        self.line("request-refused", status, &cause)
+            .field("retry_after_ms", again)
+            .warn();
+    }
+
+    /// A stream is over.
+    pub fn stream(&self, end: &str, cause: &str, last: Option<EventId>) {
+        self.stats.streams.with_label_values(&[end, cause]).inc();
+        let event = self
+            .line("stream-ended", 200, cause)
+            .field("end", end)
+            .field("last_event", last.map_or(-1, |last| last as i64));
+        match end {
+            "complete" => event.debug(),
+            _ => event.warn(),
+        }
+    }
+
+    /// The caller went before there was an answer.
+    pub fn abandoned(&self) {
+        self.count(0, "caller-gone");
+        self.line("request-abandoned", 0, "caller-gone").info();
+    }
+
+    fn count(&self, status: u16, cause: &str) {
+        let status = status.to_string();
+        let labels = [&*self.service, &*status, cause];
+        self.stats.requests.with_label_values(&labels).inc();
+    }
+
+    fn line(&self, event: &str, status: u16, cause: &str) -> Event {
+        Event::new(event)
+            .field("request", &self.id)
+            .field("route", &self.route)
+            .field("service", &self.service)
+            .field("tier", self.tier)
+            .field("routes_version", self.version)
+            .field("endpoint", &self.endpoint)
+            .field("sends", self.sends)
+            .field("status", status)
+            .field("cause", cause)
+            .field("ms", self.since.elapsed().as_millis())
+    }
+}
--- /dev/null
+++ b/crates/direct/src/stream.rs
@@ -0,0 +1,219 @@
+//! Relaying a stream, and going on with it at another endpoint.
+//!
+//! A task reads the endpoint and hands whole events to the caller's connection
+//! through a short channel, so a slow caller slows its endpoint and holds no
+//! memory here. The task ends with [`Part::End`] only if the endpoint ended
+//! its answer properly after a whole event; whatever else ends it breaks the
+//! caller's connection off.
+
+use crate::answer::Part;
+use crate::dialect::EventId;
+use crate::directory::Endpoint;
+use crate::events::{Events, Splitter};
+use crate::exchange::{Answer, Loss};
+use crate::request::{Job, Next};
+use crate::stats::Record;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::trust::Trust;
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Parts that wait for a caller's connection.
+pub const PARTS: usize = 4;
+/// Interval at which a stream without events is looked after.
+const CHECK: Duration = Duration::from_millis(250);
+
+/// An endpoint's stream.
+#[derive(Debug)]
+pub struct Source {
+    answer: Answer,
+    splitter: Splitter,
+}
+
+/// What came from an endpoint's stream.
+#[derive(Debug)]
+pub enum Piece {
+    /// Whole events.
+    Events(Events),
+    /// Its proper end.
+    End,
+    /// Anything else.
+    Broken(Loss),
+}
+
+impl Source {
+    /// The stream that an answer begins.
+    pub fn new(answer: Answer) -> Self {
+        Self {
+            answer,
+            splitter: Splitter::default(),
+        }
+    }
+
+    /// The answer's head.
+    pub fn answer(&self) -> &Answer {
+        &self.answer
+    }
+
+    /// The endpoint.
+    pub fn endpoint(&self) -> &Arc<Endpoint> {
+        self.answer.sent.endpoint()
+    }
+
+    /// Waits for the next piece. May be dropped and called again without loss.
+    pub async fn next(&mut self) -> Piece {
+        loop {
+            let Some(frame) = self.answer.body.frame().await else {
+                let whole = !self.splitter.torn();
+                return if whole { Piece::End } else { self.broken() };
+            };
+            let Ok(frame) = frame else {
+                return self.broken();
+            };
+            self.endpoint().heard();
+            let Some(bytes) = frame.data_ref() else {
+                continue;
+            };
+            if let Some(events) = self.splitter.push(bytes) {
+                return Piece::Events(events);
+            }
+        }
+    }
+
+    fn broken(&self) -> Piece {
+        self.endpoint().judged(true);
+        Piece::Broken(Loss::Broke)
+    }
+
+    /// Gives the connection of a stream back that ended properly.
+    pub fn finish(self) {
+        let Answer {
+            said, line, sent, ..
+        } = self.answer;
+        if said.keeps {
+            sent.endpoint().pool.give(line, said.idle);
+        }
+    }
+}
+
+/// A stream on its way to a caller.
+#[derive(Debug)]
+pub struct Relay {
+    /// The request.
+    pub job: Job,
+    /// The endpoint's stream.
+    pub source: Source,
+    /// Last event that the caller has been sent.
+    pub last: Option<EventId>,
+    /// Where the caller's parts go.
+    pub parts: mpsc::Sender<Part>,
+    /// The line that tells how the request ended.
+    pub record: Record,
+}
+
+/// How a relay ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Over {
+    Complete,
+    CallerGone,
+    TimedOut,
+    Broken,
+}
+
+impl Relay {
+    /// Relays until the stream is over.
+    pub async fn run(mut self, first: Events) {
+        let over = match self.pass_on(first).await {
+            Some(over) => over,
+            None => self.follow().await,
+        };
+        let (status, cause) = match over {
+            Over::Complete => ("complete", "-"),
+            Over::CallerGone => ("cut", "caller-gone"),
+            Over::TimedOut => ("cut", "timeout"),
+            Over::Broken => ("cut", "endpoint-lost"),
+        };
+        self.record.stream(status, cause, self.last);
+        if over == Over::Complete {
+            // A caller that has gone needs no end.
+            let _ = self.parts.send(Part::End).await;
+            self.source.finish();
+        }
+    }
+
+    async fn follow(&mut self) -> Over {
+        loop {
+            let until = self.job.until;
+            tokio::select! {
+                piece = self.source.next() => match piece {
+                    Piece::Events(events) => {
+                        if let Some(over) = self.pass_on(events).await {
+                            return over;
+                        }
+                    }
+                    Piece::End => return Over::Complete,
+                    Piece::Broken(loss) => {
+                        if let Some(over) = self.go_on(loss).await {
+                            return over;
+                        }
+                    }
+                },
+                () = self.parts.closed() => return Over::CallerGone,
+                () = sleep_until(until) => return Over::TimedOut,
+                () = sleep(CHECK) => {
+                    let silent = self.source.endpoint().trust() == Trust::Silent;
+                    if silent
+                        && self.job.resumable()
+                        && let Some(over) = self.go_on(Loss::Timeout).await
+                    {
+                        return over;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, events: Events) -> Option<Over> {
+        self.last = events.last.or(self.last);
+        let sending = self.parts.send(Part::Events(events.bytes));
+        tokio::select! {
+            sent = sending => sent.is_err().then_some(Over::CallerGone),
+            () = sleep_until(self.job.until) => Some(Over::TimedOut),
+        }
+    }
+
+    /// Goes on at another endpoint after the last whole event, where that is
+    /// allowed.
+    async fn go_on(&mut self, loss: Loss) -> Option<Over> {
+        let silent = loss == Loss::Timeout;
+        if silent {
+            self.source.endpoint().unreached();
+        }
+        if !self.job.resumable() {
+            return Some(Over::Broken);
+        }
+        self.job.resume = self.last.or(self.job.resume);
+        self.job.left_behind(self.source.endpoint(), loss);
+        let parts = self.parts.clone();
+        let next = tokio::select! {
+            next = self.job.again() => next,
+            () = parts.closed() => return Some(Over::CallerGone),
+        };
+        match next {
+            Next::Answer(answer) if answer.status.is_success() => {
+                // The earlier connection closes here.
+                self.source = Source::new(*answer);
+                None
+            }
+            _ if silent => None,
+            _ => Some(Over::Broken),
+        }
+    }
+}
+
+/// When an answer is waited for at most.
+pub fn earliest(a: Instant, b: Instant) -> Instant {
+    a.min(b)
+}
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -15,23 +15,42 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     units: f64,
+    earn: f64,
+    cap: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { units: CAP }
+        Self {
+            units: CAP,
+            earn: EARN,
+            cap: CAP,
+        }
     }
 }
 
 impl Budget {
-    /// Units left, from 0 to [`CAP`].
+    /// A bucket that earns `earn` a request, holds `cap` at most and starts
+    /// empty, so that entries which restart together have nothing to spend at
+    /// once. Whatever the window, no more than `cap` and `earn` for each of
+    /// its requests is spent, so the bound of a service holds over all entries
+    /// without any message between them.
+    pub fn empty(earn: f64, cap: f64) -> Self {
+        Self {
+            units: 0.0,
+            earn,
+            cap,
+        }
+    }
+
+    /// Units left, from 0 to the most the bucket holds.
     pub fn units(&self) -> f64 {
         self.units
     }
 
     /// Notes a first attempt.
     pub fn earn(&mut self) {
-        self.units = (self.units + EARN).min(CAP);
+        self.units = (self.units + self.earn).min(self.cap);
     }
 
     /// Takes one retry out; false where none is left.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,12 +13,16 @@
 //! * [`place`]: the choice of an endpoint;
 //! * [`dispatch`]: the three above joined into one machine per service;
 //! * [`budget`]: how many retries a service may add to its load;
+//! * [`affinity`]: the choice of an endpoint for a prompt whose beginning other
+//!   requests share;
+//! * [`trust`]: which endpoints an entry may use after what came back lately;
 //! * [`gate`]: the agent's decision to start or refuse, with [`limit`], the
 //!   number of requests its endpoint can run at once, learned from token gaps.
 //!
 //! Times are durations since a start that the caller fixes (its own clock),
 //! since only differences matter.
 
+pub mod affinity;
 pub mod budget;
 pub mod dispatch;
 pub mod gate;
@@ -27,6 +31,7 @@
 pub mod queue;
 pub mod quota;
 pub mod subset;
+pub mod trust;
 pub mod view;
 
 /// A point in time: the duration since the caller's clock started.
--- /dev/null
+++ b/crates/policy/src/trust.rs
@@ -0,0 +1,109 @@
+//! How far an endpoint is trusted with requests.
+//!
+//! Endpoints die without a word, answer part of their requests with failures
+//! while they call themselves healthy, or stop answering on all connections at
+//! once. An entry learns that only from its own requests: what counts here is
+//! what came back lately, and for how long nothing did.
+
+use std::time::Duration;
+
+/// Weight of the newest outcome in the share of failures: about the last ten
+/// requests count.
+const NEWEST: f64 = 0.12;
+/// Share of failures from which an endpoint counts as failing. Ordinary
+/// endpoints fail up to 14% of some requests by themselves.
+const FAILING: f64 = 0.3;
+/// Time without a byte, with requests waiting for one, after which an endpoint
+/// counts as silent. Several times the longest pause of one that works.
+const SILENCE: Duration = Duration::from_millis(900);
+/// First time for which an endpoint that can't be reached is left alone.
+const FIRST_REST: Duration = Duration::from_millis(300);
+/// Longest such time: what comes back is used again within seconds.
+const LONGEST_REST: Duration = Duration::from_secs(3);
+/// Time constant with which failures are forgotten where no request comes.
+const FORGET: f64 = 3.0;
+
+/// What an entry believes of one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trust {
+    /// It works.
+    Sound,
+    /// It works, but fails more than others: the last resort before a refusal.
+    Failing,
+    /// Nothing comes from it or reaches it; one request may try it now and
+    /// then.
+    Silent,
+}
+
+/// Record of one endpoint. Times are measured from the entry's start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Record {
+    failures: f64,
+    judged: Duration,
+    heard: Duration,
+    waiting: u32,
+    since: Duration,
+    unreached: u32,
+    rest: Duration,
+}
+
+impl Record {
+    /// A request was sent there.
+    pub fn sent(&mut self, now: Duration) {
+        if self.waiting == 0 {
+            self.since = now;
+        }
+        self.waiting += 1;
+    }
+
+    /// A request no longer waits there, however it ended.
+    pub fn ended(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Bytes came from there.
+    pub fn heard(&mut self, now: Duration) {
+        self.heard = now;
+        self.unreached = 0;
+    }
+
+    /// A request ended with an answer (`failed`: a failure of the endpoint).
+    pub fn judged(&mut self, now: Duration, failed: bool) {
+        let before = self.failures(now);
+        let newest = if failed { 1.0 } else { 0.0 };
+        self.failures = before + (newest - before) * NEWEST;
+        self.judged = now;
+    }
+
+    /// No connection could be made, or nothing came for too long.
+    pub fn unreached(&mut self, now: Duration) {
+        let doubled = FIRST_REST * 2u32.pow(self.unreached.min(8));
+        self.rest = now + doubled.min(LONGEST_REST);
+        self.unreached += 1;
+    }
+
+    /// Share of failures, as it counts now.
+    pub fn failures(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.judged).as_secs_f64();
+        self.failures * (-idle / FORGET).exp()
+    }
+
+    /// For how long nothing came while requests waited for something.
+    pub fn silence(&self, now: Duration) -> Duration {
+        if self.waiting == 0 {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.heard.max(self.since))
+    }
+
+    /// What the record says now.
+    pub fn trust(&self, now: Duration) -> Trust {
+        if now < self.rest || self.silence(now) >= SILENCE {
+            Trust::Silent
+        } else if self.failures(now) >= FAILING {
+            Trust::Failing
+        } else {
+            Trust::Sound
+        }
+    }
+}
--- a/crates/route/src/check.rs
+++ b/crates/route/src/check.rs
@@ -14,7 +14,9 @@
         problem: String,
     },
     /// A route names a service that the set does not list.
-    #[display("route {route} names service {service}, which the set does not list; add it")]
+    #[display(
+        "route {route} names service {service}, which the set does not list; add it"
+    )]
     UnknownService {
         /// Route.
         route: String,
--- a/crates/route/src/set.rs
+++ b/crates/route/src/set.rs
@@ -129,7 +129,8 @@
 
 impl SetFormat for JsonFormat {
     fn read(&self, source: &[u8]) -> Result<RouteSet, Invalid> {
-        let set: RouteSet = serde_json::from_slice(source).map_err(Invalid::unreadable)?;
+        let set: RouteSet =
+            serde_json::from_slice(source).map_err(Invalid::unreadable)?;
         set.check()?;
         Ok(set)
     }
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -68,14 +68,17 @@
 #[test]
 fn check_shared_key() {
     let mut shared = set(vec![route("a", "/a/")]);
-    shared.workspaces =
-        Some(vec![workspace("x", &["k"], None), workspace("y", &["k"], None)]);
+    shared.workspaces = Some(vec![
+        workspace("x", &["k"], None),
+        workspace("y", &["k"], None),
+    ]);
     assert!(matches!(shared.check(), Err(Invalid::SharedKey { .. })));
 }
 
 #[test]
 fn find_longest_prefix() {
-    let table = RouteTable::new(set(vec![route("outer", "/a/"), route("inner", "/a/b/")]));
+    let table =
+        RouteTable::new(set(vec![route("outer", "/a/"), route("inner", "/a/b/")]));
     let name = |path: &str| table.find("studio.example", path).map(|r| r.name.clone());
     assert_eq!(name("/a/b/c").as_deref(), Some("inner"));
     assert_eq!(name("/a/bc").as_deref(), Some("outer"));
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -27,10 +27,13 @@
 pub const CONNECTION_WINDOW: u32 = 1024 * STREAM_WINDOW;
 /// Longest wait for a connection between two processes.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval of HTTP/2 pings on a connection with open streams.
-const PING_INTERVAL: Duration = Duration::from_secs(2);
-/// A connection whose ping is not answered for this long is closed.
-const PING_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval of HTTP/2 pings on a connection with open streams. A connection
+/// that went silent must be replaced before an operator, who waits a few
+/// seconds for an acknowledgement, gives up.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
+/// A connection whose ping is not answered for this long is closed. Well above
+/// the round trip to a process that has a tenth of a core.
+const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest answer read as one message.
 const MAX_MESSAGE: usize = 64 * 1024 * 1024;
 /// Content type of messages.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod control;
 pub mod follow;
 pub mod frame;
+pub mod routes;
 
 /// The names most modules need, for one import line.
 pub mod prelude {
--- a/src/bin/dogwoodhill-local.rs
+++ b/src/bin/dogwoodhill-local.rs
@@ -1,6 +1,6 @@
 //! Every role and two stand-in endpoints in one process on loopback.
 
-use dogwoodhill::daemon::run::{EXIT_USAGE, block_on, describe, start_log};
+use dogwoodhill::daemon::run::{EXIT_USAGE, block_on, describe, start_tool_log};
 use dogwoodhill::local::{Local, OPERATOR_KEY, Places, SAMPLE_KEY};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -11,7 +11,7 @@
 const OPERATORS: u16 = 8081;
 
 fn main() -> ExitCode {
-    start_log();
+    start_tool_log();
     let command = clap::Command::new("dogwoodhill-local")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Runs every role and two stand-in endpoints on loopback");
