Control instances without a disk send operators on; two a zone

Cause: the grown sites bear two losses, which needs five voters; one instance a zone gave four, and no change was ever taken. Change: the control program runs twice in each zone; one without a disk keeps nothing and answers with a redirection to a seed.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,5 +1,6 @@
 //! A control instance's life from start to drain.
 
+use crate::forward;
 use crate::internal;
 use crate::internal::{CLUSTER_PATH, Inside, JOIN_PATH, MEMBER_PATH};
 use crate::operators::{self, Outside};
@@ -79,6 +80,9 @@
     changed: Changed<Settings>,
     extra: fn(Service) -> Router,
 ) -> Result<(), String> {
+    if settings.data.as_os_str().is_empty() {
+        return forward::run(settings, drain, changed).await;
+    }
     let known = watch::Sender::new(addresses(&settings));
     let refresh = tokio::spawn(follow_seeds(changed, known.clone()));
     loop {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -48,6 +48,8 @@
 pub struct Seeds {
     /// Internal addresses of some instances; may name this one.
     pub addresses: Vec<SocketAddr>,
+    /// Their addresses for operators.
+    pub operators: Vec<SocketAddr>,
     /// Whether the whole deployment starts for the first time.
     pub founding: bool,
 }
@@ -69,7 +71,8 @@
     /// Changes are refused until twice as many voters and one more are there.
     /// Default 0.
     pub losses: usize,
-    /// Data folder.
+    /// Data folder; empty on an instance without a disk, which only sends
+    /// operators on to the seeds.
     pub data: PathBuf,
     /// Key shared by the router's processes.
     pub secret: String,
@@ -154,6 +157,7 @@
 
 fn seeds(s: &mut Section<'_, '_>) -> Seeds {
     let mut addresses = s.addresses("seeds");
+    let operators = addresses.clone();
     // 0: the seeds' own ports.
     let port = s.count("seed_port", 0..=65_535, Some(0)) as u16;
     for address in addresses.iter_mut().filter(|_| port > 0) {
@@ -161,6 +165,7 @@
     }
     Seeds {
         addresses,
+        operators,
         founding: s.flag("founding", false),
     }
 }
