--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -93,6 +93,7 @@
             stats: Stats::new(&metrics),
             drain,
             stopping: OnceLock::new(),
+            grace: settings.grace,
             budgets: Mutex::default(),
         });
         let control = Control {
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -9,10 +9,11 @@
 use arc_swap::ArcSwap;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
+use dogwoodhill_policy::lanes::Lanes;
 use dogwoodhill_policy::trust::{Record, Trust};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 /// Prompt tokens that an endpoint reads in a millisecond, before an entry has
@@ -25,6 +26,9 @@
 const SHARED_KEPT: usize = 512;
 /// Time constant with which a reported load fades.
 const LOAD_FADES: f64 = 0.4;
+/// Part of a second of an endpoint's time that one generated token takes: a
+/// step of 6.5 ms shared by some thirty streams.
+const TOKEN_WORK: f64 = 0.000_2;
 /// Tokens of a prompt of which nothing else is known.
 const USUAL_PROMPT: f64 = 1_500.0;
 /// Weight of the newest first event in the learned slowness.
@@ -168,13 +172,15 @@
         self.view().record.trust(now)
     }
 
-    fn candidate(&self, prompt: &Prompt, domain: &str, now: Duration) -> Candidate {
+    fn candidate(&self, want: &Want<'_>, domain: &str, now: Duration) -> Candidate {
         let view = self.view();
+        let prompt = want.prompt;
         let seen = prompt.shared.and_then(|key| {
             let at = view.shared.binary_search_by_key(&key, |item| item.0).ok()?;
             Some(now.saturating_sub(view.shared[at].1))
         });
-        let wait = if prompt.tokens > 0 {
+        let reads = prompt.tokens > 0 && want.lane == Lane::Other;
+        let wait = if reads {
             view.reading(view.ahead(now))
         } else {
             self.queueing(&view, now)
@@ -192,8 +198,9 @@
         }
     }
 
-    /// Predicted wait for a slot of a plain service, from what runs there. A
-    /// request is taken to run for a few times the way to another domain.
+    /// Cost of what runs there beside the request, for plain services and for
+    /// streams that only share the endpoint's steps: a full endpoint costs as
+    /// much as four times the way to another domain.
     fn queueing(&self, view: &View, now: Duration) -> Duration {
         let told = view.told(now, view.load.running + view.load.waiting);
         let busy = told.max(f64::from(view.active));
@@ -203,9 +210,7 @@
 
     fn view(&self) -> MutexGuard<'_, View> {
         // Beliefs stay usable even if a holder panicked.
-        self.view
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -296,6 +301,30 @@
     endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
     domain: DomainId,
     start: Instant,
+    /// Work by service; sorted.
+    lanes: Mutex<Vec<(ServiceId, Lanes)>>,
+}
+
+/// What a request wants of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Prompt.
+    pub prompt: &'a Prompt,
+    /// Whether its stream is disturbed by long prompts.
+    pub lane: Lane,
+    /// Endpoints that are not asked again.
+    pub tried: &'a [EndpointId],
+}
+
+/// The endpoints a request goes to first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Those kept free of long prompts.
+    Fragile,
+    /// The others.
+    Other,
 }
 
 impl Directory {
@@ -305,6 +334,7 @@
             endpoints: ArcSwap::default(),
             domain,
             start: Instant::now(),
+            lanes: Mutex::default(),
         }
     }
 
@@ -343,35 +373,74 @@
         self.endpoints.load_full()
     }
 
-    /// Chooses an endpoint of `service` that is not in `tried`. Sound ones go
-    /// before failing ones, and those before silent ones.
-    pub fn place(
-        &self,
-        service: &str,
-        prompt: &Prompt,
-        tried: &[EndpointId],
-    ) -> Option<Arc<Endpoint>> {
-        let now = self.start.elapsed();
+    /// Chooses an endpoint. Sound ones go before failing ones, and those before
+    /// silent ones; among equally trusted ones those of the request's lane go
+    /// before the others.
+    pub fn place(&self, want: &Want<'_>) -> Option<Arc<Endpoint>> {
         let endpoints = self.endpoints.load();
-        let usable = |endpoint: &&Arc<Endpoint>| {
-            endpoint.service == service
-                && !endpoint.leaving()
-                && !tried.contains(&endpoint.id)
+        let mut usable: Vec<&Arc<Endpoint>> = endpoints
+            .iter()
+            .filter(|endpoint| endpoint.service == want.service && !endpoint.leaving())
+            .collect();
+        usable.sort_unstable_by_key(|endpoint| endpoint.hash);
+        let reserved = self.reserved(want.service, usable.len());
+        let (own, others) = match want.lane {
+            Lane::Fragile => usable.split_at(reserved),
+            Lane::Other => {
+                let (fragile, rest) = usable.split_at(reserved);
+                (rest, fragile)
+            }
         };
-        let usable: Vec<&Arc<Endpoint>> = endpoints.iter().filter(usable).collect();
         [Trust::Sound, Trust::Failing, Trust::Silent]
             .into_iter()
-            .find_map(|trust| {
-                let some = usable.iter().filter(|endpoint| endpoint.trust() == trust);
-                let some: Vec<&&Arc<Endpoint>> = some.collect();
-                let candidates: Vec<Candidate> = some
-                    .iter()
-                    .map(|endpoint| endpoint.candidate(prompt, &self.domain, now))
-                    .collect();
-                let key = prompt.shared.unwrap_or_else(rand::random);
-                let at = affinity::choose(key, &candidates)?;
-                Some(Arc::clone(some[at]))
-            })
+            .flat_map(|trust| [(trust, own), (trust, others)])
+            .find_map(|(trust, some)| self.best(want, trust, some))
+            .cloned()
+    }
+
+    fn best<'a>(
+        &self,
+        want: &Want<'_>,
+        trust: Trust,
+        some: &[&'a Arc<Endpoint>],
+    ) -> Option<&'a Arc<Endpoint>> {
+        let now = self.start.elapsed();
+        let fits = |endpoint: &&&Arc<Endpoint>| {
+            endpoint.trust() == trust && !want.tried.contains(&endpoint.id)
+        };
+        let some: Vec<&&Arc<Endpoint>> = some.iter().filter(fits).collect();
+        let candidates: Vec<Candidate> = some
+            .iter()
+            .map(|endpoint| endpoint.candidate(want, &self.domain, now))
+            .collect();
+        let key = want.prompt.shared.filter(|_| want.lane == Lane::Other);
+        let at = affinity::choose(key.unwrap_or_else(rand::random), &candidates)?;
+        Some(some[at])
+    }
+
+    /// Notes a request's work, from which the size of the lanes follows.
+    pub fn note(&self, want: &Want<'_>) {
+        let now = self.start.elapsed();
+        let reading = f64::from(want.prompt.tokens) / READ_RATE / 1_000.0;
+        let writing = f64::from(want.prompt.output) * TOKEN_WORK;
+        let work = Duration::from_secs_f64(reading + writing);
+        let mut lanes = self.lanes();
+        let found = lanes.binary_search_by(|item| item.0.as_str().cmp(want.service));
+        let at = found.unwrap_or_else(|at| {
+            lanes.insert(at, (want.service.to_string(), Lanes::default()));
+            at
+        });
+        lanes[at].1.note(now, want.lane == Lane::Fragile, work);
+    }
+
+    fn reserved(&self, service: &str, endpoints: usize) -> usize {
+        let lanes = self.lanes();
+        let found = lanes.binary_search_by(|item| item.0.as_str().cmp(service));
+        found.map_or(0, |at| lanes[at].1.reserved(endpoints))
+    }
+
+    fn lanes(&self) -> MutexGuard<'_, Vec<(ServiceId, Lanes)>> {
+        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -7,8 +7,8 @@
 //! endpoint's own refusal, or where no byte went out.
 
 use crate::answer::{Cause, Reply, refuse};
-use crate::dialect::{Ask, CallerDialect, EndpointDialect, EventId, Tell};
-use crate::directory::{Directory, Endpoint};
+use crate::dialect::{Ask, CallerDialect, EndpointDialect, EventId, Prompt, Tell};
+use crate::directory::{Directory, Endpoint, Lane, Want};
 use crate::exchange::{self, Answer, Asked, Ended, Loss, Outbound, Whole};
 use crate::stats::{Record, Stats};
 use crate::stream::{PARTS, Piece, Relay, Source, earliest};
@@ -17,6 +17,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::budget::Budget;
+use dogwoodhill_policy::lanes::FRAGILE_PAUSE;
 use dogwoodhill_route::prelude::*;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -46,6 +47,9 @@
 /// Time after the drain's beginning from which requests are refused, with a
 /// word to come back at once through another entry.
 const DRAIN_REFUSES: Duration = Duration::from_millis(2_800);
+/// Longest usual time for one token of a stream; for judging whether one that
+/// begins now ends before the entry does.
+const TOKEN_TIME: Duration = Duration::from_millis(20);
 /// Time without an answer after which an idempotent request that is no stream
 /// is tried elsewhere, as a multiple of its objective.
 const SILENT_OBJECTIVES: f64 = 3.0;
@@ -67,6 +71,8 @@
     pub drain: Drain,
     /// When the drain began.
     pub stopping: std::sync::OnceLock<Instant>,
+    /// Time from the drain's beginning after which the process is killed.
+    pub grace: Duration,
     /// Second sends left, by service; sorted.
     pub budgets: Mutex<Vec<(ServiceId, Budget)>>,
 }
@@ -118,11 +124,7 @@
             Denied::Route => (Cause::UnknownRoute, None),
             Denied::Key => (Cause::UnknownKey, None),
         })?;
-        if self
-            .stopping
-            .get()
-            .is_some_and(|at| at.elapsed() >= DRAIN_REFUSES)
-        {
+        if self.too_late(&admitted.route, &ask.prompt) {
             return Err((Cause::Stopping, Some(Duration::ZERO)));
         }
         let target = parts.uri.path_and_query().cloned();
@@ -147,6 +149,17 @@
         })
     }
 
+    /// Whether the entry stops before the request would be done.
+    fn too_late(&self, route: &Route, prompt: &Prompt) -> bool {
+        let Some(begun) = self.stopping.get() else {
+            return false;
+        };
+        let writing = TOKEN_TIME * prompt.output;
+        let lasting = (route.objective + writing).min(route.timeout);
+        let since = begun.elapsed();
+        since >= DRAIN_REFUSES || since + lasting >= self.grace
+    }
+
     /// Counts a request of a service, which earns part of a second send.
     fn earn(&self, service: &str) {
         self.with_budget(service, Budget::earn);
@@ -271,7 +284,7 @@
         record.tier = admitted.tier;
         record.version = version;
         shared.earn(&service);
-        Self {
+        let job = Self {
             until,
             resume: ask.resume,
             shared,
@@ -284,6 +297,20 @@
             sends: 0,
             may_have_run: false,
             _busy: busy,
+        };
+        job.shared.directory.note(&job.want());
+        job
+    }
+
+    /// What it wants of an endpoint.
+    fn want(&self) -> Want<'_> {
+        let events = self.admitted.route.events;
+        let fragile = events.is_some_and(|events| events.pause <= FRAGILE_PAUSE);
+        Want {
+            service: &self.service,
+            prompt: &self.ask.prompt,
+            lane: if fragile { Lane::Fragile } else { Lane::Other },
+            tried: &self.tried,
         }
     }
 
@@ -379,11 +406,7 @@
             if self.sends > 0 && !self.may_send_again() {
                 return Next::Refuse(self.exhausted());
             }
-            let prompt = &self.ask.prompt;
-            let placed = self
-                .shared
-                .directory
-                .place(&self.service, prompt, &self.tried);
+            let placed = self.shared.directory.place(&self.want());
             let Some(endpoint) = placed else {
                 return Next::Refuse(self.exhausted());
             };
--- /dev/null
+++ b/crates/policy/src/lanes.rs
@@ -0,0 +1,66 @@
+//! Which endpoints are kept free of long prompts.
+//!
+//! The pattern: one class streams short events to people who notice every
+//! pause (a cue feed with 120 ms between events), beside classes with prompts
+//! of thousands of tokens. An engine reads a prompt in chunks between the
+//! tokens of the streams that run beside it. While it reads without a break, a
+//! step takes 25 to 45 ms in place of 7, so an event of three to five tokens
+//! takes 125 to 155 ms, and the whole stream is late. Two long prompts that
+//! meet are enough.
+//!
+//! So streams whose pause is shorter than that get endpoints of their own. How
+//! many follows from the share of the work they bring, which every entry
+//! measures by itself; which ones follows from a fixed order of the endpoints,
+//! so that entries which measure a little different shares differ in one
+//! endpoint at most.
+
+use std::time::Duration;
+
+/// Pause up to which a stream is disturbed by prompts read without a break:
+/// 125 to 155 ms at the engines in use.
+pub const FRAGILE_PAUSE: Duration = Duration::from_millis(160);
+/// Endpoints for fragile streams beyond their share of the work, so that they
+/// don't queue when they alone burst.
+const MARGIN: f64 = 1.3;
+/// Time constant of the measured share. A burst lasts several seconds, and an
+/// entry sees some ten requests a second.
+const MEMORY: f64 = 4.0;
+
+/// Work of both kinds that came lately, fading.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lanes {
+    fragile: f64,
+    other: f64,
+    at: Duration,
+}
+
+impl Lanes {
+    /// A request came that will take an endpoint `work` of its time.
+    pub fn note(&mut self, now: Duration, fragile: bool, work: Duration) {
+        let fade = self.fade(now);
+        self.fragile *= fade;
+        self.other *= fade;
+        self.at = now.max(self.at);
+        let kind = if fragile {
+            &mut self.fragile
+        } else {
+            &mut self.other
+        };
+        *kind += work.as_secs_f64();
+    }
+
+    /// How many of `endpoints` fragile streams have for themselves: none where
+    /// there is only one kind, and never all.
+    pub fn reserved(&self, endpoints: usize) -> usize {
+        if self.fragile == 0.0 || self.other == 0.0 || endpoints < 2 {
+            return 0;
+        }
+        let share = self.fragile / (self.fragile + self.other);
+        let wanted = (endpoints as f64 * share * MARGIN).ceil() as usize;
+        wanted.clamp(1, endpoints - 1)
+    }
+
+    fn fade(&self, now: Duration) -> f64 {
+        (-now.saturating_sub(self.at).as_secs_f64() / MEMORY).exp()
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`budget`]: how many retries a service may add to its load;
 //! * [`affinity`]: the choice of an endpoint for a prompt whose beginning other
 //!   requests share;
+//! * [`lanes`]: which endpoints are kept free of long prompts;
 //! * [`trust`]: which endpoints an entry may use after what came back lately;
 //! * [`gate`]: the agent's decision to start or refuse, with [`limit`], the
 //!   number of requests its endpoint can run at once, learned from token gaps.
@@ -26,6 +27,7 @@
 pub mod budget;
 pub mod dispatch;
 pub mod gate;
+pub mod lanes;
 pub mod limit;
 pub mod place;
 pub mod queue;
