Ranks by workspace and route, patience with queueing endpoints, lanes from the start

Cause: a workspace's urgency replaced the route's, so chapters and cues of one workspace had one rank at the engines; an endpoint whose queue was longer than 0.9 s counted as silent, which sent long prompts to the endpoints kept free of them; an entry that started knew no lanes.

--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -69,8 +69,10 @@
     pub endpoint: &'a str,
     /// The caller's workspace.
     pub workspace: Option<&'a str>,
-    /// Urgency; 0 is the most urgent.
-    pub tier: Tier,
+    /// Place among all urgencies; 0 is the most urgent.
+    pub rank: usize,
+    /// Number of such places.
+    pub ranks: usize,
     /// Last event that the caller has.
     pub resume: Option<EventId>,
 }
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -29,8 +29,6 @@
 /// Part of a second of an endpoint's time that one generated token takes: a
 /// step of 6.5 ms shared by some thirty streams.
 const TOKEN_WORK: f64 = 0.000_2;
-/// Tokens of a prompt of which nothing else is known.
-const USUAL_PROMPT: f64 = 1_500.0;
 /// Weight of the newest first event in the learned slowness.
 const NEWEST: f64 = 0.1;
 /// Bounds of the learned slowness.
@@ -78,7 +76,7 @@
     }
 
     /// Tokens that are ahead of a request sent now.
-    fn ahead(&self, _now: Duration) -> f64 {
+    fn ahead(&self) -> f64 {
         self.unread
     }
 
@@ -125,7 +123,7 @@
         let fresh = prompt.tokens.saturating_sub(prompt.shared_tokens);
         let known = prompt.shared.is_some_and(|key| view.remember(key, now));
         let tokens = if known { fresh } else { prompt.tokens };
-        let expected = view.reading(view.ahead(now) + f64::from(tokens)) + STEP;
+        let expected = view.reading(view.ahead() + f64::from(tokens)) + STEP;
         view.unread += f64::from(tokens);
         drop(view);
         Sent {
@@ -134,6 +132,7 @@
             expected,
             since: now,
             unread: true,
+            begun: false,
             waits: true,
         }
     }
@@ -180,7 +179,7 @@
         });
         let reads = prompt.tokens > 0 && want.lane == Lane::Other;
         let wait = if reads {
-            view.reading(view.ahead(now))
+            view.reading(view.ahead())
         } else {
             self.queueing(&view, now)
         };
@@ -251,6 +250,7 @@
     expected: Duration,
     since: Duration,
     unread: bool,
+    begun: bool,
     waits: bool,
 }
 
@@ -266,12 +266,14 @@
         if !std::mem::take(&mut self.unread) {
             return;
         }
+        self.begun = true;
         let took = now.saturating_sub(self.since).as_secs_f64();
         let ratio = took / self.expected.as_secs_f64();
         let mut view = self.endpoint.view();
         view.unread = (view.unread - self.tokens).max(0.0);
         let slowness = view.slowness * (1.0 + (ratio.min(10.0) - 1.0) * NEWEST);
         view.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
+        view.record.begun();
     }
 
     /// Nothing more is waited for.
@@ -280,7 +282,7 @@
             return;
         }
         let mut view = self.endpoint.view();
-        view.record.ended();
+        view.record.ended(self.begun);
         view.active = view.active.saturating_sub(1);
         if std::mem::take(&mut self.unread) {
             view.unread = (view.unread - self.tokens).max(0.0);
@@ -313,6 +315,8 @@
     pub prompt: &'a Prompt,
     /// Whether its stream is disturbed by long prompts.
     pub lane: Lane,
+    /// Whether the service has requests of both lanes.
+    pub mixed: bool,
     /// Endpoints that are not asked again.
     pub tried: &'a [EndpointId],
 }
@@ -382,7 +386,7 @@
             .filter(|endpoint| endpoint.service == want.service && !endpoint.leaving())
             .collect();
         usable.sort_unstable_by_key(|endpoint| endpoint.hash);
-        let reserved = self.reserved(want.service, usable.len());
+        let reserved = self.reserved(want, usable.len());
         let (own, others) = match want.lane {
             Lane::Fragile => usable.split_at(reserved),
             Lane::Other => {
@@ -390,11 +394,21 @@
                 (rest, fragile)
             }
         };
-        [Trust::Sound, Trust::Failing, Trust::Silent]
-            .into_iter()
-            .flat_map(|trust| [(trust, own), (trust, others)])
-            .find_map(|(trust, some)| self.best(want, trust, some))
-            .cloned()
+        let mut turns = [
+            (Trust::Sound, own),
+            (Trust::Failing, own),
+            (Trust::Sound, others),
+            (Trust::Silent, own),
+            (Trust::Failing, others),
+            (Trust::Silent, others),
+        ];
+        if want.lane == Lane::Fragile {
+            // A short prompt disturbs nobody, wherever it goes.
+            turns.swap(1, 2);
+        }
+        let mut turns = turns.iter();
+        let best = turns.find_map(|(trust, some)| self.best(want, *trust, some));
+        best.cloned()
     }
 
     fn best<'a>(
@@ -432,10 +446,15 @@
         lanes[at].1.note(now, want.lane == Lane::Fragile, work);
     }
 
-    fn reserved(&self, service: &str, endpoints: usize) -> usize {
+    /// How many endpoints are kept free of long prompts.
+    fn reserved(&self, want: &Want<'_>, endpoints: usize) -> usize {
+        if !want.mixed {
+            return 0;
+        }
         let lanes = self.lanes();
-        let found = lanes.binary_search_by(|item| item.0.as_str().cmp(service));
-        found.map_or(0, |at| lanes[at].1.reserved(endpoints))
+        let found = lanes.binary_search_by(|item| item.0.as_str().cmp(want.service));
+        let lanes = found.map_or_else(|_| Lanes::default(), |at| lanes[at].1);
+        lanes.reserved(endpoints)
     }
 
     fn lanes(&self) -> MutexGuard<'_, Vec<(ServiceId, Lanes)>> {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -11,7 +11,7 @@
 use crate::directory::{Directory, Endpoint, Lane, Want};
 use crate::exchange::{self, Answer, Asked, Ended, Loss, Outbound, Whole};
 use crate::stats::{Record, Stats};
-use crate::stream::{PARTS, Piece, Relay, Source, earliest};
+use crate::stream::{PARTS, Pauses, Piece, Relay, Source, earliest};
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use dogwoodhill_core::prelude::*;
@@ -138,6 +138,8 @@
         Ok(Prepared {
             until: arrived + wait,
             version: table.version(),
+            ranks: table.ranks(),
+            table,
             outbound: Outbound {
                 method: parts.method,
                 target,
@@ -231,6 +233,8 @@
 struct Prepared {
     until: Instant,
     version: Version,
+    ranks: usize,
+    table: Arc<RouteTable>,
     outbound: Outbound,
     ask: Ask,
     admitted: Admitted,
@@ -249,6 +253,8 @@
     admitted: Admitted,
     outbound: Outbound,
     service: ServiceId,
+    ranks: usize,
+    mixed: bool,
     tried: Vec<EndpointId>,
     sends: usize,
     may_have_run: bool,
@@ -274,6 +280,8 @@
         let Prepared {
             until,
             version,
+            ranks,
+            table,
             outbound,
             ask,
             admitted,
@@ -282,9 +290,16 @@
         record.route.clone_from(&admitted.route.name);
         record.service.clone_from(&service);
         record.tier = admitted.tier;
+        record.prompt = ask.prompt.tokens;
+        record.output = ask.prompt.output;
         record.version = version;
         shared.earn(&service);
+        let mixed = table.pauses(&service).is_some_and(|(shortest, longest)| {
+            shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE
+        });
         let job = Self {
+            ranks,
+            mixed,
             until,
             resume: ask.resume,
             shared,
@@ -310,6 +325,7 @@
             service: &self.service,
             prompt: &self.ask.prompt,
             lane: if fragile { Lane::Fragile } else { Lane::Other },
+            mixed: self.mixed,
             tried: &self.tried,
         }
     }
@@ -446,7 +462,8 @@
             left: self.until.saturating_duration_since(Instant::now()),
             endpoint: &endpoint.id,
             workspace: self.admitted.workspace.as_deref(),
-            tier: self.admitted.tier,
+            rank: self.admitted.rank,
+            ranks: self.ranks,
             resume: self.resume,
         };
         let asked = Asked {
@@ -564,6 +581,7 @@
             source,
             parts,
             record,
+            pauses: Pauses::begin(),
         };
         tokio::spawn(relay.run(events));
         Begun::Stream(respond(status, headers, Reply::stream(queue)))
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -73,6 +73,10 @@
     pub service: ServiceId,
     /// Urgency.
     pub tier: Tier,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Most tokens it may generate.
+    pub output: u32,
     /// Version of the route set that decided.
     pub version: Version,
     /// Endpoint it was sent to last.
@@ -91,6 +95,8 @@
             route: String::from("-"),
             service: String::from("-"),
             tier: 0,
+            prompt: 0,
+            output: 0,
             version: 0,
             endpoint: String::from("-"),
             sends: 0,
@@ -111,7 +117,10 @@
     pub fn answered(&self, status: u16) {
         self.stats.first.observe(self.since.elapsed().as_secs_f64());
         self.count(status, "endpoint");
-        self.line("request-answered", status, "endpoint").info();
+        self.line("request-answered", status, "endpoint")
+            .field("prompt_tokens", self.prompt)
+            .field("output_tokens", self.output)
+            .info();
     }
 
     /// The router answers itself.
@@ -126,14 +135,15 @@
     }
 
     /// A stream is over.
-    pub fn stream(&self, end: &str, cause: &str, last: Option<EventId>) {
+    pub fn stream(&self, end: &str, cause: &str, last: Option<EventId>, pause: Duration) {
         self.stats.streams.with_label_values(&[end, cause]).inc();
         let event = self
             .line("stream-ended", 200, cause)
             .field("end", end)
-            .field("last_event", last.map_or(-1, |last| last as i64));
+            .field("last_event", last.map_or(-1, |last| last as i64))
+            .field("longest_pause_ms", pause.as_millis());
         match end {
-            "complete" => event.debug(),
+            "complete" => event.info(),
             _ => event.warn(),
         }
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -111,6 +111,36 @@
     pub parts: mpsc::Sender<Part>,
     /// The line that tells how the request ended.
     pub record: Record,
+    /// Pauses between its events.
+    pub pauses: Pauses,
+}
+
+/// The pauses of one stream.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses {
+    last: Instant,
+    longest: Duration,
+}
+
+impl Pauses {
+    /// Begins with the first event.
+    pub fn begin() -> Self {
+        Self {
+            last: Instant::now(),
+            longest: Duration::ZERO,
+        }
+    }
+
+    fn event(&mut self) {
+        let now = Instant::now();
+        self.longest = self.longest.max(now.duration_since(self.last));
+        self.last = now;
+    }
+
+    /// The longest one.
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
 }
 
 /// How a relay ended.
@@ -135,7 +165,8 @@
             Over::TimedOut => ("cut", "timeout"),
             Over::Broken => ("cut", "endpoint-lost"),
         };
-        self.record.stream(status, cause, self.last);
+        self.record
+            .stream(status, cause, self.last, self.pauses.longest());
         if over == Over::Complete {
             // A caller that has gone needs no end.
             let _ = self.parts.send(Part::End).await;
@@ -177,6 +208,7 @@
 
     async fn pass_on(&mut self, events: Events) -> Option<Over> {
         self.last = events.last.or(self.last);
+        self.pauses.event();
         let sending = self.parts.send(Part::Events(events.bytes));
         tokio::select! {
             sent = sending => sent.is_err().then_some(Over::CallerGone),
--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -22,6 +22,11 @@
 /// Endpoints for fragile streams beyond their share of the work, so that they
 /// don't queue when they alone burst.
 const MARGIN: f64 = 1.3;
+/// Work that counts beside what was measured, so that an entry which starts
+/// agrees with the others: two seconds of one endpoint's time.
+const PRIOR: f64 = 2.0;
+/// Share of it that is fragile.
+const PRIOR_SHARE: f64 = 0.2;
 /// Time constant of the measured share. A burst lasts several seconds, and an
 /// entry sees some ten requests a second.
 const MEMORY: f64 = 4.0;
@@ -49,13 +54,14 @@
         *kind += work.as_secs_f64();
     }
 
-    /// How many of `endpoints` fragile streams have for themselves: none where
-    /// there is only one kind, and never all.
+    /// How many of `endpoints` fragile streams have for themselves where both
+    /// kinds may come: at least one, and never all.
     pub fn reserved(&self, endpoints: usize) -> usize {
-        if self.fragile == 0.0 || self.other == 0.0 || endpoints < 2 {
+        if endpoints < 2 {
             return 0;
         }
-        let share = self.fragile / (self.fragile + self.other);
+        let fragile = self.fragile + PRIOR * PRIOR_SHARE;
+        let share = fragile / (self.fragile + self.other + PRIOR);
         let wanted = (endpoints as f64 * share * MARGIN).ceil() as usize;
         wanted.clamp(1, endpoints - 1)
     }
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -13,9 +13,12 @@
 /// Share of failures from which an endpoint counts as failing. Ordinary
 /// endpoints fail up to 14% of some requests by themselves.
 const FAILING: f64 = 0.3;
-/// Time without a byte, with requests waiting for one, after which an endpoint
+/// Time without a byte, with streams that have begun, after which an endpoint
 /// counts as silent. Several times the longest pause of one that works.
 const SILENCE: Duration = Duration::from_millis(900);
+/// The same where everything still waits for a first byte: under load an
+/// endpoint lets requests wait for a second or two before it begins them.
+const LONG_SILENCE: Duration = Duration::from_millis(2_500);
 /// First time for which an endpoint that can't be reached is left alone.
 const FIRST_REST: Duration = Duration::from_millis(300);
 /// Longest such time: what comes back is used again within seconds.
@@ -42,6 +45,7 @@
     judged: Duration,
     heard: Duration,
     waiting: u32,
+    begun: u32,
     since: Duration,
     unreached: u32,
     rest: Duration,
@@ -56,9 +60,16 @@
         self.waiting += 1;
     }
 
-    /// A request no longer waits there, however it ended.
-    pub fn ended(&mut self) {
+    /// A request that waits there got its first byte.
+    pub fn begun(&mut self) {
+        self.begun += 1;
+    }
+
+    /// A request no longer waits there, however it ended; `begun`: whether it
+    /// had got its first byte.
+    pub fn ended(&mut self, begun: bool) {
         self.waiting = self.waiting.saturating_sub(1);
+        self.begun = self.begun.saturating_sub(u32::from(begun));
     }
 
     /// Bytes came from there.
@@ -98,7 +109,11 @@
 
     /// What the record says now.
     pub fn trust(&self, now: Duration) -> Trust {
-        if now < self.rest || self.silence(now) >= SILENCE {
+        let patience = match self.begun {
+            0 => LONG_SILENCE,
+            _ => SILENCE,
+        };
+        if now < self.rest || self.silence(now) >= patience {
             Trust::Silent
         } else if self.failures(now) >= FAILING {
             Trust::Failing
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,6 +1,6 @@
 //! A route set in the form in which entries look things up.
 
-use crate::set::{Limits, Route, RouteSet};
+use crate::set::{Limits, Route, RouteSet, RouteWorkspace};
 use dogwoodhill_core::keys::{KeyHash, KeyRing};
 use dogwoodhill_core::prelude::*;
 use std::sync::Arc;
@@ -12,8 +12,15 @@
     routes: Vec<Arc<Route>>,
     limits: Limits,
     keys: Option<KeyRing<Holder>>,
+    /// Shortest and longest pause of each service's streams, sorted by service.
+    pauses: Vec<(ServiceId, Duration, Duration)>,
+    /// Every pair of urgencies that requests can have, sorted.
+    urgencies: Vec<Urgency>,
 }
 
+/// Urgency of a workspace, and of a route among its workspace's requests.
+type Urgency = (Tier, Tier);
+
 /// Who holds a key.
 #[derive(Clone, Debug)]
 struct Holder {
@@ -30,6 +37,10 @@
     pub workspace: Option<WorkspaceId>,
     /// Its urgency: the workspace's where it has one, else the route's.
     pub tier: Tier,
+    /// Its place among all urgencies that the set knows; 0 is the most urgent.
+    /// The workspace's urgency goes first, and the route's orders the requests
+    /// of equally urgent workspaces.
+    pub rank: usize,
 }
 
 /// Why a request is not served.
@@ -46,6 +57,8 @@
     pub fn new(set: RouteSet) -> Self {
         let mut routes: Vec<Arc<Route>> = set.routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|a, b| place(a).cmp(&place(b)));
+        let pauses = pauses(&routes);
+        let urgencies = urgencies(&routes, set.workspaces.as_deref().unwrap_or_default());
         let keys = set.workspaces.map(|workspaces| {
             let items = workspaces.into_iter().flat_map(|space| {
                 let (name, tier) = (space.name, space.tier);
@@ -63,6 +76,8 @@
             routes,
             limits: set.limits,
             keys,
+            urgencies,
+            pauses,
         }
     }
 
@@ -76,6 +91,19 @@
         &self.limits
     }
 
+    /// Number of ranks that requests can have; see [`Admitted::rank`].
+    pub fn ranks(&self) -> usize {
+        self.urgencies.len()
+    }
+
+    /// Shortest and longest pause that streams of a service allow.
+    pub fn pauses(&self, service: &str) -> Option<(Duration, Duration)> {
+        let found = self
+            .pauses
+            .binary_search_by(|item| item.0.as_str().cmp(service));
+        found.ok().map(|at| (self.pauses[at].1, self.pauses[at].2))
+    }
+
     /// The route with the longest prefix of `path` under `host`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let slashes = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/');
@@ -115,14 +143,58 @@
             return Err(Denied::Key);
         }
         let tier = holder.as_ref().and_then(|holder| holder.tier);
+        let tier = tier.unwrap_or(route.tier);
+        let rank = self
+            .urgencies
+            .partition_point(|known| *known < (tier, route.tier));
         Ok(Admitted {
-            tier: tier.unwrap_or(route.tier),
+            tier,
+            rank,
             workspace: holder.map(|holder| holder.name),
             route: Arc::clone(route),
         })
     }
 }
 
+fn pauses(routes: &[Arc<Route>]) -> Vec<(ServiceId, Duration, Duration)> {
+    let mut all: Vec<(ServiceId, Duration, Duration)> = Vec::new();
+    for route in routes {
+        let Some(events) = route.events else { continue };
+        for target in &route.targets {
+            let found = all.binary_search_by(|item| item.0.cmp(&target.service));
+            match found {
+                Ok(at) => {
+                    all[at].1 = all[at].1.min(events.pause);
+                    all[at].2 = all[at].2.max(events.pause);
+                }
+                Err(at) => {
+                    all.insert(at, (target.service.clone(), events.pause, events.pause));
+                }
+            }
+        }
+    }
+    all
+}
+
+fn urgencies(routes: &[Arc<Route>], workspaces: &[RouteWorkspace]) -> Vec<Urgency> {
+    let mut tiers: Vec<Option<Tier>> =
+        workspaces.iter().map(|space| space.tier).collect();
+    // Callers without a workspace.
+    tiers.push(None);
+    tiers.sort_unstable();
+    tiers.dedup();
+    let mut all: Vec<Urgency> = routes
+        .iter()
+        .flat_map(|route| {
+            let pair = |tier: &Option<Tier>| (tier.unwrap_or(route.tier), route.tier);
+            tiers.iter().map(pair).collect::<Vec<Urgency>>()
+        })
+        .collect();
+    all.sort_unstable();
+    all.dedup();
+    all
+}
+
 fn place(route: &Route) -> (&str, &str) {
     (&route.host, &route.prefix)
 }
