--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -31,7 +31,7 @@
 /// before the next one gets any. A stream more costs the others 0.04 ms a
 /// token, so they are better packed on few endpoints, which leaves the others
 /// to long prompts; beyond some 26 of 64 their own prompts begin to disturb.
-const PACKED: f64 = 0.4;
+const PACKED: f64 = 0.25;
 /// Part of a second of an endpoint's time that one generated token takes: a
 /// step of 6.5 ms shared by some thirty streams.
 const TOKEN_WORK: f64 = 0.000_2;
