Packing by what several endpoints tell together

Cause: 24 entries that each filled the first endpoint with room filled the same one; each hears of it only a few times a second.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -10,7 +10,9 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::lanes::Lanes;
+use dogwoodhill_policy::packing::{self, Packing};
 use dogwoodhill_policy::trust::{Record, Trust};
+use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,14 +26,9 @@
 const DISTANCE: Duration = Duration::from_millis(3);
 /// Shared beginnings that are remembered for each endpoint.
 const SHARED_KEPT: usize = 512;
-/// Time constant with which a reported load fades: about the time that short
-/// streams last.
-const LOAD_FADES: f64 = 1.5;
-/// Share of its slots up to which an endpoint takes streams with short pauses
-/// before the next one gets any. A stream more costs the others 0.04 ms a
-/// token, so they are better packed on few endpoints, which leaves the others
-/// to long prompts; beyond some 26 of 64 their own prompts begin to disturb.
-const PACKED: f64 = 0.25;
+/// Time constant with which a reported load fades. An entry hears of each of
+/// some endpoints about once in two seconds.
+const LOAD_FADES: f64 = 4.0;
 /// Part of a second of an endpoint's time that one generated token takes: a
 /// step of 6.5 ms shared by some thirty streams.
 const TOKEN_WORK: f64 = 0.000_2;
@@ -202,12 +199,14 @@
         }
     }
 
-    /// Whether one more stream with short pauses fits in beside the others.
-    fn has_room(&self, now: Duration) -> bool {
+    /// What runs there, for packing streams with short pauses.
+    fn packing(&self, now: Duration) -> Packing {
         let view = self.view();
         let told = view.told(now, view.load.running + view.load.waiting);
-        let busy = told.max(f64::from(view.active));
-        busy < f64::from(self.slots) * PACKED
+        Packing {
+            busy: told.max(f64::from(view.active)),
+            slots: f64::from(self.slots),
+        }
     }
 
     /// Cost of what runs there beside the request, for plain services and for
@@ -436,10 +435,8 @@
             endpoint.trust() == trust && !want.tried.contains(&endpoint.id)
         };
         let some: Vec<&&Arc<Endpoint>> = some.iter().filter(fits).collect();
-        if want.lane == Lane::Fragile
-            && let Some(first) = some.iter().find(|endpoint| endpoint.has_room(now))
-        {
-            return Some(first);
+        if want.lane == Lane::Fragile {
+            return self.packed(&some, now);
         }
         let candidates: Vec<Candidate> = some
             .iter()
@@ -450,6 +447,24 @@
         Some(some[at])
     }
 
+    /// Chooses among the first endpoints that together have room. Two of them
+    /// are drawn and the less busy one is taken: entries that all took the first
+    /// with room would all take the same one.
+    fn packed<'a>(
+        &self,
+        some: &[&&'a Arc<Endpoint>],
+        now: Duration,
+    ) -> Option<&'a Arc<Endpoint>> {
+        let loads: Vec<Packing> =
+            some.iter().map(|endpoint| endpoint.packing(now)).collect();
+        let most = packing::needed(&loads);
+        let mut random = rand::rng();
+        let mut draw = || (most > 0).then(|| random.random_range(0..most));
+        let (a, b) = (draw()?, draw()?);
+        let at = if loads[a].busy <= loads[b].busy { a } else { b };
+        Some(some[at])
+    }
+
     /// Notes a request's work, from which the size of the lanes follows.
     pub fn note(&self, want: &Want<'_>) {
         let now = self.start.elapsed();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`affinity`]: the choice of an endpoint for a prompt whose beginning other
 //!   requests share;
 //! * [`lanes`]: which endpoints are kept free of long prompts;
+//! * [`packing`]: how many endpoints streams with short pauses are packed on;
 //! * [`trust`]: which endpoints an entry may use after what came back lately;
 //! * [`gate`]: the agent's decision to start or refuse, with [`limit`], the
 //!   number of requests its endpoint can run at once, learned from token gaps.
@@ -29,6 +30,7 @@
 pub mod gate;
 pub mod lanes;
 pub mod limit;
+pub mod packing;
 pub mod place;
 pub mod queue;
 pub mod quota;
