--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -130,6 +130,11 @@
             .expect("a bound socket has an address")
     }
 
+    /// What all requests share, for those who embed an entry.
+    pub fn shared(&self) -> Arc<Shared> {
+        Arc::clone(&self.shared)
+    }
+
     /// Address for readiness and metrics.
     pub fn status(&self) -> SocketAddr {
         self.status.address()
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,7 +11,7 @@
 //!   names that request, bears the endpoint's proof and is whole; every other
 //!   connection is closed ([`exchange`]);
 //! * a non-idempotent request is never sent again after a byte of it may have
-//!   arrived ([`request`]);
+//!   arrived ([`job`]);
 //! * only whole events of a stream are passed on, and a stream goes on at
 //!   another endpoint only after its last whole event ([`stream`]);
 //! * whatever ends a request early (the caller, its time, another endpoint's
@@ -27,6 +27,7 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod job;
 pub mod listing;
 pub mod pool;
 pub mod request;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -11,7 +11,7 @@
 use crate::directory::Endpoint;
 use crate::events::{Events, Splitter};
 use crate::exchange::{Answer, Loss};
-use crate::request::{Job, Next};
+use crate::job::{Job, Next};
 use crate::stats::Record;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::trust::Trust;
@@ -23,7 +23,7 @@
 /// Parts that wait for a caller's connection.
 pub const PARTS: usize = 4;
 /// Interval at which a stream without events is looked after.
-const CHECK: Duration = Duration::from_millis(250);
+pub const CHECK: Duration = Duration::from_millis(250);
 
 /// An endpoint's stream.
 #[derive(Debug)]
@@ -103,8 +103,8 @@
 pub struct Relay {
     /// The request.
     pub job: Job,
-    /// The endpoint's stream.
-    pub source: Source,
+    /// The endpoint's stream; `None` between two endpoints.
+    pub source: Option<Source>,
     /// Last event that the caller has been sent.
     pub last: Option<EventId>,
     /// Where the caller's parts go.
@@ -170,15 +170,20 @@
         if over == Over::Complete {
             // A caller that has gone needs no end.
             let _ = self.parts.send(Part::End).await;
-            self.source.finish();
+            if let Some(source) = self.source {
+                source.finish();
+            }
         }
     }
 
     async fn follow(&mut self) -> Over {
         loop {
             let until = self.job.until;
+            let Some(source) = self.source.as_mut() else {
+                return Over::Broken;
+            };
             tokio::select! {
-                piece = self.source.next() => match piece {
+                piece = source.next() => match piece {
                     Piece::Events(events) => {
                         if let Some(over) = self.pass_on(events).await {
                             return over;
@@ -194,9 +199,8 @@
                 () = self.parts.closed() => return Over::CallerGone,
                 () = sleep_until(until) => return Over::TimedOut,
                 () = sleep(CHECK) => {
-                    let silent = self.source.endpoint().trust() == Trust::Silent;
+                    let silent = source.endpoint().trust() == Trust::Silent;
                     if silent
-                        && self.job.resumable()
                         && let Some(over) = self.go_on(Loss::Timeout).await
                     {
                         return over;
@@ -217,17 +221,24 @@
     }
 
     /// Goes on at another endpoint after the last whole event, where that is
-    /// allowed.
+    /// allowed and there is one.
     async fn go_on(&mut self, loss: Loss) -> Option<Over> {
         let silent = loss == Loss::Timeout;
-        if silent {
-            self.source.endpoint().unreached();
+        if !self.job.may_go_on() {
+            // One that is only silent may speak again.
+            return (!silent).then_some(Over::Broken);
         }
-        if !self.job.resumable() {
+        let Some(source) = self.source.take() else {
             return Some(Over::Broken);
+        };
+        if silent {
+            source.endpoint().unreached();
         }
         self.job.resume = self.last.or(self.job.resume);
-        self.job.left_behind(self.source.endpoint(), loss);
+        self.job.left_behind(source.endpoint(), loss);
+        // The earlier connection closes before the request goes out again, so
+        // that two endpoints never work on it.
+        drop(source);
         let parts = self.parts.clone();
         let next = tokio::select! {
             next = self.job.again() => next,
@@ -235,17 +246,10 @@
         };
         match next {
             Next::Answer(answer) if answer.status.is_success() => {
-                // The earlier connection closes here.
-                self.source = Source::new(*answer);
+                self.source = Some(Source::new(*answer));
                 None
             }
-            _ if silent => None,
-            _ => Some(Over::Broken),
+            Next::Answer(_) | Next::Refuse(_) => Some(Over::Broken),
         }
     }
 }
-
-/// When an answer is waited for at most.
-pub fn earliest(a: Instant, b: Instant) -> Instant {
-    a.min(b)
-}
--- /dev/null
+++ b/crates/direct/tests/all/dialect.rs
@@ -0,0 +1,67 @@
+//! A dialect for tests: plain headers with plain names.
+
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_direct::dialect::{
+    Ask, CallerDialect, EndpointDialect, EndpointList, Fetch, Listed, Malformed, Said,
+    Tell,
+};
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+#[derive(Debug)]
+pub(crate) struct Plain;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_string())
+}
+
+impl CallerDialect for Plain {
+    fn read(&self, headers: &HeaderMap) -> Result<Ask, Malformed> {
+        let name = "x-request-id".to_string();
+        let patience = text(headers, "x-patience-ms").and_then(|t| t.parse().ok());
+        Ok(Ask {
+            id: text(headers, "x-request-id").ok_or(Malformed { name })?,
+            patience: patience.map(Duration::from_millis),
+            key: text(headers, "x-key"),
+            resume: text(headers, "x-resume").and_then(|t| t.parse().ok()),
+            ..Ask::default()
+        })
+    }
+}
+
+impl EndpointDialect for Plain {
+    fn write(&self, headers: &mut HeaderMap, tell: &Tell<'_>) {
+        headers.remove("x-key");
+        headers.remove("x-resume");
+        let mut put = |name: &'static str, value: String| {
+            headers.insert(name, HeaderValue::from_str(&value).expect("plain text"));
+        };
+        put("x-left-ms", tell.left.as_millis().to_string());
+        put("x-endpoint", tell.endpoint.to_string());
+        put("x-workspace", tell.workspace.unwrap_or("-").to_string());
+        if let Some(last) = tell.resume {
+            put("x-resume", last.to_string());
+        }
+    }
+
+    fn read(&self, _status: StatusCode, headers: &HeaderMap) -> Said {
+        Said {
+            request: text(headers, "x-request-id"),
+            proof: headers.contains_key("x-proof"),
+            refused: headers.contains_key("x-not-run"),
+            load: None,
+            keeps: text(headers, "connection").as_deref() != Some("close"),
+            idle: None,
+        }
+    }
+}
+
+/// A list that never changes.
+#[derive(Debug)]
+pub(crate) struct Fixed(pub(crate) Vec<Listed>);
+
+impl EndpointList for Fixed {
+    fn fetch(&self) -> Fetch<'_> {
+        let listed = self.0.clone();
+        Box::pin(async move { Ok(listed) })
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/all/entry.rs
@@ -0,0 +1,188 @@
+//! An entry under test and its callers.
+
+use crate::dialect::{Fixed, Plain};
+use crate::endpoint::StandIn;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_direct::dialect::Listed;
+use dogwoodhill_direct::direct::Dialects;
+use dogwoodhill_direct::request::Shared;
+use dogwoodhill_direct::{Direct, Settings};
+use dogwoodhill_route::prelude::*;
+use dogwoodhill_route::set::JsonFormat;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+pub(crate) const LONG: Duration = Duration::from_secs(30);
+
+/// An entry that serves; it stops with the test's runtime.
+pub(crate) struct Entry {
+    pub(crate) callers: SocketAddr,
+    pub(crate) status: SocketAddr,
+    pub(crate) drain: Drain,
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// Routes for tests: one of each kind.
+pub(crate) fn set() -> RouteSet {
+    let route = |name: &str, repeat, events| Route {
+        name: name.to_string(),
+        host: "test".to_string(),
+        prefix: format!("/{name}/"),
+        targets: vec![Target {
+            service: "service".to_string(),
+            weight: 1,
+        }],
+        repeat,
+        events,
+        timeout: LONG,
+        objective: Duration::from_secs(1),
+        tier: 1,
+        tries: 2,
+        public: false,
+    };
+    let events = |resumable| {
+        Some(Events {
+            resumable,
+            pause: Duration::from_millis(500),
+        })
+    };
+    RouteSet {
+        version: 1,
+        routes: vec![
+            route("safe", Repeat::Allowed, None),
+            route("once", Repeat::Never, None),
+            route("stream", Repeat::Never, events(false)),
+            route("resumable", Repeat::Allowed, events(true)),
+        ],
+        services: vec!["service".to_string()],
+        ..RouteSet::default()
+    }
+}
+
+impl Entry {
+    /// An entry before these endpoints, with the routes of [`set`].
+    pub(crate) async fn before(endpoints: &[&StandIn]) -> Self {
+        Self::with(endpoints, set()).await
+    }
+
+    pub(crate) async fn with(endpoints: &[&StandIn], set: RouteSet) -> Self {
+        let entry = Self::empty(endpoints).await;
+        entry
+            .shared
+            .routes
+            .store(Some(Arc::new(RouteTable::new(set))));
+        entry
+    }
+
+    /// An entry without routes.
+    pub(crate) async fn empty(endpoints: &[&StandIn]) -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Settings {
+            name: "entry".to_string(),
+            domain: "here".to_string(),
+            listen: free,
+            status: free,
+            control: vec![SocketAddr::from(([127, 0, 0, 1], 9))],
+            secret: "secret".to_string(),
+            list: free,
+            list_every: Duration::from_millis(50),
+            linger: Duration::from_millis(50),
+            grace: LONG,
+        };
+        let listed = endpoints.iter().enumerate().map(|(i, endpoint)| Listed {
+            id: format!("endpoint-{i}"),
+            service: "service".to_string(),
+            address: endpoint.address,
+            domain: "here".to_string(),
+            slots: 8,
+            leaving: false,
+        });
+        let listed: Vec<Listed> = listed.collect();
+        let dialects = Dialects {
+            callers: Box::new(Plain),
+            endpoints: Box::new(Plain),
+            list: Box::new(Fixed(listed.clone())),
+            routes: Box::new(JsonFormat),
+            ready_path: "/ready".to_string(),
+        };
+        let drain = Drain::default();
+        let direct = Direct::bind(settings, dialects, drain.clone()).await;
+        let direct = direct.expect("free ports");
+        let entry = Self {
+            callers: direct.callers(),
+            status: direct.status(),
+            drain,
+            shared: direct.shared(),
+        };
+        entry.shared.directory.update(listed);
+        let (_unchanged, changed) = watch::channel(None);
+        tokio::spawn(direct.run(changed));
+        entry
+    }
+
+    /// Sends `METHOD path` with further header lines, and reads until the
+    /// entry closes.
+    pub(crate) async fn call(&self, line: &str, headers: &str, body: &str) -> Got {
+        let mut stream = TcpStream::connect(self.callers).await.expect("connects");
+        let text = request(line, headers, body);
+        stream.write_all(text.as_bytes()).await.expect("writes");
+        let mut bytes = Vec::new();
+        // A connection that breaks off ends the answer, too.
+        let _ = stream.read_to_end(&mut bytes).await;
+        Got::new(&bytes)
+    }
+}
+
+pub(crate) fn request(line: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{line} HTTP/1.1\r\nhost: test\r\nx-request-id: r-1\r\nconnection: close\r\n\
+         content-length: {length}\r\n{headers}\r\n{body}"
+    )
+}
+
+/// An answer as a caller got it.
+#[derive(Debug)]
+pub(crate) struct Got {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+impl Got {
+    pub(crate) fn new(bytes: &[u8]) -> Self {
+        let text = String::from_utf8_lossy(bytes);
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+        Self {
+            status: status.unwrap_or(0),
+            head: head.to_string(),
+            body: body.to_string(),
+        }
+    }
+
+    /// Whether a chunked answer came to its proper end.
+    pub(crate) fn ended(&self) -> bool {
+        self.body.ends_with("0\r\n\r\n")
+    }
+
+    /// Events, out of their chunks.
+    pub(crate) fn events(&self) -> Vec<String> {
+        let lines = self.body.lines().filter(|line| line.starts_with("data: "));
+        lines
+            .map(|line| line["data: ".len()..].to_string())
+            .collect()
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines();
+        lines.find_map(|line| {
+            let (key, value) = line.split_once(": ")?;
+            key.eq_ignore_ascii_case(name).then_some(value)
+        })
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/all/limits.rs
@@ -0,0 +1,103 @@
+//! Which endpoint is chosen, without sockets.
+
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_direct::dialect::{Listed, Prompt};
+use dogwoodhill_direct::directory::{Directory, Lane, Want};
+use std::collections::BTreeSet;
+
+fn listed(count: usize) -> Vec<Listed> {
+    let one = |i: usize| Listed {
+        id: format!("endpoint-{i}"),
+        service: "voice".to_string(),
+        address: ([127, 0, 0, 1], 1_000 + i as u16).into(),
+        domain: "here".to_string(),
+        slots: 64,
+        leaving: false,
+    };
+    (0..count).map(one).collect()
+}
+
+fn prompt(shared: u64, tokens: u32) -> Prompt {
+    Prompt {
+        shared: Some(shared),
+        shared_tokens: tokens / 2,
+        tokens,
+        output: 50,
+    }
+}
+
+fn want<'a>(prompt: &'a Prompt, lane: Lane, tried: &'a [EndpointId]) -> Want<'a> {
+    Want {
+        service: "voice",
+        prompt,
+        lane,
+        mixed: true,
+        tried,
+    }
+}
+
+fn place(directory: &Directory, want: &Want<'_>) -> Option<String> {
+    directory.place(want).map(|endpoint| endpoint.id.clone())
+}
+
+#[test]
+fn place_shared_prompt_agrees_between_entries() {
+    let entries: Vec<Directory> = (0..3)
+        .map(|_| {
+            let directory = Directory::new("here".to_string());
+            directory.update(listed(12));
+            directory
+        })
+        .collect();
+    for shared in 0..50 {
+        let prompt = prompt(shared, 9_000);
+        let chosen: BTreeSet<_> = entries
+            .iter()
+            .map(|directory| place(directory, &want(&prompt, Lane::Other, &[])))
+            .collect();
+        assert_eq!(chosen.len(), 1, "entries agree without a word");
+    }
+}
+
+#[test]
+fn place_long_prompts_apart_from_short_pauses() {
+    let directory = Directory::new("here".to_string());
+    directory.update(listed(12));
+    let of = |lane| {
+        let chosen = (0..200).map(|shared| {
+            let prompt = prompt(shared, 9_000);
+            place(&directory, &want(&prompt, lane, &[])).expect("some")
+        });
+        chosen.collect::<BTreeSet<String>>()
+    };
+    assert!(of(Lane::Fragile).is_disjoint(&of(Lane::Other)));
+}
+
+#[test]
+fn place_never_leaving_or_tried() {
+    let directory = Directory::new("here".to_string());
+    let mut list = listed(3);
+    list[0].leaving = true;
+    directory.update(list);
+    let prompt = prompt(1, 100);
+    let tried = ["endpoint-1".to_string()];
+    for _ in 0..50 {
+        let chosen = place(&directory, &want(&prompt, Lane::Other, &tried));
+        assert_eq!(chosen.as_deref(), Some("endpoint-2"));
+    }
+    let tried = ["endpoint-1".to_string(), "endpoint-2".to_string()];
+    assert_eq!(place(&directory, &want(&prompt, Lane::Other, &tried)), None);
+}
+
+#[test]
+fn update_removed_endpoint_gone() {
+    let directory = Directory::new("here".to_string());
+    directory.update(listed(2));
+    let kept = directory.all()[0].clone();
+    directory.update(listed(1));
+    assert_eq!(directory.all().len(), 1);
+    assert!(
+        std::sync::Arc::ptr_eq(&kept, &directory.all()[0]),
+        "what stays is kept"
+    );
+}
--- /dev/null
+++ b/crates/direct/tests/all/main.rs
@@ -0,0 +1,12 @@
+//! The direct path over sockets, against endpoints that misbehave on command,
+//! and its parts without sockets.
+
+mod answers;
+mod callers;
+mod dialect;
+mod endpoint;
+mod entry;
+mod events;
+mod limits;
+mod outcomes;
+mod streams;
