Instances that keep the log announce themselves to seeds without a disk

Change: members announce themselves every second to seeds that are no members; those redirect operators and tell entries and new instances.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,6 +1,6 @@
 //! A control instance's life from start to drain.
 
-use crate::forward;
+use crate::forward::{self, ANNOUNCE_PATH, Announced};
 use crate::internal;
 use crate::internal::{CLUSTER_PATH, Inside, JOIN_PATH, MEMBER_PATH};
 use crate::operators::{self, Outside};
@@ -81,7 +81,7 @@
     extra: fn(Service) -> Router,
 ) -> Result<(), String> {
     if settings.data.as_os_str().is_empty() {
-        return forward::run(settings, drain, changed).await;
+        return forward::run(settings, drain).await;
     }
     let known = watch::Sender::new(addresses(&settings));
     let refresh = tokio::spawn(follow_seeds(changed, known.clone()));
@@ -250,9 +250,20 @@
         let linger = self.settings.linger;
         let handle = replica.clone();
         let known = self.settings.known();
+        let announced = Announced {
+            cluster: self.cluster,
+            internal: self.internal(),
+            operators: self.operators(),
+        };
         let mut driver = tokio::spawn(self.driver.run());
         let helpers = [
             tokio::spawn(tell(replica.clone(), presence, self.caller.clone())),
+            tokio::spawn(announce(
+                replica.clone(),
+                announced,
+                known.clone(),
+                self.caller.clone(),
+            )),
             tokio::spawn(stay_member(replica, self.member, known, self.caller)),
         ];
         let stopping = Drain::default();
@@ -467,6 +478,37 @@
     }
 }
 
+/// Announces this instance to seeds that are no members: they have no disk, but
+/// may be all that an entry or a new instance knows.
+async fn announce(
+    replica: Replica,
+    own: Announced,
+    known: watch::Receiver<Vec<SocketAddr>>,
+    caller: Caller,
+) {
+    loop {
+        let standing = replica.standing.borrow().clone();
+        let member = |address: &SocketAddr| {
+            standing
+                .members
+                .iter()
+                .any(|member| member.address == *address)
+        };
+        let known = known.borrow().clone();
+        if standing.contact {
+            for address in known.into_iter().filter(|address| !member(address)) {
+                let caller = caller.clone();
+                tokio::spawn(async move {
+                    let call = caller.call::<_, ()>(address, ANNOUNCE_PATH, &own);
+                    // What is not told now is told a second later.
+                    let _ = timeout(PEER_TIMEOUT, call).await;
+                });
+            }
+        }
+        sleep(INTERVAL).await;
+    }
+}
+
 /// Waits for the drain, then for another instance to lead.
 async fn hand_over(replica: Replica, drain: Drain) {
     drain.wait().await;
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -1,36 +1,114 @@
-//! An instance without a disk: it keeps nothing, and sends operators on.
+//! An instance without a disk: it keeps nothing, and sends others on.
 //!
 //! A deployment may run the control program on more instances than have a
 //! disk. Such an instance must not take part: what it agreed to would be gone
-//! with its process. It answers every call with a redirection to one of the
-//! seeds, a different one each time, so that an operator who met one that is
-//! down meets another at the next try.
+//! with its process. But it may be all that others know, since seeds name any
+//! instance that runs the program. Those that keep the log therefore announce
+//! themselves to every seed that is no member, and this instance passes that
+//! on: operators are redirected, entries are told where to ask, and an
+//! instance that lost its disk finds its cluster again.
 
+use crate::internal::{self, CLUSTER_PATH, JOIN_PATH, MEMBER_PATH};
 use crate::settings::Settings;
 use axum::Router;
 use axum::extract::{Request, State};
 use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use bytes::Bytes;
+use dogwoodhill_consensus::NodeId;
+use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_wire::client::Caller;
+use dogwoodhill_wire::control::{Answered, Unable};
+use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH, RoutesNews};
 use http::{HeaderValue, StatusCode, header};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use tokio::sync::watch;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::{Instant, sleep, timeout};
 
-/// Where calls are sent on to.
+/// Path of [`Announced`].
+pub const ANNOUNCE_PATH: &str = "/internal/announce";
+/// How long an instance is named that does not announce itself any more; a few
+/// of its intervals.
+const KEPT: Duration = Duration::from_secs(4);
+/// Longest wait for an instance that a message is passed on to.
+const PASS_ON: Duration = Duration::from_millis(900);
+/// Shortest time between two answers to one entry.
+const PACE: Duration = Duration::from_millis(250);
+
+/// An instance that keeps the log, as it announces itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    /// Its cluster.
+    pub cluster: u128,
+    /// Its internal address.
+    pub internal: SocketAddr,
+    /// Its address for operators.
+    pub operators: SocketAddr,
+}
+
+/// Instances that announced themselves lately. Clones share them.
 #[derive(Clone, Debug)]
-struct Onward {
-    instances: watch::Receiver<Vec<SocketAddr>>,
+struct Known {
+    seen: Arc<Mutex<Vec<(Announced, Instant)>>>,
     next: Arc<AtomicUsize>,
+    caller: Caller,
+    secret: Arc<String>,
 }
 
-impl Onward {
-    fn pick(&self) -> Option<SocketAddr> {
-        let instances = self.instances.borrow();
+impl Known {
+    fn lock(&self) -> MutexGuard<'_, Vec<(Announced, Instant)>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn hear(&self, announced: Announced) {
+        let mut seen = self.lock();
+        let fresh = !seen
+            .iter()
+            .any(|(known, _)| known.internal == announced.internal);
+        seen.retain(|(known, _)| known.internal != announced.internal);
+        seen.push((announced, Instant::now()));
+        if fresh {
+            Event::new("control-announced")
+                .field("internal", announced.internal)
+                .field("operators", announced.operators)
+                .info();
+        }
+    }
+
+    fn all(&self) -> Vec<Announced> {
+        let mut seen = self.lock();
+        seen.retain(|(_, at)| at.elapsed() < KEPT);
+        seen.iter().map(|(announced, _)| *announced).collect()
+    }
+
+    /// One of them, a different one each time.
+    fn pick(&self) -> Option<Announced> {
+        let all = self.all();
         let at = self.next.fetch_add(1, Ordering::Relaxed);
-        instances.get(at % instances.len().max(1)).copied()
+        all.get(at % all.len().max(1)).copied()
+    }
+
+    /// Passes a message on until an instance answers it.
+    async fn pass_on<M, A>(&self, path: &str, message: &M) -> Answered<A>
+    where
+        M: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        for announced in self.all() {
+            let call =
+                self.caller
+                    .call::<M, Answered<A>>(announced.internal, path, message);
+            if let Ok(Ok(Ok(answer))) = timeout(PASS_ON, call).await {
+                return Ok(answer);
+            }
+        }
+        Err(Unable::NoMajority)
     }
 }
 
@@ -39,50 +117,110 @@
 /// # Errors
 ///
 /// Text that says why the instance can't run.
-pub async fn run(
-    settings: Settings,
-    drain: Drain,
-    mut changed: Changed<Settings>,
-) -> Result<(), String> {
-    let listener = Listener::bind(settings.listen).await;
-    let listener = listener.map_err(|error| format!("{error:#}"))?;
+pub async fn run(settings: Settings, drain: Drain) -> Result<(), String> {
+    let bind = |address| async move {
+        let bound = Listener::bind(address).await;
+        bound.map_err(|error| format!("{error:#}"))
+    };
+    let outside = bind(settings.listen).await?;
+    let inside = bind(settings.internal).await?;
     Event::new("control-forwards")
         .field("name", &settings.name)
-        .field("operators", listener.address())
+        .field("operators", outside.address())
+        .field("internal", inside.address())
         .field("reason", "no-disk")
         .info();
-    let (sender, instances) = watch::channel(settings.seeds.operators);
-    let refresh = tokio::spawn(async move {
-        while changed.changed().await.is_ok() {
-            let settings = changed.borrow_and_update().clone();
-            if let Some(settings) = settings {
-                sender.send_replace(settings.seeds.operators);
-            }
-        }
-    });
-    let onward = Onward {
-        instances,
+    let known = Known {
+        seen: Arc::default(),
         next: Arc::new(AtomicUsize::new(usize::from(settings.listen.port()))),
+        caller: Caller::new(settings.secret.clone()),
+        secret: Arc::new(settings.secret),
     };
     let metrics = Metrics::default();
     let health = health::routes(&drain, &metrics, Arc::new(|| true));
-    let routes = Router::new().fallback(redirect).with_state(onward);
-    listener
-        .serve(routes.merge(health), drain, settings.linger)
-        .await;
-    refresh.abort();
+    let public = Router::new().fallback(redirect).with_state(known.clone());
+    let private = private(known).merge(health.clone());
+    tokio::join!(
+        outside.serve(public.merge(health), drain.clone(), settings.linger),
+        inside.serve(private, drain, settings.linger),
+    );
     Event::new("control-stopped").info();
     Ok(())
 }
 
-async fn redirect(State(onward): State<Onward>, request: Request) -> Response {
+/// Routes for the router's own processes. Every one needs the cluster key.
+fn private(known: Known) -> Router {
+    let secret = Arc::clone(&known.secret);
+    let routes = Router::new()
+        .route(ANNOUNCE_PATH, post(announce))
+        .route(CLUSTER_PATH, post(cluster))
+        .route(ROUTES_PATH, post(routes))
+        .route(JOIN_PATH, post(join))
+        .route(MEMBER_PATH, post(member))
+        .with_state(known);
+    internal::guarded(routes, secret)
+}
+
+async fn announce(State(known): State<Known>, bytes: Bytes) -> Response {
+    internal::serve(bytes, |announced: Announced| async move {
+        known.hear(announced);
+    })
+    .await
+}
+
+async fn cluster(State(known): State<Known>) -> Response {
+    match known.pick() {
+        Some(announced) => internal::write(&announced.cluster),
+        None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+/// Tells an entry where to ask.
+async fn routes(State(known): State<Known>, bytes: Bytes) -> Response {
+    internal::serve(bytes, |follow: FollowRoutes| async move {
+        let wait = if follow.held.is_some() {
+            follow.wait
+        } else {
+            PACE
+        };
+        sleep(wait).await;
+        let control: Vec<SocketAddr> = known.all().iter().map(|a| a.internal).collect();
+        if control.is_empty() {
+            return Err(Unable::NoMajority);
+        }
+        Ok(RoutesNews {
+            newer: None,
+            control,
+            entries: 0,
+        })
+    })
+    .await
+}
+
+async fn join(State(known): State<Known>, bytes: Bytes) -> Response {
+    internal::serve(bytes, |member: Member| async move {
+        let answer: Answered<()> = known.pass_on(JOIN_PATH, &member).await;
+        answer
+    })
+    .await
+}
+
+async fn member(State(known): State<Known>, bytes: Bytes) -> Response {
+    internal::serve(bytes, |id: NodeId| async move {
+        let answer: Answered<bool> = known.pass_on(MEMBER_PATH, &id).await;
+        answer
+    })
+    .await
+}
+
+async fn redirect(State(known): State<Known>, request: Request) -> Response {
     let path = request
         .uri()
         .path_and_query()
         .map_or("/", |path| path.as_str());
-    let location = onward
+    let location = known
         .pick()
-        .map(|address| format!("http://{address}{path}"));
+        .map(|announced| format!("http://{}{path}", announced.operators));
     let value = location.and_then(|text| HeaderValue::from_str(&text).ok());
     match value {
         Some(value) => {
@@ -90,7 +228,8 @@
             (StatusCode::TEMPORARY_REDIRECT, headers).into_response()
         }
         None => {
-            let text = "no seeds are known; list them in the settings\n";
+            let text =
+                "no instance that keeps the log announced itself; ask another one\n";
             (StatusCode::SERVICE_UNAVAILABLE, text).into_response()
         }
     }
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -53,7 +53,8 @@
 
 /// Routes for the router's own processes. Every one needs the cluster key.
 pub fn routes(inside: Inside) -> Router {
-    Router::new()
+    let secret = Arc::clone(&inside.secret);
+    let routes = Router::new()
         .route(LOG_PATH, post(log))
         .route(SUBMIT_PATH, post(submit))
         .route(CONFIRM_PATH, post(confirm))
@@ -68,14 +69,23 @@
         .route(MEMBER_PATH, post(member))
         .route(ROUTES_PATH, post(follow_routes))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE))
-        .layer(from_fn_with_state(inside.clone(), guard))
-        .with_state(inside)
+        .with_state(inside);
+    guarded(routes, secret)
 }
 
-async fn guard(State(inside): State<Inside>, request: Request, next: Next) -> Response {
+/// Refuses calls that don't bear the cluster key.
+pub(crate) fn guarded(routes: Router, secret: Arc<String>) -> Router {
+    routes.layer(from_fn_with_state(secret, guard))
+}
+
+async fn guard(
+    State(secret): State<Arc<String>>,
+    request: Request,
+    next: Next,
+) -> Response {
     let given = request.headers().get(http::header::AUTHORIZATION);
     let given = given.and_then(|given| given.as_bytes().strip_prefix(b"Bearer "));
-    let right = given.is_some_and(|given| given.ct_eq(inside.secret.as_bytes()).into());
+    let right = given.is_some_and(|given| given.ct_eq(secret.as_bytes()).into());
     if right {
         return next.run(request).await;
     }
@@ -84,7 +94,7 @@
 }
 
 /// Reads a message, answers it, and writes the answer.
-async fn serve<M, A, F>(bytes: Bytes, answer: impl FnOnce(M) -> F) -> Response
+pub(crate) async fn serve<M, A, F>(bytes: Bytes, answer: impl FnOnce(M) -> F) -> Response
 where
     M: DeserializeOwned,
     A: Serialize,
@@ -99,7 +109,8 @@
     }
 }
 
-fn write<A: Serialize>(answer: &A) -> Response {
+/// Writes an answer.
+pub(crate) fn write<A: Serialize>(answer: &A) -> Response {
     match rmp_serde::to_vec(answer) {
         Ok(bytes) => bytes.into_response(),
         Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -48,8 +48,6 @@
 pub struct Seeds {
     /// Internal addresses of some instances; may name this one.
     pub addresses: Vec<SocketAddr>,
-    /// Their addresses for operators.
-    pub operators: Vec<SocketAddr>,
     /// Whether the whole deployment starts for the first time.
     pub founding: bool,
 }
@@ -72,7 +70,7 @@
     /// Default 0.
     pub losses: usize,
     /// Data folder; empty on an instance without a disk, which only sends
-    /// operators on to the seeds.
+    /// others on.
     pub data: PathBuf,
     /// Key shared by the router's processes.
     pub secret: String,
@@ -157,7 +155,6 @@
 
 fn seeds(s: &mut Section<'_, '_>) -> Seeds {
     let mut addresses = s.addresses("seeds");
-    let operators = addresses.clone();
     // 0: the seeds' own ports.
     let port = s.count("seed_port", 0..=65_535, Some(0)) as u16;
     for address in addresses.iter_mut().filter(|_| port > 0) {
@@ -165,7 +162,6 @@
     }
     Seeds {
         addresses,
-        operators,
         founding: s.flag("founding", false),
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -259,7 +259,8 @@
     // These say that a request has not run, and the endpoint did not say so.
     let unfounded = matches!(parts.status.as_u16(), 408 | 429 | 503);
     let foreign = unfounded
-        || said.request.is_none() || parts.headers.contains_key(header::CONTENT_ENCODING);
+        || said.request.is_none()
+        || parts.headers.contains_key(header::CONTENT_ENCODING);
     if foreign || (parts.status.is_success() && !said.proof) {
         endpoint.judged(true);
         return Ended::Lost(Loss::Spoiled);
