Tests of a cluster formed from seeds, and of placement, lanes, packing, trust

The control tests lose each disk in turn, kill all instances, and exchange the seeds for one without a disk. An instance's tasks now end with it, however it ends: one whose run was dropped kept its folder locked.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -25,6 +25,7 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 /// Longest time a joining instance looks for its cluster.
 const JOIN_PATIENCE: Duration = Duration::from_secs(60);
@@ -84,7 +85,7 @@
         return forward::run(settings, drain).await;
     }
     let known = watch::Sender::new(addresses(&settings));
-    let refresh = tokio::spawn(follow_seeds(changed, known.clone()));
+    let _refresh = helper(follow_seeds(changed, known.clone()));
     loop {
         settings.known = Some(known.subscribe());
         let started = tokio::select! {
@@ -109,7 +110,6 @@
             }
         }
     }
-    refresh.abort();
     Ok(())
 }
 
@@ -255,16 +255,17 @@
             internal: self.internal(),
             operators: self.operators(),
         };
-        let mut driver = tokio::spawn(self.driver.run());
-        let helpers = [
-            tokio::spawn(tell(replica.clone(), presence, self.caller.clone())),
-            tokio::spawn(announce(
+        // Tasks end with this one, however it ends.
+        let mut driver = AbortOnDropHandle::new(tokio::spawn(self.driver.run()));
+        let _helpers = [
+            helper(tell(replica.clone(), presence, self.caller.clone())),
+            helper(announce(
                 replica.clone(),
                 announced,
                 known.clone(),
                 self.caller.clone(),
             )),
-            tokio::spawn(stay_member(replica, self.member, known, self.caller)),
+            helper(stay_member(replica, self.member, known, self.caller)),
         ];
         let stopping = Drain::default();
         let serve = async {
@@ -284,7 +285,6 @@
             }
             ended = &mut driver => ended,
         };
-        helpers.iter().for_each(tokio::task::JoinHandle::abort);
         Event::new("control-stopped").info();
         match ended {
             Ok(Ok(())) => Ok(()),
@@ -509,6 +509,10 @@
     }
 }
 
+fn helper(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
+
 /// Waits for the drain, then for another instance to lead.
 async fn hand_over(replica: Replica, drain: Drain) {
     drain.wait().await;
--- /dev/null
+++ b/crates/control/tests/cluster.rs
@@ -0,0 +1,252 @@
+//! A cluster that forms itself from seeds, over loopback and real folders.
+
+use dogwoodhill_control::settings::{Seeds, Start};
+use dogwoodhill_control::{Settings, run_until_drained};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_wire::client::Caller;
+use dogwoodhill_wire::control::Answered;
+use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH, RoutesNews};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+const SECRET: &str = "secret";
+/// Far longer than anything takes; only a test that fails waits so long.
+const LONG: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(50);
+
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// Addresses of this test alone: each process and test has loopback numbers of
+/// its own, so a port that was free stays free.
+fn address() -> SocketAddr {
+    let pid = std::process::id();
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    let ip = Ipv4Addr::new(127, 100 + (pid >> 8 & 0x1f) as u8, pid as u8, host);
+    let socket = TcpListener::bind((ip, 0)).expect("a free port");
+    socket.local_addr().expect("is bound")
+}
+
+struct Place {
+    settings: Settings,
+    running: Option<(Drain, JoinHandle<Result<(), String>>)>,
+}
+
+impl Place {
+    fn new(name: &str) -> Self {
+        let folder = format!("dogwoodhill-{}-{name}", std::process::id());
+        let data = std::env::temp_dir().join(folder);
+        let _ = std::fs::remove_dir_all(&data);
+        let mut settings = Settings::new(name.to_string(), data);
+        settings.listen = address();
+        settings.internal = address();
+        settings.secret = SECRET.to_string();
+        settings.start = Start::Seeded;
+        settings.losses = 1;
+        settings.linger = Duration::ZERO;
+        Self {
+            settings,
+            running: None,
+        }
+    }
+
+    fn start(&mut self, seeds: &[SocketAddr], founding: bool) {
+        self.settings.seeds = Seeds {
+            addresses: seeds.to_vec(),
+            founding,
+        };
+        let drain = Drain::default();
+        let (_unchanged, changed) = watch::channel(None);
+        let settings = self.settings.clone();
+        let run =
+            run_until_drained(settings, drain.clone(), changed, |_| axum::Router::new());
+        self.running = Some((drain, tokio::spawn(run)));
+    }
+
+    /// Kills it: its folder stays as it is.
+    async fn kill(&mut self) {
+        if let Some((_, task)) = self.running.take() {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+
+    fn wipe(&self) {
+        std::fs::remove_dir_all(&self.settings.data).expect("the folder was there");
+    }
+
+    /// Asks for the route set as an entry does that has none.
+    async fn routes(&self) -> Option<RoutesNews> {
+        let caller = Caller::new(SECRET.to_string());
+        let follow = FollowRoutes {
+            entry: "entry".to_string(),
+            held: None,
+            lag: Duration::ZERO,
+            wait: Duration::from_millis(200),
+        };
+        let call = caller.call(self.settings.internal, ROUTES_PATH, &follow);
+        let answer: Answered<RoutesNews> =
+            timeout(Duration::from_secs(4), call).await.ok()?.ok()?;
+        answer.ok()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        // A folder that was never made needs no removal.
+        let _ = std::fs::remove_dir_all(&self.settings.data);
+    }
+}
+
+/// Sends a change as any control instance would on behalf of an operator.
+async fn put(place: &Place, version: Version) -> bool {
+    use dogwoodhill_control::command::{Action, Reply};
+    use dogwoodhill_wire::routes::HeldRoutes;
+    let caller = Caller::new(SECRET.to_string());
+    let source = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
+    let action = Action::Routes(HeldRoutes {
+        version,
+        source: source.into_bytes(),
+    });
+    let call = caller.call(place.settings.internal, "/internal/submit", &action);
+    let answer: Option<Answered<Reply>> = timeout(Duration::from_secs(2), call)
+        .await
+        .ok()
+        .and_then(Result::ok);
+    matches!(answer, Some(Ok(Reply::Routes(held))) if held >= version)
+}
+
+/// Tries at every place until one, the leader, accepts.
+async fn accept(places: &[Place], version: Version) {
+    let end = Instant::now() + LONG;
+    while Instant::now() < end {
+        for place in places {
+            if place.running.is_some() && put(place, version).await {
+                return;
+            }
+        }
+        sleep(PAUSE).await;
+    }
+    panic!("version {version} was never accepted");
+}
+
+async fn told(place: &Place, version: Version) {
+    let end = Instant::now() + LONG;
+    while Instant::now() < end {
+        let news = place.routes().await.and_then(|news| news.newer);
+        if news.is_some_and(|held| held.version == version) {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+    panic!("version {version} was never told");
+}
+
+fn internals(places: &[Place]) -> Vec<SocketAddr> {
+    places.iter().map(|place| place.settings.internal).collect()
+}
+
+async fn found(names: [&str; 4]) -> (Vec<Place>, Vec<SocketAddr>) {
+    let mut places: Vec<Place> = names.iter().map(|name| Place::new(name)).collect();
+    // The fourth is no seed.
+    let seeds = internals(&places)[..3].to_vec();
+    for place in places.iter_mut().rev() {
+        place.start(&seeds, true);
+    }
+    (places, seeds)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeds_form_one_cluster() {
+    let (places, _) = found(["form-1", "form-2", "form-3", "form-4"]).await;
+    accept(&places, 5).await;
+    for place in &places {
+        told(place, 5).await;
+    }
+    let news = places[3].routes().await.expect("it is told");
+    let mut members = news.control;
+    members.sort();
+    let mut all = internals(&places);
+    all.sort();
+    assert_eq!(members, all, "one cluster with everyone in it");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn disk_lost_then_another_kept() {
+    let (mut places, seeds) = found(["wipe-1", "wipe-2", "wipe-3", "wipe-4"]).await;
+    accept(&places, 5).await;
+    for place in &places {
+        told(place, 5).await;
+    }
+    // One after the other loses its disk, each right after the last repair.
+    for i in 0..4 {
+        places[i].kill().await;
+        places[i].wipe();
+        places[i].start(&seeds, false);
+        told(&places[i], 5 + i as u64).await;
+        accept(&places, 6 + i as u64).await;
+        for place in &places {
+            told(place, 6 + i as u64).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_killed_come_back() {
+    let (mut places, _) = found(["kill-1", "kill-2", "kill-3", "kill-4"]).await;
+    accept(&places, 9).await;
+    for place in &mut places {
+        place.kill().await;
+    }
+    // The settings still say that this is the first start: a folder with
+    // state goes before that.
+    let seeds = internals(&places)[..3].to_vec();
+    for place in &mut places {
+        place.start(&seeds, true);
+    }
+    for place in &places {
+        told(place, 9).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_without_disk_names_the_others() {
+    let mut forward = Place::new("forward");
+    forward.settings.data = PathBuf::new();
+    let mut places: Vec<Place> = ["keep-1", "keep-2", "keep-3"]
+        .iter()
+        .map(|name| Place::new(name))
+        .collect();
+    let seeds = internals(&places);
+    for place in &mut places {
+        place.start(&seeds, true);
+    }
+    forward.start(&seeds, true);
+    accept(&places, 3).await;
+    // The seeds are exchanged: the only one left has no disk. An instance that
+    // lost its disk finds its cluster through it, an entry its instances.
+    let only = [forward.settings.internal];
+    for place in &mut places {
+        place.kill().await;
+        if place.settings.name == "keep-2" {
+            place.wipe();
+        }
+        place.start(&only, false);
+    }
+    for place in &places {
+        told(place, 3).await;
+    }
+    let end = Instant::now() + LONG;
+    loop {
+        let named = forward.routes().await.map(|news| news.control);
+        if named.is_some_and(|named| named.len() == 3) {
+            break;
+        }
+        assert!(Instant::now() < end, "all three announce themselves");
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/direct.rs
@@ -0,0 +1,219 @@
+//! Decisions of an entry that talks to endpoints without agents. Each test
+//! names the load it answers.
+
+use dogwoodhill_policy::affinity::{Candidate, choose, hash};
+use dogwoodhill_policy::budget::Budget;
+use dogwoodhill_policy::lanes::Lanes;
+use dogwoodhill_policy::packing::{Packing, needed};
+use dogwoodhill_policy::trust::{Record, Trust};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn candidate(at: usize) -> Candidate {
+    Candidate {
+        hash: hash(format!("endpoint-{at}").as_bytes()),
+        wait: Duration::ZERO,
+        // 3,780 shared tokens at 30 a millisecond.
+        reading: ms(126),
+        distance: Duration::ZERO,
+        seen: None,
+    }
+}
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    (0..count).map(candidate).collect()
+}
+
+/// Chapters of some hundred books, each with its own beginning: the beginnings
+/// spread over all endpoints, and each stays where it is.
+#[test]
+fn choose_spreads_beginnings_evenly() {
+    let mut counts = [0; 9];
+    for key in 0..900u64 {
+        let key = hash(&key.to_le_bytes());
+        counts[choose(key, &candidates(9)).expect("some")] += 1;
+    }
+    let (least, most) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+    assert!(*least > 50 && *most < 170, "{counts:?}");
+}
+
+/// An endpoint is replaced: only its own beginnings move.
+#[test]
+fn choose_moves_only_what_must() {
+    let all = candidates(9);
+    let fewer: Vec<Candidate> = all[..8].to_vec();
+    for key in 0..300u64 {
+        let key = hash(&key.to_le_bytes());
+        let before = choose(key, &all).expect("some");
+        let after = choose(key, &fewer).expect("some");
+        assert!(before == 8 || before == after);
+    }
+}
+
+/// A burst: one more request of the entry's own waits at the endpoint that has
+/// the beginning. Reading it anew elsewhere would delay all that wait there.
+#[test]
+fn choose_stays_under_load_and_leaves_a_hot_spot() {
+    let key = hash(b"chapter");
+    let mut all = candidates(9);
+    let home = choose(key, &all).expect("some");
+    all[home].wait = ms(200);
+    assert_eq!(choose(key, &all), Some(home), "one request more");
+    all[home].wait = ms(2_000);
+    assert_ne!(
+        choose(key, &all),
+        Some(home),
+        "one beginning gets all the traffic"
+    );
+}
+
+/// The entry that moved a beginning knows that it is kept there as well.
+#[test]
+fn choose_prefers_where_it_was_sent() {
+    let key = hash(b"chapter");
+    let mut all = candidates(9);
+    let home = choose(key, &all).expect("some");
+    let other = (home + 1) % 9;
+    all[other].seen = Some(ms(1_000));
+    all[home].wait = ms(50);
+    assert_eq!(choose(key, &all), Some(other));
+}
+
+/// The calm day of twelve endpoints: 18 cue streams a second with 70 events
+/// each (about 70 ms of an endpoint's time) beside 24 chapters of 9,190 tokens
+/// (300 ms) and 28 notes of 2,400 (80 ms), as one of eight entries sees them.
+#[test]
+fn lanes_calm_day_keeps_a_few_endpoints() {
+    let mut lanes = Lanes::default();
+    for i in 0..400u64 {
+        let now = ms(i * 114);
+        let (fragile, work) = match i % 70 {
+            0..18 => (true, ms(70)),
+            18..42 => (false, ms(300)),
+            _ => (false, ms(80)),
+        };
+        lanes.note(now, fragile, work);
+    }
+    let reserved = lanes.reserved(12);
+    assert!((2..=3).contains(&reserved), "{reserved}");
+}
+
+#[test]
+fn lanes_never_all_nor_none() {
+    let mut lanes = Lanes::default();
+    assert_eq!(lanes.reserved(1), 0, "one endpoint serves both");
+    for i in 0..1_000 {
+        lanes.note(ms(i), true, ms(500));
+    }
+    assert_eq!(lanes.reserved(4), 3);
+    for i in 1_000..60_000 {
+        lanes.note(ms(i), false, ms(500));
+    }
+    assert_eq!(lanes.reserved(4), 1);
+}
+
+/// An entry that starts in the middle of a day, with nothing measured, keeps
+/// about as many endpoints as the others.
+#[test]
+fn lanes_at_the_start() {
+    assert_eq!(Lanes::default().reserved(12), 4);
+    assert_eq!(Lanes::default().reserved(9), 3);
+}
+
+/// Some hundred streams over forty endpoints, of which an entry hears little:
+/// one endpoint is filled to a quarter before the next is used.
+#[test]
+fn packing_follows_the_number_of_streams() {
+    let with = |busy: &[f64]| {
+        let one = |busy: &f64| Packing {
+            busy: *busy,
+            slots: 64.0,
+        };
+        needed(&busy.iter().map(one).collect::<Vec<Packing>>())
+    };
+    assert_eq!(with(&[0.0; 7]), 1);
+    assert_eq!(with(&[17.0, 0.0, 0.0]), 2);
+    assert_eq!(with(&[40.0, 10.0, 0.0, 0.0]), 4, "what is over counts");
+    assert_eq!(with(&[64.0, 64.0]), 2, "all of them where none has room");
+    assert_eq!(with(&[]), 0);
+}
+
+#[test]
+fn trust_silent_endpoint_left_and_tried_again() {
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    record.begun();
+    record.heard(ms(1_100));
+    assert_eq!(
+        record.trust(ms(1_900)),
+        Trust::Sound,
+        "a pause is no silence"
+    );
+    assert_eq!(record.trust(ms(2_100)), Trust::Silent);
+    record.unreached(ms(2_100));
+    record.ended(true);
+    assert_eq!(record.trust(ms(2_200)), Trust::Silent, "it is left alone");
+    assert_eq!(record.trust(ms(2_500)), Trust::Sound, "and tried again");
+}
+
+/// Under load an endpoint lets requests wait for a second or two.
+#[test]
+fn trust_queueing_endpoint_is_no_silent_one() {
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    assert_eq!(record.trust(ms(3_000)), Trust::Sound);
+    assert_eq!(record.trust(ms(3_600)), Trust::Silent);
+}
+
+/// One endpoint fails half of its requests while it calls itself healthy.
+#[test]
+fn trust_failing_endpoint_found_and_forgiven() {
+    let mut record = Record::default();
+    for i in 0..20 {
+        record.judged(ms(i * 10), i % 2 == 0);
+    }
+    assert_eq!(record.trust(ms(200)), Trust::Failing);
+    assert_eq!(
+        record.trust(ms(10_000)),
+        Trust::Sound,
+        "without news it is tried"
+    );
+    let mut usual = Record::default();
+    for i in 0..100 {
+        usual.judged(ms(i * 10), i % 7 == 0);
+    }
+    assert_eq!(usual.trust(ms(1_000)), Trust::Sound, "14% are usual");
+}
+
+proptest! {
+    /// Whatever the order, no more is spent than the cap and the share of the
+    /// requests, over any stretch of time.
+    #[test]
+    fn budget_bounded_over_any_stretch(steps in proptest::collection::vec(any::<bool>(), 1..400)) {
+        let mut budget = Budget::empty(0.15, 3.0);
+        let mut spent = vec![0u32];
+        let mut earned = vec![0u32];
+        for spend in steps {
+            let mut now = (*spent.last().unwrap(), *earned.last().unwrap());
+            if spend {
+                now.0 += u32::from(budget.spend());
+            } else {
+                budget.earn();
+                now.1 += 1;
+            }
+            spent.push(now.0);
+            earned.push(now.1);
+        }
+        for from in (0..spent.len()).step_by(7) {
+            for to in (from..spent.len()).step_by(5) {
+                let used = f64::from(spent[to] - spent[from]);
+                let allowed = 3.0 + 0.15 * f64::from(earned[to] - earned[from]);
+                prop_assert!(used <= allowed + 1e-6);
+            }
+        }
+    }
+}
