--- a/crates/daemon/src/log_queue.rs
+++ b/crates/daemon/src/log_queue.rs
@@ -84,7 +84,7 @@
         // Without the thread the queue fills, and lines are dropped.
         let _ = thread::Builder::new()
             .name("log".to_string())
-            .spawn(move || drain(queue, out));
+            .spawn(move || drain(&queue, out));
         let _ = RUNNING.set(lines.clone());
         let budget = Budget {
             since: Instant::now(),
@@ -140,7 +140,7 @@
 }
 
 /// Writes lines, as many as there are in one go.
-fn drain(queue: Receiver<Item>, mut out: impl Write) {
+fn drain(queue: &Receiver<Item>, mut out: impl Write) {
     while let Ok(first) = queue.recv() {
         let mut text = Vec::new();
         let mut marks = Vec::new();
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -334,6 +334,19 @@
     pub tried: &'a [EndpointId],
 }
 
+/// An endpoint chosen for a request, and what decided.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// How far it is trusted.
+    pub trust: Trust,
+    /// Endpoints of the service that are not leaving.
+    pub known: usize,
+    /// Those of them that are kept free of long prompts.
+    pub reserved: usize,
+}
+
 /// The endpoints a request goes to first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lane {
@@ -392,7 +405,7 @@
     /// Chooses an endpoint. Sound ones go before failing ones, and those before
     /// silent ones; among equally trusted ones those of the request's lane go
     /// before the others.
-    pub fn place(&self, want: &Want<'_>) -> Option<Arc<Endpoint>> {
+    pub fn place(&self, want: &Want<'_>) -> Option<Placed> {
         let endpoints = self.endpoints.load();
         let mut usable: Vec<&Arc<Endpoint>> = endpoints
             .iter()
@@ -420,8 +433,15 @@
             turns.swap(1, 2);
         }
         let mut turns = turns.iter();
-        let best = turns.find_map(|(trust, some)| self.best(want, *trust, some));
-        best.cloned()
+        turns.find_map(|(trust, some)| {
+            let endpoint = self.best(want, *trust, some)?;
+            Some(Placed {
+                endpoint: Arc::clone(endpoint),
+                trust: *trust,
+                known: usable.len(),
+                reserved,
+            })
+        })
     }
 
     fn best<'a>(
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -253,7 +253,7 @@
             StatusCode::TOO_MANY_REQUESTS => Refusal::Full,
             _ => Refusal::Expired,
         };
-        keep(body, line, said, Arc::clone(endpoint));
+        keep(body, line, &said, Arc::clone(endpoint));
         return Ended::Refused(reason);
     }
     // These say that a request has not run, and the endpoint did not say so.
@@ -279,15 +279,16 @@
 }
 
 /// Reads a refusal's body to its end, so that its connection can be kept.
-fn keep(body: Incoming, line: Line, said: Said, endpoint: Arc<Endpoint>) {
+fn keep(body: Incoming, line: Line, said: &Said, endpoint: Arc<Endpoint>) {
     if !said.keeps {
         return;
     }
+    let idle = said.idle;
     tokio::spawn(async move {
         let end = Instant::now() + std::time::Duration::from_secs(1);
         let collected = timeout_at(end, Limited::new(body, MAX_ANSWER).collect()).await;
         if matches!(collected, Ok(Ok(_))) {
-            endpoint.pool.give(line, said.idle);
+            endpoint.pool.give(line, idle);
         }
     });
 }
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -20,6 +20,7 @@
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
 use rand::RngExt;
+use std::fmt::Display;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -162,7 +163,10 @@
                     let endpoint = Arc::clone(answer.sent.endpoint());
                     match answer.whole(self.until).await {
                         Ok(whole) if self.worth_another(whole.status) => {
-                            self.left_behind(&endpoint, Loss::Spoiled);
+                            self.left_behind(
+                                &endpoint,
+                                format!("status-{}", whole.status.as_u16()),
+                            );
                             match self.again().await {
                                 Next::Answer(second)
                                     if !second.status.is_server_error() =>
@@ -203,12 +207,12 @@
     }
 
     /// Notes that an endpoint is not asked again.
-    pub fn left_behind(&mut self, endpoint: &Endpoint, loss: Loss) {
+    pub fn left_behind(&mut self, endpoint: &Endpoint, reason: impl Display) {
         let record = self.record.as_ref();
         Event::new("endpoint-left")
             .field("request", record.map_or("-", Record::id))
             .field("endpoint", &endpoint.id)
-            .field("reason", loss)
+            .field("reason", reason)
             .field("sends", self.sends)
             .field("trust", format!("{:?}", endpoint.trust()).to_lowercase())
             .info();
@@ -225,9 +229,13 @@
                 return Next::Refuse(self.exhausted());
             }
             let placed = self.shared.directory.place(&self.want());
-            let Some(endpoint) = placed else {
+            let Some(placed) = placed else {
                 return Next::Refuse(self.exhausted());
             };
+            let endpoint = Arc::clone(&placed.endpoint);
+            if let Some(record) = self.record.as_mut() {
+                record.placed(&placed);
+            }
             self.tried.push(endpoint.id.clone());
             match self.send(&endpoint).await {
                 Ended::Answered(answer) => {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -206,12 +206,10 @@
         .max_buf_size(head)
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    loop {
-        tokio::select! {
-            // A connection that its caller breaks off is an ordinary event.
-            _ = connection.as_mut() => return,
-            () = expired(&phase, &shared) => break,
-        }
+    tokio::select! {
+        // A connection that its caller breaks off is an ordinary event.
+        _ = connection.as_mut() => return,
+        () = expired(&phase, &shared) => {}
     }
     connection.as_mut().graceful_shutdown();
     loop {
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -3,6 +3,7 @@
 
 use crate::answer::Cause;
 use crate::dialect::EventId;
+use crate::directory::Placed;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use prometheus::{Histogram, IntCounterVec, IntGaugeVec};
@@ -83,6 +84,9 @@
     pub endpoint: EndpointId,
     /// Endpoints it was sent to.
     pub sends: usize,
+    /// Trust in the endpoint chosen last, endpoints known, endpoints kept free
+    /// of long prompts.
+    choice: String,
 }
 
 impl Record {
@@ -100,6 +104,7 @@
             version: 0,
             endpoint: String::from("-"),
             sends: 0,
+            choice: String::from("-"),
         }
     }
 
@@ -108,6 +113,12 @@
         &self.id
     }
 
+    /// Notes what decided where the request goes.
+    pub fn placed(&mut self, placed: &Placed) {
+        let trust = format!("{:?}", placed.trust).to_lowercase();
+        self.choice = format!("{trust}/{}/{}", placed.known, placed.reserved);
+    }
+
     /// Counters.
     pub fn stats(&self) -> &Stats {
         &self.stats
@@ -168,6 +179,7 @@
             .field("tier", self.tier)
             .field("routes_version", self.version)
             .field("endpoint", &self.endpoint)
+            .field("choice", &self.choice)
             .field("sends", self.sends)
             .field("status", status)
             .field("cause", cause)
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -37,7 +37,9 @@
 }
 
 fn place(directory: &Directory, want: &Want<'_>) -> Option<String> {
-    directory.place(want).map(|endpoint| endpoint.id.clone())
+    directory
+        .place(want)
+        .map(|placed| placed.endpoint.id.clone())
 }
 
 #[test]
