--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -495,17 +495,22 @@
                 .any(|member| member.address == *address)
         };
         let known = known.borrow().clone();
-        if standing.contact {
-            for address in known.into_iter().filter(|address| !member(address)) {
-                let caller = caller.clone();
-                tokio::spawn(async move {
-                    let call = caller.call::<_, ()>(address, ANNOUNCE_PATH, &own);
-                    // What is not told now is told a second later.
-                    let _ = timeout(PEER_TIMEOUT, call).await;
-                });
-            }
+        for address in known.into_iter().filter(|address| !member(address)) {
+            let caller = caller.clone();
+            tokio::spawn(async move {
+                let call = caller.call::<_, ()>(address, ANNOUNCE_PATH, &own);
+                // What is not told now is told soon after.
+                let _ = timeout(PEER_TIMEOUT, call).await;
+            });
         }
-        sleep(INTERVAL).await;
+        // While nobody leads, everything may have started at once, and others
+        // wait to hear of this instance.
+        let settled = if standing.contact {
+            INTERVAL
+        } else {
+            JOIN_PAUSE
+        };
+        sleep(settled).await;
     }
 }
 
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -29,6 +29,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Path of [`Announced`].
@@ -38,8 +39,8 @@
 const KEPT: Duration = Duration::from_secs(4);
 /// Longest wait for an instance that a message is passed on to.
 const PASS_ON: Duration = Duration::from_millis(900);
-/// Shortest time between two answers to one entry.
-const PACE: Duration = Duration::from_millis(250);
+/// Shortest time between two answers to one entry that has no routes.
+const PACE: Duration = Duration::from_millis(50);
 
 /// An instance that keeps the log, as it announces itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +58,7 @@
 struct Known {
     seen: Arc<Mutex<Vec<(Announced, Instant)>>>,
     next: Arc<AtomicUsize>,
+    heard: watch::Sender<()>,
     caller: Caller,
     secret: Arc<String>,
 }
@@ -73,7 +75,9 @@
             .any(|(known, _)| known.internal == announced.internal);
         seen.retain(|(known, _)| known.internal != announced.internal);
         seen.push((announced, Instant::now()));
+        drop(seen);
         if fresh {
+            self.heard.send_replace(());
             Event::new("control-announced")
                 .field("internal", announced.internal)
                 .field("operators", announced.operators)
@@ -87,6 +91,15 @@
         seen.iter().map(|(announced, _)| *announced).collect()
     }
 
+    /// Waits until there is one, `most` at the longest.
+    async fn some(&self, most: Duration) {
+        let mut heard = self.heard.subscribe();
+        if self.all().is_empty() {
+            // Whether one came or not, the caller looks again.
+            let _ = timeout(most, heard.changed()).await;
+        }
+    }
+
     /// One of them, a different one each time.
     fn pick(&self) -> Option<Announced> {
         let all = self.all();
@@ -133,6 +146,7 @@
     let known = Known {
         seen: Arc::default(),
         next: Arc::new(AtomicUsize::new(usize::from(settings.listen.port()))),
+        heard: watch::Sender::new(()),
         caller: Caller::new(settings.secret.clone()),
         secret: Arc::new(settings.secret),
     };
@@ -178,12 +192,12 @@
 /// Tells an entry where to ask.
 async fn routes(State(known): State<Known>, bytes: Bytes) -> Response {
     internal::serve(bytes, |follow: FollowRoutes| async move {
-        let wait = if follow.held.is_some() {
-            follow.wait
+        if follow.held.is_some() {
+            sleep(follow.wait).await;
         } else {
-            PACE
-        };
-        sleep(wait).await;
+            sleep(PACE).await;
+            known.some(follow.wait).await;
+        }
         let control: Vec<SocketAddr> = known.all().iter().map(|a| a.internal).collect();
         if control.is_empty() {
             return Err(Unable::NoMajority);
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -233,8 +233,9 @@
                 return Next::Refuse(self.exhausted());
             };
             let endpoint = Arc::clone(&placed.endpoint);
+            let sends = self.sends + 1;
             if let Some(record) = self.record.as_mut() {
-                record.placed(&placed);
+                record.placed(&placed, sends);
             }
             self.tried.push(endpoint.id.clone());
             match self.send(&endpoint).await {
@@ -294,12 +295,6 @@
         if matches!(ended, Ended::Lost(Loss::Timeout)) {
             endpoint.judged(true);
         }
-        let sends = self.sends + 1;
-        let id = endpoint.id.clone();
-        if let Some(record) = self.record.as_mut() {
-            record.endpoint = id;
-            record.sends = sends;
-        }
         ended
     }
 
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -114,7 +114,9 @@
     }
 
     /// Notes what decided where the request goes.
-    pub fn placed(&mut self, placed: &Placed) {
+    pub fn placed(&mut self, placed: &Placed, sends: usize) {
+        self.endpoint.clone_from(&placed.endpoint.id);
+        self.sends = sends;
         let trust = format!("{:?}", placed.trust).to_lowercase();
         self.choice = format!("{trust}/{}/{}", placed.known, placed.reserved);
     }
