Election waits spread wider at the start and after asking in vain

Cause: with 0.2 to 0.4 s at the start, two instances of three (the third had lost its disk) split their votes twice: 235 refusals, a leader after 2.4 s.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -19,7 +19,7 @@
     pub(crate) fn sound(&mut self, now: Moment) {
         self.role = Role::Sounding(vec![self.id]);
         self.leader = None;
-        self.wait(now);
+        self.wait_for_votes(now);
         let term = self.hard.term + 1;
         let ballot = self.ballot(false);
         self.ask(term, &Body::PreVote(ballot));
@@ -93,7 +93,7 @@
         self.ready.hard = Some(self.hard);
         self.role = Role::Candidate(vec![self.id]);
         self.leader = None;
-        self.wait(now);
+        self.wait_for_votes(now);
         let ballot = self.ballot(handed);
         self.ask(self.hard.term, &Body::Vote(ballot));
         self.count(now);
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -8,6 +8,7 @@
 use derive_more::{Display, Error};
 use rand::Rng;
 use rand::RngExt;
+use std::ops::Range;
 
 /// A crash and restart of an instance takes under 2 s, an election about 1 s:
 /// who is silent for longer while a replacement waits does not come back soon,
@@ -17,10 +18,15 @@
 /// whose instances are replaced every day.
 const FORGET: Moment = Moment::from_secs(20);
 
-/// Part of the usual patience after which an instance that starts asks for
-/// votes. Where all start at once nobody leads, and everyone waits for them;
-/// where there is a leader, asking changes nothing.
-const FIRST_PATIENCE: f64 = 0.4;
+/// Patience with a leader that is silent, in election times.
+const WITH_LEADER: Range<f64> = 1.0..2.0;
+/// Patience of an instance that starts. Where all start at once nobody leads,
+/// and everyone waits for them; where there is a leader, asking for votes
+/// changes nothing. The spread is wide, since two that ask within some ten
+/// milliseconds of each other split the votes.
+const AT_START: Range<f64> = 0.3..1.2;
+/// Patience of an instance that asked for votes in vain.
+const AFTER_ASKING: Range<f64> = 0.5..1.7;
 
 /// Fixed times of a node.
 #[derive(Clone, Copy, Debug)]
@@ -167,8 +173,7 @@
             patience: Moment::ZERO,
             ready: Ready::default(),
         };
-        node.wait(now);
-        node.patience = node.patience.mul_f64(FIRST_PATIENCE);
+        node.wait_within(now, AT_START);
         node
     }
 
@@ -397,9 +402,17 @@
 
     /// Starts waiting for a leader anew.
     pub(crate) fn wait(&mut self, now: Moment) {
-        let least = self.timing.election;
-        let spread = self.random.random_range(0.0..1.0);
-        self.patience = least + least.mul_f64(spread);
+        self.wait_within(now, WITH_LEADER);
+    }
+
+    /// Starts waiting for the outcome of asking for votes.
+    pub(crate) fn wait_for_votes(&mut self, now: Moment) {
+        self.wait_within(now, AFTER_ASKING);
+    }
+
+    fn wait_within(&mut self, now: Moment, elections: Range<f64>) {
+        let factor = self.random.random_range(elections);
+        self.patience = self.timing.election.mul_f64(factor);
         self.heard = now;
     }
 
