Shorter waits for connections between processes; a pre-vote yields; shares of second sends

Ruled out: split votes (yielding after a granted pre-vote changed nothing by itself; kept, since it costs nothing). Change: 300 ms for a connection; the constant part of the second sends is divided by the entries that control tells of.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -7,6 +7,11 @@
 use crate::{Moment, NodeId, Term};
 use rand::Rng;
 
+/// How long an instance that granted a pre-vote leaves the field to the other
+/// one: a few round trips and syncs, and a third of the shortest time between
+/// two rounds of one that asks in vain.
+const YIELD: Moment = Moment::from_millis(80);
+
 impl<R: Rng> Node<R> {
     /// Whether a leader was heard from too lately to support another one.
     pub(crate) fn sticky(&self, now: Moment) -> bool {
@@ -34,6 +39,13 @@
         ballot: Ballot,
     ) {
         let granted = term > self.hard.term && self.current(&ballot) && !self.sticky(now);
+        if granted {
+            // The other one is about to ask for votes; asking too would split
+            // them. The pause is too short for one that asks in vain, again
+            // and again, to keep everyone else from it.
+            let least = (now + YIELD).saturating_sub(self.heard);
+            self.patience = self.patience.max(least);
+        }
         // A grant names the term it is for, a refusal the term there is.
         let term = if granted { term } else { self.hard.term };
         let message = self.message(from, term, Body::PreVoteReply { granted });
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -20,6 +20,7 @@
 use error_stack::{Report, ResultExt};
 use http::StatusCode;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, OnceLock};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -94,6 +95,8 @@
             drain,
             stopping: OnceLock::new(),
             grace: settings.grace,
+            allowance: settings.allowance,
+            entries: AtomicU32::new(0),
             budgets: Mutex::default(),
         });
         let control = Control {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -15,6 +15,7 @@
 use dogwoodhill_wire::control::Answered;
 use dogwoodhill_wire::routes::{FollowRoutes, HeldRoutes, ROUTES_PATH, RoutesNews};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -138,6 +139,9 @@
         if !news.control.is_empty() {
             self.control().told = news.control;
         }
+        self.shared
+            .entries
+            .fetch_max(news.entries, Ordering::Relaxed);
         if let Some(newer) = news.newer {
             self.put(&newer);
         }
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -208,9 +208,8 @@
 
     /// Notes that an endpoint is not asked again.
     pub fn left_behind(&mut self, endpoint: &Endpoint, reason: impl Display) {
-        let record = self.record.as_ref();
         Event::new("endpoint-left")
-            .field("request", record.map_or("-", Record::id))
+            .field("request", &self.ask.id)
             .field("endpoint", &endpoint.id)
             .field("reason", reason)
             .field("sends", self.sends)
@@ -351,7 +350,7 @@
 
     fn log_send(&self, endpoint: &Endpoint, result: &str) {
         Event::new("send-failed")
-            .field("request", self.record.as_ref().map_or("-", Record::id))
+            .field("request", &self.ask.id)
             .field("service", &self.service)
             .field("endpoint", &endpoint.id)
             .field("result", result)
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -14,23 +14,17 @@
 use bytes::Bytes;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_policy::budget::Budget;
+use dogwoodhill_policy::budget::{Allowance, Budget};
 use dogwoodhill_route::prelude::*;
 use http::request::Parts;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::{Instant, timeout_at};
 
-/// Part of a second send that one request earns. Operators allow a fifth of
-/// the requests; a quarter of that is left for requests and second sends that
-/// fall into different windows.
-const SECOND_EARN: f64 = 0.15;
-/// Second sends an entry can save up. Operators allow some sixty beside the
-/// share, for all entries together; 16 of them use 48.
-const SECOND_CAP: f64 = 3.0;
 /// Longest wait for a body where the caller names no time.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// When to come back after a refusal that a moment may change: an entry that
@@ -63,6 +57,10 @@
     pub stopping: std::sync::OnceLock<Instant>,
     /// Time from the drain's beginning after which the process is killed.
     pub grace: Duration,
+    /// Second sends that operators allow.
+    pub allowance: Allowance,
+    /// Most entries that control told of; they share the allowance.
+    pub entries: AtomicU32,
     /// Second sends left, by service; sorted.
     pub budgets: Mutex<Vec<(ServiceId, Budget)>>,
 }
@@ -173,12 +171,15 @@
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let found = budgets.binary_search_by(|item| item.0.as_str().cmp(service));
+        let cap = self.allowance.cap(self.entries.load(Ordering::Relaxed));
         let at = found.unwrap_or_else(|at| {
-            let budget = Budget::empty(SECOND_EARN, SECOND_CAP);
+            let budget = Budget::empty(self.allowance.earn(), cap);
             budgets.insert(at, (service.to_string(), budget));
             at
         });
-        act(&mut budgets[at].1)
+        let budget = &mut budgets[at].1;
+        budget.resize(cap);
+        act(budget)
     }
 }
 
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -2,11 +2,16 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
+use dogwoodhill_policy::budget::Allowance;
 use std::net::SocketAddr;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Interval at which the list of endpoints is read.
 const DEFAULT_LIST: Duration = Duration::from_millis(1_000);
+/// Second sends for each request.
+const DEFAULT_SHARE: f64 = 0.2;
+/// Second sends beside these, for all entries together.
+const DEFAULT_SPARE: f64 = 40.0;
 /// How long new connections are accepted after a drain began.
 const DEFAULT_LINGER: Duration = Duration::from_secs(4);
 /// Longest drain.
@@ -32,6 +37,9 @@
     /// Interval at which the list is read. Default 1 s: an endpoint that
     /// leaves must get no new work after a few seconds.
     pub list_every: Duration,
+    /// Second sends that operators allow a service over all entries. Default a
+    /// fifth of the requests and 40.
+    pub allowance: Allowance,
     /// How long new connections are accepted after a drain began. Default 4 s:
     /// a balancer takes two missed checks, one a second, to stop sending them.
     pub linger: Duration,
@@ -65,6 +73,10 @@
             SECOND / 10..=60 * SECOND,
             Some(DEFAULT_LIST),
         ),
+        allowance: Allowance {
+            share: s.number("second_share", 0.0..=1.0, Some(DEFAULT_SHARE)),
+            spare: s.number("second_spare", 0.0..=1_000_000.0, Some(DEFAULT_SPARE)),
+        },
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
         grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
     };
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -108,11 +108,6 @@
         }
     }
 
-    /// Id of the request.
-    pub fn id(&self) -> &str {
-        &self.id
-    }
-
     /// Notes what decided where the request goes.
     pub fn placed(&mut self, placed: &Placed, sends: usize) {
         self.endpoint.clone_from(&placed.endpoint.id);
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -8,6 +8,7 @@
 use dogwoodhill_direct::direct::Dialects;
 use dogwoodhill_direct::request::Shared;
 use dogwoodhill_direct::{Direct, Settings};
+use dogwoodhill_policy::budget::Allowance;
 use dogwoodhill_route::prelude::*;
 use dogwoodhill_route::set::JsonFormat;
 use std::net::SocketAddr;
@@ -90,6 +91,10 @@
             secret: "secret".to_string(),
             list: free,
             list_every: Duration::from_millis(50),
+            allowance: Allowance {
+                share: 0.2,
+                spare: 30.0,
+            },
             linger: Duration::from_millis(50),
             grace: LONG,
         };
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Changes what the bucket holds at most.
+    pub fn resize(&mut self, cap: f64) {
+        self.cap = cap;
+        self.units = self.units.min(cap);
+    }
+
     /// Units left, from 0 to the most the bucket holds.
     pub fn units(&self) -> f64 {
         self.units
@@ -62,3 +68,33 @@
         enough
     }
 }
+
+/// Second sends that operators allow a service, over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// For each request of the service.
+    pub share: f64,
+    /// Beside these, in any window.
+    pub spare: f64,
+}
+
+/// Part of the share that entries use: requests and second sends that fall
+/// into different windows need the rest.
+const USED_SHARE: f64 = 0.75;
+/// Part of the spare ones that entries use.
+const USED_SPARE: f64 = 0.8;
+/// Fewest entries that the spare ones are divided by. An entry that starts may
+/// be told of fewer than there are; its bucket is empty then, and fills slowly.
+const LEAST_ENTRIES: u32 = 8;
+
+impl Allowance {
+    /// Part of a second send that one request earns.
+    pub fn earn(&self) -> f64 {
+        self.share * USED_SHARE
+    }
+
+    /// What one of `entries` entries may save up; 0 entries: unknown.
+    pub fn cap(&self, entries: u32) -> f64 {
+        self.spare * USED_SPARE / f64::from(entries.max(LEAST_ENTRIES))
+    }
+}
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -2,7 +2,7 @@
 //! names the load it answers.
 
 use dogwoodhill_policy::affinity::{Candidate, choose, hash};
-use dogwoodhill_policy::budget::Budget;
+use dogwoodhill_policy::budget::{Allowance, Budget};
 use dogwoodhill_policy::lanes::Lanes;
 use dogwoodhill_policy::packing::{Packing, needed};
 use dogwoodhill_policy::trust::{Record, Trust};
@@ -217,3 +217,17 @@
         }
     }
 }
+
+/// Eight to sixteen entries, or twenty-two, that all save up what they may: the
+/// operators' spare second sends are not used up even then.
+#[test]
+fn allowance_shared_by_entries() {
+    for (spare, counts) in [(58.0, 8..=16), (84.0, 8..=30)] {
+        let allowance = Allowance { share: 0.2, spare };
+        for entries in counts {
+            let all = allowance.cap(entries) * f64::from(entries);
+            assert!(all <= spare, "{entries} entries");
+        }
+        assert!(allowance.earn() < allowance.share);
+    }
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -25,8 +25,10 @@
 /// Flow-control window of a connection, in bytes: room for 1,024 stalled
 /// streams, above any limit an agent learns.
 pub const CONNECTION_WINDOW: u32 = 1024 * STREAM_WINDOW;
-/// Longest wait for a connection between two processes.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a connection between two processes. An instance without
+/// power answers nothing, and whoever starts a moment after it must not be kept
+/// waiting for the system to try again, which takes a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval of HTTP/2 pings on a connection with open streams. A connection
 /// that went silent must be replaced before an operator, who waits a few
 /// seconds for an acknowledgement, gives up.
