--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -4,17 +4,21 @@
 //! outcome durable in one sync and only then answers: while a sync runs, the
 //! next batch gathers, so throughput grows with load (group commit).
 
+mod handle;
+
+pub use handle::{Input, Replica, Standing};
+
 use crate::command::{Action, Command, Reply};
 use crate::peers::Peers;
 use crate::state::{Documents, State};
 use arc_swap::ArcSwap;
 use derive_more::{Display, Error};
 use dogwoodhill_consensus::log::{Entry, Payload};
-use dogwoodhill_consensus::members::{Member, Members};
+use dogwoodhill_consensus::members::Member;
 use dogwoodhill_consensus::message::Message;
 use dogwoodhill_consensus::node::{Node, Refused, Timing};
 use dogwoodhill_consensus::ready::Ready;
-use dogwoodhill_consensus::{Index, Moment, NodeId, ReadId, Term};
+use dogwoodhill_consensus::{Index, Moment, ReadId, Term};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_store::{Batch, Opened, Store, StoreError};
 use dogwoodhill_wire::control::{Answered, Unable};
@@ -36,54 +40,6 @@
 /// Inputs taken into one batch.
 const INPUTS: usize = 4096;
 
-/// What the loop is asked.
-#[derive(Debug)]
-pub enum Input {
-    /// Messages from another instance.
-    Messages(Vec<Message>),
-    /// A command.
-    Propose {
-        /// The command.
-        action: Action,
-        /// Its answer.
-        reply: oneshot::Sender<Answered<Reply>>,
-    },
-    /// A confirmed read: the position up to which state must be applied.
-    Confirm(oneshot::Sender<Answered<Index>>),
-    /// A new instance.
-    Add {
-        /// The instance.
-        member: Member,
-        /// Whether it is a member now.
-        reply: oneshot::Sender<Answered<()>>,
-    },
-    /// This instance will stop.
-    HandOver,
-    /// This instance stops now, with everything taken so far on disk.
-    Stop,
-}
-
-/// What the rest of the process sees of the replica.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Standing {
-    /// This instance.
-    pub node: NodeId,
-    /// Its term.
-    pub term: Term,
-    /// Whether it leads.
-    pub leads: bool,
-    /// Leader's internal address, where known.
-    pub leader: Option<SocketAddr>,
-    /// Whether it is in contact with a leader or, as leader, a majority.
-    pub contact: bool,
-    /// Members.
-    pub members: Members,
-    /// Bytes in the log on disk.
-    pub size: usize,
-    /// Claims kept.
-    pub claims: usize,
-}
-
 /// Why the replica stopped.
 #[derive(Debug, Display, Error)]
 pub enum Stopped {
@@ -98,20 +54,6 @@
     Writer,
 }
 
-/// A handle on the loop. Clones share it.
-#[derive(Clone, Debug)]
-pub struct Replica {
-    inputs: mpsc::Sender<Input>,
-    /// Documents, as far as applied.
-    pub documents: Arc<ArcSwap<Documents>>,
-    /// Route set, as far as applied.
-    pub routes: watch::Receiver<Option<Arc<HeldRoutes>>>,
-    /// Applied position.
-    pub applied: watch::Receiver<Index>,
-    /// Standing.
-    pub standing: watch::Receiver<Standing>,
-}
-
 /// The loop, before it runs.
 #[derive(Debug)]
 pub struct Driver {
@@ -230,46 +172,6 @@
     rmp_serde::from_slice(data).expect("a snapshot with a right checksum decodes")
 }
 
-impl Replica {
-    /// Hands input to the loop; an instance that stops takes none.
-    pub async fn input(&self, input: Input) {
-        let _ = self.inputs.send(input).await;
-    }
-
-    /// Runs a command on this instance.
-    ///
-    /// # Errors
-    ///
-    /// [`Unable`]; with [`Unable::NoMajority`] the command may be in force.
-    pub async fn propose(&self, action: Action) -> Answered<Reply> {
-        let (reply, answer) = oneshot::channel();
-        self.input(Input::Propose { action, reply }).await;
-        answer.await.unwrap_or(Err(Unable::NoMajority))
-    }
-
-    /// Confirms on this instance that it still leads.
-    ///
-    /// # Errors
-    ///
-    /// [`Unable`].
-    pub async fn confirm(&self) -> Answered<Index> {
-        let (reply, answer) = oneshot::channel();
-        self.input(Input::Confirm(reply)).await;
-        answer.await.unwrap_or(Err(Unable::NoMajority))
-    }
-
-    /// Adds an instance.
-    ///
-    /// # Errors
-    ///
-    /// [`Unable`].
-    pub async fn add(&self, member: Member) -> Answered<()> {
-        let (reply, answer) = oneshot::channel();
-        self.input(Input::Add { member, reply }).await;
-        answer.await.unwrap_or(Err(Unable::NoMajority))
-    }
-}
-
 impl Driver {
     /// Makes this instance the first of a new cluster.
     pub fn bootstrap(&mut self, member: Member) {
--- /dev/null
+++ b/crates/control/src/replica/handle.rs
@@ -0,0 +1,115 @@
+//! What the rest of the process holds of a replica.
+
+use crate::command::{Action, Reply};
+use crate::state::Documents;
+use arc_swap::ArcSwap;
+use dogwoodhill_consensus::members::{Member, Members};
+use dogwoodhill_consensus::message::Message;
+use dogwoodhill_consensus::{Index, NodeId, Term};
+use dogwoodhill_wire::control::{Answered, Unable};
+use dogwoodhill_wire::routes::HeldRoutes;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// What the loop is asked.
+#[derive(Debug)]
+pub enum Input {
+    /// Messages from another instance.
+    Messages(Vec<Message>),
+    /// A command.
+    Propose {
+        /// The command.
+        action: Action,
+        /// Its answer.
+        reply: oneshot::Sender<Answered<Reply>>,
+    },
+    /// A confirmed read: the position up to which state must be applied.
+    Confirm(oneshot::Sender<Answered<Index>>),
+    /// A new instance.
+    Add {
+        /// The instance.
+        member: Member,
+        /// Whether it is a member now.
+        reply: oneshot::Sender<Answered<()>>,
+    },
+    /// This instance will stop.
+    HandOver,
+    /// This instance stops now, with everything taken so far on disk.
+    Stop,
+}
+
+/// What the rest of the process sees of the replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// This instance.
+    pub node: NodeId,
+    /// Its term.
+    pub term: Term,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Leader's internal address, where known.
+    pub leader: Option<SocketAddr>,
+    /// Whether it is in contact with a leader or, as leader, a majority.
+    pub contact: bool,
+    /// Members.
+    pub members: Members,
+    /// Bytes in the log on disk.
+    pub size: usize,
+    /// Claims kept.
+    pub claims: usize,
+}
+
+/// A handle on the loop. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub(super) inputs: mpsc::Sender<Input>,
+    /// Documents, as far as applied.
+    pub documents: Arc<ArcSwap<Documents>>,
+    /// Route set, as far as applied.
+    pub routes: watch::Receiver<Option<Arc<HeldRoutes>>>,
+    /// Applied position.
+    pub applied: watch::Receiver<Index>,
+    /// Standing.
+    pub standing: watch::Receiver<Standing>,
+}
+
+impl Replica {
+    /// Hands input to the loop; an instance that stops takes none.
+    pub async fn input(&self, input: Input) {
+        let _ = self.inputs.send(input).await;
+    }
+
+    /// Runs a command on this instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Unable`]; with [`Unable::NoMajority`] the command may be in force.
+    pub async fn propose(&self, action: Action) -> Answered<Reply> {
+        let (reply, answer) = oneshot::channel();
+        self.input(Input::Propose { action, reply }).await;
+        answer.await.unwrap_or(Err(Unable::NoMajority))
+    }
+
+    /// Confirms on this instance that it still leads.
+    ///
+    /// # Errors
+    ///
+    /// [`Unable`].
+    pub async fn confirm(&self) -> Answered<Index> {
+        let (reply, answer) = oneshot::channel();
+        self.input(Input::Confirm(reply)).await;
+        answer.await.unwrap_or(Err(Unable::NoMajority))
+    }
+
+    /// Adds an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Unable`].
+    pub async fn add(&self, member: Member) -> Answered<()> {
+        let (reply, answer) = oneshot::channel();
+        self.input(Input::Add { member, reply }).await;
+        answer.await.unwrap_or(Err(Unable::NoMajority))
+    }
+}
