--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_route::prelude::Rank;
 use http::{HeaderMap, StatusCode};
 use std::fmt::Debug;
 use std::net::SocketAddr;
@@ -69,10 +70,8 @@
     pub endpoint: &'a str,
     /// The caller's workspace.
     pub workspace: Option<&'a str>,
-    /// Place among all urgencies; 0 is the most urgent.
-    pub rank: usize,
-    /// Number of such places.
-    pub ranks: usize,
+    /// Urgency.
+    pub rank: Rank,
     /// Last event that the caller has.
     pub resume: Option<EventId>,
 }
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -286,7 +286,7 @@
         view.unread = (view.unread - self.tokens).max(0.0);
         let slowness = view.slowness * (1.0 + (ratio.min(10.0) - 1.0) * NEWEST);
         view.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
-        view.record.begun();
+        view.record.begun(now.saturating_sub(self.since));
     }
 
     /// Nothing more is waited for.
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -57,7 +57,6 @@
     admitted: Admitted,
     outbound: Outbound,
     service: ServiceId,
-    ranks: usize,
     mixed: bool,
     tried: Vec<EndpointId>,
     sends: usize,
@@ -100,7 +99,6 @@
             shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE
         });
         let job = Self {
-            ranks: table.ranks(),
             mixed,
             until,
             resume: ask.resume,
@@ -273,7 +271,6 @@
             endpoint: &endpoint.id,
             workspace: self.admitted.workspace.as_deref(),
             rank: self.admitted.rank,
-            ranks: self.ranks,
             resume: self.resume,
         };
         let asked = Asked {
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -19,6 +19,14 @@
 /// The same where everything still waits for a first byte: under load an
 /// endpoint lets requests wait for a second or two before it begins them.
 const LONG_SILENCE: Duration = Duration::from_millis(2_500);
+/// Silence where everything still waits, as a multiple of the usual time until
+/// a first byte: a plain service that answers in 30 ms is silent much sooner
+/// than an engine under load.
+const SILENT_USUALS: u32 = 8;
+/// Shortest such silence: above the slowest answers of plain services.
+const SHORT_SILENCE: Duration = Duration::from_millis(250);
+/// Weight of the newest first byte in the usual time.
+const NEWEST_USUAL: f64 = 0.1;
 /// First time for which an endpoint that can't be reached is left alone.
 const FIRST_REST: Duration = Duration::from_millis(300);
 /// Longest such time: what comes back is used again within seconds.
@@ -46,6 +54,7 @@
     heard: Duration,
     waiting: u32,
     begun: u32,
+    usual: Option<Duration>,
     since: Duration,
     unreached: u32,
     rest: Duration,
@@ -60,9 +69,12 @@
         self.waiting += 1;
     }
 
-    /// A request that waits there got its first byte.
-    pub fn begun(&mut self) {
+    /// A request that waits there got its first byte, `took` after it was sent.
+    pub fn begun(&mut self, took: Duration) {
         self.begun += 1;
+        let usual = self.usual.unwrap_or(took);
+        let kept = usual.mul_f64(1.0 - NEWEST_USUAL);
+        self.usual = Some(kept + took.mul_f64(NEWEST_USUAL));
     }
 
     /// A request no longer waits there, however it ended; `begun`: whether it
@@ -109,10 +121,11 @@
 
     /// What the record says now.
     pub fn trust(&self, now: Duration) -> Trust {
-        let patience = match self.begun {
-            0 => LONG_SILENCE,
-            _ => SILENCE,
-        };
+        let usual = self.usual.map(|usual| usual * SILENT_USUALS);
+        let waiting = usual
+            .unwrap_or(LONG_SILENCE)
+            .clamp(SHORT_SILENCE, LONG_SILENCE);
+        let patience = if self.begun == 0 { waiting } else { SILENCE };
         if now < self.rest || self.silence(now) >= patience {
             Trust::Silent
         } else if self.failures(now) >= FAILING {
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -146,7 +146,7 @@
 fn trust_silent_endpoint_left_and_tried_again() {
     let mut record = Record::default();
     record.sent(ms(1_000));
-    record.begun();
+    record.begun(ms(100));
     record.heard(ms(1_100));
     assert_eq!(
         record.trust(ms(1_900)),
@@ -169,6 +169,22 @@
     assert_eq!(record.trust(ms(3_600)), Trust::Silent);
 }
 
+/// A plain service answers in 15 ms; one of its endpoints goes dark with
+/// requests under way, whose callers wait a second. Others are spared soon.
+#[test]
+fn trust_plain_endpoint_dark_found_soon() {
+    let mut record = Record::default();
+    for i in 0..50 {
+        record.sent(ms(i * 20));
+        record.begun(ms(15));
+        record.heard(ms(i * 20 + 15));
+        record.ended(true);
+    }
+    record.sent(ms(2_000));
+    assert_eq!(record.trust(ms(2_200)), Trust::Sound, "a slow answer");
+    assert_eq!(record.trust(ms(2_260)), Trust::Silent);
+}
+
 /// One endpoint fails half of its requests while it calls itself healthy.
 #[test]
 fn trust_failing_endpoint_found_and_forgiven() {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,6 +1,6 @@
 //! A route set in the form in which entries look things up.
 
-use crate::set::{Limits, Route, RouteSet, RouteWorkspace};
+use crate::set::{Limits, Route, RouteSet};
 use dogwoodhill_core::keys::{KeyHash, KeyRing};
 use dogwoodhill_core::prelude::*;
 use std::sync::Arc;
@@ -14,12 +14,38 @@
     keys: Option<KeyRing<Holder>>,
     /// Shortest and longest pause of each service's streams, sorted by service.
     pauses: Vec<(ServiceId, Duration, Duration)>,
-    /// Every pair of urgencies that requests can have, sorted.
-    urgencies: Vec<Urgency>,
+    /// Every tier that requests can have, sorted.
+    tiers: Vec<Tier>,
+    /// Every tier of a route, sorted.
+    orders: Vec<Tier>,
 }
 
-/// Urgency of a workspace, and of a route among its workspace's requests.
-type Urgency = (Tier, Tier);
+/// A request's place among all that a set knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rank {
+    /// Place of its tier; 0 is the most urgent.
+    pub tier: usize,
+    /// Number of tiers.
+    pub tiers: usize,
+    /// Place of its route among requests of one tier.
+    pub order: usize,
+    /// Number of such places.
+    pub orders: usize,
+}
+
+impl Rank {
+    /// The rank as one of `levels`. Tiers are told apart first; what is left
+    /// of the levels orders routes inside a tier.
+    pub fn level(&self, levels: usize) -> usize {
+        let each = (levels / self.tiers.max(1)).max(1);
+        let inside = if self.orders <= each {
+            self.order
+        } else {
+            self.order * each / self.orders
+        };
+        (self.tier * each + inside).min(levels - 1)
+    }
+}
 
 /// Who holds a key.
 #[derive(Clone, Debug)]
@@ -37,10 +63,9 @@
     pub workspace: Option<WorkspaceId>,
     /// Its urgency: the workspace's where it has one, else the route's.
     pub tier: Tier,
-    /// Its place among all urgencies that the set knows; 0 is the most urgent.
-    /// The workspace's urgency goes first, and the route's orders the requests
-    /// of equally urgent workspaces.
-    pub rank: usize,
+    /// Its place among all: the tier goes first, and the route's own tier
+    /// orders the requests of equally urgent workspaces.
+    pub rank: Rank,
 }
 
 /// Why a request is not served.
@@ -58,7 +83,10 @@
         let mut routes: Vec<Arc<Route>> = set.routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|a, b| place(a).cmp(&place(b)));
         let pauses = pauses(&routes);
-        let urgencies = urgencies(&routes, set.workspaces.as_deref().unwrap_or_default());
+        let orders = distinct(routes.iter().map(|route| route.tier));
+        let workspaces = set.workspaces.iter().flatten();
+        let own = workspaces.filter_map(|space| space.tier);
+        let tiers = distinct(own.chain(orders.iter().copied()));
         let keys = set.workspaces.map(|workspaces| {
             let items = workspaces.into_iter().flat_map(|space| {
                 let (name, tier) = (space.name, space.tier);
@@ -76,7 +104,8 @@
             routes,
             limits: set.limits,
             keys,
-            urgencies,
+            tiers,
+            orders,
             pauses,
         }
     }
@@ -91,11 +120,6 @@
         &self.limits
     }
 
-    /// Number of ranks that requests can have; see [`Admitted::rank`].
-    pub fn ranks(&self) -> usize {
-        self.urgencies.len()
-    }
-
     /// Shortest and longest pause that streams of a service allow.
     pub fn pauses(&self, service: &str) -> Option<(Duration, Duration)> {
         let found = self
@@ -144,9 +168,12 @@
         }
         let tier = holder.as_ref().and_then(|holder| holder.tier);
         let tier = tier.unwrap_or(route.tier);
-        let rank = self
-            .urgencies
-            .partition_point(|known| *known < (tier, route.tier));
+        let rank = Rank {
+            tier: self.tiers.partition_point(|known| *known < tier),
+            tiers: self.tiers.len(),
+            order: self.orders.partition_point(|known| *known < route.tier),
+            orders: self.orders.len(),
+        };
         Ok(Admitted {
             tier,
             rank,
@@ -176,23 +203,12 @@
     all
 }
 
-fn urgencies(routes: &[Arc<Route>], workspaces: &[RouteWorkspace]) -> Vec<Urgency> {
-    let mut tiers: Vec<Option<Tier>> =
-        workspaces.iter().map(|space| space.tier).collect();
-    // Callers without a workspace.
-    tiers.push(None);
+/// Each value once, sorted.
+fn distinct(tiers: impl Iterator<Item = Tier>) -> Vec<Tier> {
+    let mut tiers: Vec<Tier> = tiers.collect();
     tiers.sort_unstable();
     tiers.dedup();
-    let mut all: Vec<Urgency> = routes
-        .iter()
-        .flat_map(|route| {
-            let pair = |tier: &Option<Tier>| (tier.unwrap_or(route.tier), route.tier);
-            tiers.iter().map(pair).collect::<Vec<Urgency>>()
-        })
-        .collect();
-    all.sort_unstable();
-    all.dedup();
-    all
+    tiers
 }
 
 fn place(route: &Route) -> (&str, &str) {
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -108,3 +108,53 @@
     assert!(JsonFormat.read(&whole).is_ok());
     assert!(JsonFormat.read(&whole[..whole.len() - 1]).is_err());
 }
+
+/// An engine knows ten levels. Where tiers and routes together have more, a
+/// request must never share a level with one of another tier: the engine would
+/// put back whichever is newer.
+#[test]
+fn level_keeps_tiers_apart() {
+    for (tiers, orders) in [(1, 3), (2, 3), (3, 3), (3, 5), (4, 4), (10, 4)] {
+        let level = |tier, order| {
+            let rank = Rank {
+                tier,
+                tiers,
+                order,
+                orders,
+            };
+            rank.level(10)
+        };
+        let mut levels = Vec::new();
+        for tier in 0..tiers {
+            for order in 0..orders {
+                levels.push(level(tier, order));
+                if tier > 0 {
+                    assert!(level(tier - 1, orders - 1) < level(tier, order));
+                }
+            }
+        }
+        assert!(levels.is_sorted() && levels.iter().all(|level| *level < 10));
+    }
+}
+
+#[test]
+fn admit_rank_by_workspace_then_route() {
+    let mut keyed = set(vec![route("a", "/a/"), route("b", "/b/")]);
+    keyed.routes[0].tier = 0;
+    keyed.workspaces = Some(vec![
+        workspace("x", &["x"], Some(0)),
+        workspace("y", &["y"], Some(1)),
+    ]);
+    let table = RouteTable::new(keyed);
+    let level = |path: &str, key| {
+        let admitted = table.admit("studio.example", path, Some(key));
+        admitted.expect("the key is held").rank.level(10)
+    };
+    let levels = [
+        level("/a/", "x"),
+        level("/b/", "x"),
+        level("/a/", "y"),
+        level("/b/", "y"),
+    ];
+    assert!(levels.is_sorted_by(|a, b| a < b), "{levels:?}");
+}
