--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -420,18 +420,28 @@
                 (rest, fragile)
             }
         };
-        let mut turns = [
-            (Trust::Sound, own),
-            (Trust::Failing, own),
-            (Trust::Sound, others),
-            (Trust::Silent, own),
-            (Trust::Failing, others),
-            (Trust::Silent, others),
-        ];
-        if want.lane == Lane::Fragile {
-            // A short prompt disturbs nobody, wherever it goes.
-            turns.swap(1, 2);
-        }
+        // Long prompts stay out of the other lane for as long as one of their
+        // own endpoints is left, be it silent: under load silence is mostly a
+        // queue, and a long prompt would put streams back that are more urgent.
+        // A short prompt disturbs nobody, wherever it goes.
+        let turns = match want.lane {
+            Lane::Other => [
+                (Trust::Sound, own),
+                (Trust::Failing, own),
+                (Trust::Silent, own),
+                (Trust::Sound, others),
+                (Trust::Failing, others),
+                (Trust::Silent, others),
+            ],
+            Lane::Fragile => [
+                (Trust::Sound, own),
+                (Trust::Sound, others),
+                (Trust::Failing, own),
+                (Trust::Failing, others),
+                (Trust::Silent, own),
+                (Trust::Silent, others),
+            ],
+        };
         let mut turns = turns.iter();
         turns.find_map(|(trust, some)| {
             let endpoint = self.best(want, *trust, some)?;
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -103,3 +103,21 @@
         "what stays is kept"
     );
 }
+
+/// Several times the capacity: every endpoint for long prompts lets requests
+/// wait, and some look silent. Beside short streams a long prompt of an urgent
+/// workspace would put them back.
+#[test]
+fn place_long_prompts_apart_under_overload() {
+    let directory = Directory::new("here".to_string());
+    directory.update(listed(12));
+    let prompt = prompt(1, 9_000);
+    let fragile: BTreeSet<_> = (0..50)
+        .map(|_| place(&directory, &want(&prompt, Lane::Fragile, &[])).expect("some"))
+        .collect();
+    for endpoint in directory.all().iter() {
+        endpoint.unreached();
+    }
+    let chosen = place(&directory, &want(&prompt, Lane::Other, &[])).expect("some");
+    assert!(!fragile.contains(&chosen));
+}
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -17,8 +17,9 @@
 /// counts as silent. Several times the longest pause of one that works.
 const SILENCE: Duration = Duration::from_millis(900);
 /// The same where everything still waits for a first byte: under load an
-/// endpoint lets requests wait for a second or two before it begins them.
-const LONG_SILENCE: Duration = Duration::from_millis(2_500);
+/// endpoint lets requests wait for a few seconds before it begins them, and one
+/// that is gone is mostly found by the next connection to it.
+const LONG_SILENCE: Duration = Duration::from_secs(4);
 /// Silence where everything still waits, as a multiple of the usual time until
 /// a first byte: a plain service that answers in 30 ms is silent much sooner
 /// than an engine under load.
