--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -21,29 +21,32 @@
 }
 
 /// A request's place among all that a set knows.
+///
+/// The route goes first: a cue is never put back for a re-voice, whoever sent
+/// either of them. The workspace orders requests of equally urgent routes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rank {
-    /// Place of its tier; 0 is the most urgent.
-    pub tier: usize,
-    /// Number of tiers.
-    pub tiers: usize,
-    /// Place of its route among requests of one tier.
-    pub order: usize,
+    /// Place of its route; 0 is the most urgent.
+    pub route: usize,
     /// Number of such places.
-    pub orders: usize,
+    pub routes: usize,
+    /// Place of its workspace among requests of equally urgent routes.
+    pub workspace: usize,
+    /// Number of such places.
+    pub workspaces: usize,
 }
 
 impl Rank {
-    /// The rank as one of `levels`. Tiers are told apart first; what is left
-    /// of the levels orders routes inside a tier.
+    /// The rank as one of `levels`. Routes are told apart first; what is left
+    /// of the levels orders workspaces.
     pub fn level(&self, levels: usize) -> usize {
-        let each = (levels / self.tiers.max(1)).max(1);
-        let inside = if self.orders <= each {
-            self.order
+        let each = (levels / self.routes.max(1)).max(1);
+        let inside = if self.workspaces <= each {
+            self.workspace
         } else {
-            self.order * each / self.orders
+            self.workspace * each / self.workspaces
         };
-        (self.tier * each + inside).min(levels - 1)
+        (self.route * each + inside).min(levels - 1)
     }
 }
 
@@ -63,8 +66,7 @@
     pub workspace: Option<WorkspaceId>,
     /// Its urgency: the workspace's where it has one, else the route's.
     pub tier: Tier,
-    /// Its place among all: the tier goes first, and the route's own tier
-    /// orders the requests of equally urgent workspaces.
+    /// Its place among all.
     pub rank: Rank,
 }
 
@@ -169,10 +171,10 @@
         let tier = holder.as_ref().and_then(|holder| holder.tier);
         let tier = tier.unwrap_or(route.tier);
         let rank = Rank {
-            tier: self.tiers.partition_point(|known| *known < tier),
-            tiers: self.tiers.len(),
-            order: self.orders.partition_point(|known| *known < route.tier),
-            orders: self.orders.len(),
+            route: self.orders.partition_point(|known| *known < route.tier),
+            routes: self.orders.len(),
+            workspace: self.tiers.partition_point(|known| *known < tier),
+            workspaces: self.tiers.len(),
         };
         Ok(Admitted {
             tier,
