--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -2,7 +2,7 @@
 
 use dogwoodhill_consensus::log::{Entry, Payload};
 use dogwoodhill_consensus::members::{Member, Members};
-use dogwoodhill_consensus::message::{Appended, Ballot, Body, Message};
+use dogwoodhill_consensus::message::{Append, Appended, Ballot, Body, Message};
 use dogwoodhill_consensus::node::{Durable, Node, Refused, Timing};
 use dogwoodhill_consensus::ready::{Hard, Ready};
 use dogwoodhill_consensus::{Index, Moment, NodeId, Term};
@@ -243,3 +243,61 @@
     let sizes = sent(&ready, 2).expect("entries go out");
     assert!(sizes.iter().all(|size| *size <= 2), "{sizes:?}");
 }
+
+#[test]
+fn append_commits_only_what_was_compared() {
+    // The follower's third entry is of a leader that lost; the new one has
+    // committed another third entry, but sent only the second so far.
+    let stale = vec![entry(1, 1), entry(2, 1), entry(3, 1)];
+    let mut node = node(Hard::default(), stale);
+    let append = Append {
+        prev: 1,
+        prev_term: 1,
+        entries: vec![entry(2, 1)],
+        commit: 3,
+        round: 0,
+    };
+    node.receive(LATE, message(2, 5, Body::Append(append)));
+    flush(&mut node);
+    assert_eq!(node.commit(), 2);
+}
+
+#[test]
+fn arrange_silent_voter_stays_without_a_replacement() {
+    let mut node = leader(vec![entry(1, 1)]);
+    let term = node.term();
+    for i in 1..100 {
+        let now = LATE + Timing::default().heartbeat * i;
+        node.receive(now, matched(2, term, 2));
+        node.tick(now);
+        flush(&mut node);
+    }
+    assert!(node.leads());
+    assert!(node.members().votes(3), "a cut must not shrink the cluster");
+}
+
+#[test]
+fn promote_never_exchanges_two_voters_at_once() {
+    let mut node = leader(vec![entry(1, 1)]);
+    let term = node.term();
+    node.receive(LATE, matched(2, term, 2));
+    // Instance 3 lost its disk and came back as 4.
+    let again = Member {
+        name: "control-3".to_string(),
+        ..member(4)
+    };
+    node.add(LATE, again).expect("nothing else changes");
+    flush(&mut node);
+    node.receive(LATE, matched(2, term, 3));
+    node.receive(LATE, matched(4, term, 3));
+    node.tick(LATE);
+    flush(&mut node);
+    let votes = |node: &Node<SmallRng>, id| node.members().votes(id);
+    assert!(!votes(&node, 3), "the earlier one leaves first");
+    assert!(!votes(&node, 4), "two majorities must share an instance");
+    node.receive(LATE, matched(2, term, 4));
+    node.receive(LATE, matched(4, term, 4));
+    node.tick(LATE);
+    flush(&mut node);
+    assert!(votes(&node, 4));
+}
