--- a/crates/direct/tests/all/callers.rs
+++ b/crates/direct/tests/all/callers.rs
@@ -137,3 +137,37 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.contains("connection: close"));
 }
+
+/// A stream that began in the middle of a stop was cut at its end. One that
+/// would outlast the grace is refused at once, and what is short is served.
+#[tokio::test]
+async fn drain_refuses_what_would_outlast_it() {
+    let endpoint = StandIn::start(Vec::new()).await;
+    let mut set = set();
+    let stream = set.routes.iter_mut().find(|route| route.name == "stream");
+    stream.expect("it is there").objective = LONG;
+    let entry = Entry::with(&[&endpoint], set).await;
+    let kept = [
+        TcpStream::connect(entry.callers).await.unwrap(),
+        TcpStream::connect(entry.callers).await.unwrap(),
+    ];
+    entry.drain.begin();
+    while entry.shared.stopping.get().is_none() {
+        tokio::task::yield_now().await;
+    }
+    let lines = ["POST /stream/", "GET /safe/"];
+    for ((mut connection, line), status) in
+        kept.into_iter().zip(lines).zip(["503", "200"])
+    {
+        let text = request(line, "", "");
+        connection.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        connection.read_to_string(&mut answer).await.unwrap();
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{answer}"
+        );
+        assert_eq!(answer.contains("retry-after"), status == "503");
+    }
+    assert_eq!(endpoint.seen().len(), 1, "the refused one went nowhere");
+}
