A silent endpoint is left only for a send that is allowed

A refused connection put the whole endpoint to rest, and every idempotent request that waited there left with it, though the service had no second send left. An endpoint whose queue is long refuses connections and goes on with what it has taken. Change: a refused connection keeps new requests away and is no silence for those that wait; only one that gets no answer is. Whoever leaves takes the send out of the budget first, and stays where there is none or no endpoint. Test: slow_answer_awaited_without_budget fails before.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -159,6 +159,21 @@
         self.pool.clear();
     }
 
+    /// A new connection got no answer.
+    pub fn unanswered(&self) {
+        let now = self.start.elapsed();
+        self.view().record.unanswered(now);
+        self.pool.clear();
+    }
+
+    /// Whether a request that has waited there for `waited` had better be
+    /// elsewhere.
+    pub fn deserted(&self, waited: Duration) -> bool {
+        let now = self.start.elapsed();
+        let sent = now.saturating_sub(waited);
+        self.view().record.deserted(now, sent)
+    }
+
     /// It told its load.
     pub fn loaded(&self, load: Load) {
         let now = self.start.elapsed();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::dialect::{EndpointDialect, Prompt, Said, Tell};
 use crate::directory::{Endpoint, Sent};
-use crate::pool::{self, Line};
+use crate::pool::{self, Line, Unconnected};
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -147,8 +147,14 @@
     // out; a new one is tried once.
     let tried = match tried {
         Attempt::Unsent(request) => match connect(endpoint, ask.until).await {
-            Some(line) => attempt(line, request, ask.until).await,
-            None => Attempt::Unsent(request),
+            Ok(line) => attempt(line, request, ask.until).await,
+            Err(reason) => {
+                match reason {
+                    Unconnected::Refused => endpoint.unreached(),
+                    Unconnected::Unanswered => endpoint.unanswered(),
+                }
+                return Ended::Unsent;
+            }
         },
         other => other,
     };
@@ -203,9 +209,9 @@
     pub until: Instant,
 }
 
-async fn connect(endpoint: &Endpoint, until: Instant) -> Option<Line> {
-    let connecting = pool::connect(endpoint.address);
-    timeout_at(until, connecting).await.ok().flatten()
+async fn connect(endpoint: &Endpoint, until: Instant) -> Result<Line, Unconnected> {
+    let connected = timeout_at(until, pool::connect(endpoint.address)).await;
+    connected.unwrap_or(Err(Unconnected::Unanswered))
 }
 
 fn request(
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -16,14 +16,13 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::lanes::FRAGILE_PAUSE;
-use dogwoodhill_policy::trust::Trust;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
 use rand::RngExt;
 use std::fmt::Display;
 use std::sync::Arc;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Endpoints to which no connection could be made, before a request is
 /// refused. None of them got a byte, so they count as no send.
@@ -60,6 +59,8 @@
     mixed: bool,
     tried: Vec<EndpointId>,
     sends: usize,
+    /// Whether the next send is already taken out of the service's budget.
+    paid: bool,
     may_have_run: bool,
     _busy: Busy,
 }
@@ -110,6 +111,7 @@
             service,
             tried: Vec::new(),
             sends: 0,
+            paid: false,
             may_have_run: false,
             _busy: busy,
         };
@@ -265,9 +267,9 @@
     }
 
     async fn send(&mut self, endpoint: &Arc<Endpoint>) -> Ended {
-        let until = self.until.min(self.impatience());
+        let begun = Instant::now();
         let tell = Tell {
-            left: self.until.saturating_duration_since(Instant::now()),
+            left: self.until.saturating_duration_since(begun),
             endpoint: &endpoint.id,
             workspace: self.admitted.workspace.as_deref(),
             rank: self.admitted.rank,
@@ -276,15 +278,14 @@
         let asked = Asked {
             id: &self.ask.id,
             prompt: &self.ask.prompt,
-            until,
+            until: self.until,
         };
         let dialect = self.shared.endpoints.as_ref();
-        let leaves = self.idempotent() && !self.last_try();
         let exchange = exchange::send(endpoint, dialect, &self.outbound, &tell, asked);
         let ended = tokio::select! {
             ended = exchange => ended,
-            () = silent(endpoint), if leaves => {
-                endpoint.unreached();
+            () = self.better_elsewhere(endpoint, begun) => {
+                self.paid = true;
                 Ended::Lost(Loss::Timeout)
             }
         };
@@ -294,33 +295,60 @@
         ended
     }
 
-    fn last_try(&self) -> bool {
-        self.sends + 1 >= self.admitted.route.tries
+    /// Ends when a request that was sent at `begun` is better sent to another
+    /// endpoint. It leaves only for a send that is allowed, and taken out of
+    /// the budget here: one that left for nothing would give an answer up that
+    /// may still come, and the work done for it.
+    async fn better_elsewhere(&self, endpoint: &Endpoint, begun: Instant) {
+        if !self.idempotent() || self.sends + 1 >= self.admitted.route.tries {
+            return std::future::pending().await;
+        }
+        let impatient = self.patience().map(|patience| begun + patience);
+        loop {
+            let now = Instant::now();
+            let look = now + CHECK;
+            sleep_until(impatient.filter(|at| *at > now).map_or(look, |at| at.min(look)))
+                .await;
+            let slow = impatient.is_some_and(|at| at <= Instant::now());
+            let deserted = endpoint.deserted(begun.elapsed());
+            if (slow || deserted) && self.pay() {
+                if deserted {
+                    endpoint.unreached();
+                }
+                return;
+            }
+        }
+    }
+
+    /// Takes a send to another endpoint out of the budget, if there is one.
+    fn pay(&self) -> bool {
+        let placed = self.shared.directory.place(&self.want());
+        placed.is_some() && self.shared.spend(&self.service)
     }
 
-    /// When an idempotent request is tried elsewhere though nothing came yet.
-    /// A long prompt is left where it is: it may be next in its queue, and
-    /// would be read anew elsewhere.
-    fn impatience(&self) -> Instant {
+    /// How long an idempotent request waits for a first byte before it is tried
+    /// elsewhere. `None` for a long prompt, which is left where it is: it may be
+    /// next in its queue, and would be read anew elsewhere.
+    fn patience(&self) -> Option<Duration> {
         let route = &self.admitted.route;
         let stays = route.events.is_some() && self.want().lane == Lane::Other;
-        if !self.idempotent() || stays || self.last_try() {
-            return self.until;
-        }
-        Instant::now() + route.objective.mul_f64(SILENT_OBJECTIVES)
+        (!stays).then(|| route.objective.mul_f64(SILENT_OBJECTIVES))
     }
 
-    /// Whether a broken stream may go on, and there is an endpoint for it.
-    pub fn may_go_on(&self) -> bool {
+    /// Whether a broken stream may go on, and there is an endpoint for it. If so,
+    /// its next send is taken out of the budget.
+    pub fn may_go_on(&mut self) -> bool {
         let allowed = self.resumable() && self.sends < self.admitted.route.tries;
-        allowed && self.shared.directory.place(&self.want()).is_some()
+        self.paid = allowed && self.pay();
+        self.paid
     }
 
     /// Whether another send is allowed: by the route, and by what the service
     /// may be burdened with.
     fn may_send_again(&mut self) -> bool {
+        let paid = std::mem::take(&mut self.paid);
         let allowed = self.sends < self.admitted.route.tries;
-        let allowed = allowed && self.shared.spend(&self.service);
+        let allowed = allowed && (paid || self.shared.spend(&self.service));
         if allowed {
             self.shared.stats.second(&self.service, "send");
         }
@@ -417,13 +445,6 @@
     }
 }
 
-/// Ends when nothing comes from an endpoint any more.
-async fn silent(endpoint: &Endpoint) {
-    while endpoint.trust() != Trust::Silent {
-        sleep(CHECK).await;
-    }
-}
-
 /// A stream's beginning.
 enum Begun {
     /// There is something to answer with.
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -86,21 +86,35 @@
     }
 }
 
-/// Opens a connection; `None` where none can be had in time. Nothing was sent
-/// then.
-pub async fn connect(address: SocketAddr) -> Option<Line> {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connecting.await.ok()?.ok()?;
+/// Why no connection could be made. Nothing was sent then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unconnected {
+    /// It was refused: the endpoint is gone, or has as many as it takes.
+    Refused,
+    /// Nothing came back in time.
+    Unanswered,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// [`Unconnected`] where none can be had in time.
+pub async fn connect(address: SocketAddr) -> Result<Line, Unconnected> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = connecting.map_err(|_| Unconnected::Unanswered)?;
+    let stream = connected.map_err(|_| Unconnected::Refused)?;
     // Delayed small packets only cost time; the connection works without it.
     let _ = stream.set_nodelay(true);
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD);
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let shaken = builder.handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.map_err(|_| Unconnected::Refused)?;
     let task = tokio::spawn(async move {
         // How it ended is told to whoever waits for an answer on it.
         let _ = connection.await;
     });
-    Some(Line {
+    Ok(Line {
         sender,
         task,
         until: Instant::now(),
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -14,7 +14,6 @@
 use crate::job::{Job, Next};
 use crate::stats::Record;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::trust::Trust;
 use http_body_util::BodyExt;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -199,8 +198,9 @@
                 () = self.parts.closed() => return Over::CallerGone,
                 () = sleep_until(until) => return Over::TimedOut,
                 () = sleep(CHECK) => {
-                    let silent = source.endpoint().trust() == Trust::Silent;
-                    if silent
+                    let since_last = self.pauses.last.elapsed();
+                    let deserted = source.endpoint().deserted(since_last);
+                    if deserted
                         && let Some(over) = self.go_on(Loss::Timeout).await
                     {
                         return over;
--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -32,6 +32,8 @@
     Break,
     /// Says nothing until the caller goes.
     Hang,
+    /// Answers whole after this time.
+    Slow(Duration, &'static str),
     /// Streams these pieces; the flag tells whether it ends properly.
     Stream(Vec<&'static str>, bool),
 }
@@ -142,6 +144,10 @@
                 self.gone.notify_one();
                 return false;
             }
+            Act::Slow(pause, body) => {
+                sleep(pause).await;
+                answer(200, id, "x-proof: 1\r\n", body)
+            }
             Act::Stream(pieces, ends) => {
                 return self.stream(stream, id, pieces, ends).await;
             }
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -98,15 +98,7 @@
             linger: Duration::from_millis(50),
             grace: LONG,
         };
-        let listed = endpoints.iter().enumerate().map(|(i, endpoint)| Listed {
-            id: format!("endpoint-{i}"),
-            service: "service".to_string(),
-            address: endpoint.address,
-            domain: "here".to_string(),
-            slots: 8,
-            leaving: false,
-        });
-        let listed: Vec<Listed> = listed.collect();
+        let listed = listed(endpoints);
         let dialects = Dialects {
             callers: Box::new(Plain),
             endpoints: Box::new(Plain),
@@ -129,6 +121,11 @@
         entry
     }
 
+    /// Replaces the list of endpoints.
+    pub(crate) fn list(&self, endpoints: &[&StandIn]) {
+        self.shared.directory.update(listed(endpoints));
+    }
+
     /// Sends `METHOD path` with further header lines, and reads until the
     /// entry closes.
     pub(crate) async fn call(&self, line: &str, headers: &str, body: &str) -> Got {
@@ -142,6 +139,19 @@
     }
 }
 
+/// Endpoints as a list has them.
+fn listed(endpoints: &[&StandIn]) -> Vec<Listed> {
+    let listed = endpoints.iter().enumerate().map(|(i, endpoint)| Listed {
+        id: format!("endpoint-{i}"),
+        service: "service".to_string(),
+        address: endpoint.address,
+        domain: "here".to_string(),
+        slots: 8,
+        leaving: false,
+    });
+    listed.collect()
+}
+
 pub(crate) fn request(line: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     format!(
--- a/crates/direct/tests/all/outcomes.rs
+++ b/crates/direct/tests/all/outcomes.rs
@@ -142,3 +142,38 @@
     }
     assert!(served > 0 && !endpoints[1].seen().is_empty());
 }
+
+/// A burst: endpoints answer later than the objective, and the service has no
+/// second send left. Whoever left would get nothing; whoever waits is served.
+#[tokio::test]
+async fn slow_answer_awaited_without_budget() {
+    let slow = || vec![Act::Slow(Duration::from_millis(700), "late"); 4];
+    let endpoints = [StandIn::start(slow()).await, StandIn::start(slow()).await];
+    let mut set = set();
+    for route in &mut set.routes {
+        route.objective = Duration::from_millis(40);
+    }
+    let entry = Entry::with(&[&endpoints[0], &endpoints[1]], set).await;
+    let got = entry.call("GET /safe/", "", "").await;
+    assert_eq!((got.status, got.body.as_str()), (200, "late"));
+    assert_eq!(sum(&[&endpoints[0], &endpoints[1]]), 1, "sent once");
+}
+
+/// The same with second sends left: another endpoint is tried.
+#[tokio::test]
+async fn slow_answer_left_with_budget() {
+    let slow = StandIn::start(vec![Act::Hang; 40]).await;
+    let quick = StandIn::start(Vec::new()).await;
+    let mut set = set();
+    for route in &mut set.routes {
+        route.objective = Duration::from_millis(40);
+    }
+    let entry = Entry::with(&[&quick], set).await;
+    earn(&entry).await;
+    entry.list(&[&quick, &slow]);
+    // One of two endpoints hangs: with ten units there is always one left.
+    for _ in 0..EARNING {
+        let got = entry.call("GET /safe/", "", "").await;
+        assert_eq!(got.status, 200);
+    }
+}
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -59,6 +59,7 @@
     since: Duration,
     unreached: u32,
     rest: Duration,
+    unanswered: Option<Duration>,
 }
 
 impl Record {
@@ -89,6 +90,7 @@
     pub fn heard(&mut self, now: Duration) {
         self.heard = now;
         self.unreached = 0;
+        self.unanswered = None;
     }
 
     /// A request ended with an answer (`failed`: a failure of the endpoint).
@@ -106,6 +108,12 @@
         self.unreached += 1;
     }
 
+    /// A new connection got no answer at all, not even a refusal.
+    pub fn unanswered(&mut self, now: Duration) {
+        self.unanswered = Some(now);
+        self.unreached(now);
+    }
+
     /// Share of failures, as it counts now.
     pub fn failures(&self, now: Duration) -> f64 {
         let idle = now.saturating_sub(self.judged).as_secs_f64();
@@ -120,14 +128,29 @@
         now.saturating_sub(self.heard.max(self.since))
     }
 
+    /// Whether a request that has waited there since `sent` had better be
+    /// elsewhere: nothing came since for too long, or a new connection got no
+    /// answer. A refused connection is no reason: an endpoint whose queue is
+    /// long refuses connections and still answers what it has taken.
+    pub fn deserted(&self, now: Duration, sent: Duration) -> bool {
+        let waited = now.saturating_sub(sent);
+        let dark = self.unanswered.is_some_and(|at| at > sent);
+        dark || self.silence(now).min(waited) >= self.patience()
+    }
+
+    /// Silence from which it counts as silent.
+    fn patience(&self) -> Duration {
+        if self.begun > 0 {
+            return SILENCE;
+        }
+        let usual = self.usual.map(|usual| usual * SILENT_USUALS);
+        let waiting = usual.unwrap_or(LONG_SILENCE);
+        waiting.clamp(SHORT_SILENCE, LONG_SILENCE)
+    }
+
     /// What the record says now.
     pub fn trust(&self, now: Duration) -> Trust {
-        let usual = self.usual.map(|usual| usual * SILENT_USUALS);
-        let waiting = usual
-            .unwrap_or(LONG_SILENCE)
-            .clamp(SHORT_SILENCE, LONG_SILENCE);
-        let patience = if self.begun == 0 { waiting } else { SILENCE };
-        if now < self.rest || self.silence(now) >= patience {
+        if now < self.rest || self.silence(now) >= self.patience() {
             Trust::Silent
         } else if self.failures(now) >= FAILING {
             Trust::Failing
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -142,6 +142,36 @@
     assert_eq!(with(&[]), 0);
 }
 
+/// A burst: an endpoint whose queue is long refuses new connections and goes on
+/// with what it has taken. Requests that wait there stay.
+#[test]
+fn deserted_refused_connection_is_no_reason() {
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    record.unreached(ms(1_100));
+    assert_eq!(record.trust(ms(1_200)), Trust::Silent, "no new requests");
+    assert!(!record.deserted(ms(1_200), ms(1_000)));
+}
+
+/// An endpoint is cut off without a word: whoever waits there finds out by the
+/// next connection that nobody answers, and new requests by their own silence.
+#[test]
+fn deserted_dark_endpoint_is_left() {
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    record.begun(ms(100));
+    record.heard(ms(1_100));
+    assert!(!record.deserted(ms(1_900), ms(1_000)));
+    assert!(record.deserted(ms(2_000), ms(1_000)), "900 ms of silence");
+    assert!(!record.deserted(ms(2_000), ms(1_950)), "sent a moment ago");
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    record.unanswered(ms(1_400));
+    assert!(record.deserted(ms(1_401), ms(1_000)));
+    record.heard(ms(1_500));
+    assert!(!record.deserted(ms(1_501), ms(1_000)), "it speaks again");
+}
+
 #[test]
 fn trust_silent_endpoint_left_and_tried_again() {
     let mut record = Record::default();
