--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -72,6 +72,9 @@
     pub workspace: Option<&'a str>,
     /// Urgency.
     pub rank: Rank,
+    /// Whether it yields to all that are not in the background, whatever its
+    /// rank.
+    pub background: bool,
     /// Last event that the caller has.
     pub resume: Option<EventId>,
 }
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
+use dogwoodhill_policy::backlog::{self, Backlog};
 use dogwoodhill_policy::lanes::Lanes;
 use dogwoodhill_policy::packing::{self, Packing};
 use dogwoodhill_policy::trust::{Record, Trust};
@@ -36,6 +37,9 @@
 const NEWEST: f64 = 0.1;
 /// Bounds of the learned slowness.
 const SLOWNESS: (f64, f64) = (0.5, 30.0);
+/// Part of its even share of the reading that an entry may count on before it
+/// has measured its own: entries get uneven numbers of callers.
+const LEAST_SHARE: f64 = 0.5;
 /// Time until the first event beyond waiting and reading.
 const STEP: Duration = Duration::from_millis(25);
 
@@ -118,7 +122,7 @@
     }
 
     /// Counts a request in until the guard is dropped.
-    pub fn enter(self: &Arc<Self>, prompt: &Prompt) -> Sent {
+    pub fn enter(self: &Arc<Self>, prompt: &Prompt, standing: &Standing) -> Sent {
         let now = self.start.elapsed();
         let mut view = self.view();
         view.record.sent(now);
@@ -129,8 +133,10 @@
         let expected = view.reading(view.ahead() + f64::from(tokens)) + STEP;
         view.unread += f64::from(tokens);
         drop(view);
+        standing.sent(f64::from(tokens));
         Sent {
             endpoint: Arc::clone(self),
+            standing: standing.clone(),
             tokens: f64::from(tokens),
             expected,
             since: now,
@@ -274,6 +280,7 @@
 #[derive(Debug)]
 pub struct Sent {
     endpoint: Arc<Endpoint>,
+    standing: Standing,
     tokens: f64,
     expected: Duration,
     since: Duration,
@@ -295,6 +302,7 @@
             return;
         }
         self.begun = true;
+        self.standing.read(now, self.tokens);
         let took = now.saturating_sub(self.since).as_secs_f64();
         let ratio = took / self.expected.as_secs_f64();
         let mut view = self.endpoint.view();
@@ -314,6 +322,44 @@
         view.active = view.active.saturating_sub(1);
         if std::mem::take(&mut self.unread) {
             view.unread = (view.unread - self.tokens).max(0.0);
+            self.standing.left(self.tokens);
+        }
+    }
+}
+
+/// A request's place among those of its service that wait to be read.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    /// `None` for requests without a long prompt.
+    backlog: Option<Arc<Mutex<Backlog>>>,
+    rank: usize,
+    /// Predicted wait, when it came.
+    pub wait: Duration,
+    /// Whether all others go first.
+    pub background: bool,
+}
+
+impl Standing {
+    fn sent(&self, tokens: f64) {
+        if !self.background {
+            self.with(|backlog| backlog.sent(self.rank, tokens));
+        }
+    }
+
+    fn left(&self, tokens: f64) {
+        if !self.background {
+            self.with(|backlog| backlog.left(self.rank, tokens));
+        }
+    }
+
+    fn read(&self, now: Duration, tokens: f64) {
+        self.left(tokens);
+        self.with(|backlog| backlog.read(now, tokens));
+    }
+
+    fn with(&self, act: impl FnOnce(&mut Backlog)) {
+        if let Some(backlog) = &self.backlog {
+            act(&mut backlog.lock().unwrap_or_else(PoisonError::into_inner));
         }
     }
 }
@@ -330,8 +376,27 @@
     endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
     domain: DomainId,
     start: Instant,
-    /// Work by service; sorted.
-    lanes: Mutex<Vec<(ServiceId, Lanes)>>,
+    /// By service; sorted.
+    demand: Mutex<Vec<(ServiceId, Demand)>>,
+}
+
+/// What came for one service and what is sent and not read.
+#[derive(Debug, Default)]
+struct Demand {
+    lanes: Lanes,
+    backlog: Arc<Mutex<Backlog>>,
+}
+
+impl Demand {
+    /// What came for a service.
+    fn of<'a>(all: &'a mut Vec<(ServiceId, Self)>, service: &str) -> &'a mut Self {
+        let found = all.binary_search_by(|item| item.0.as_str().cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            all.insert(at, (service.to_string(), Self::default()));
+            at
+        });
+        &mut all[at].1
+    }
 }
 
 /// What a request wants of an endpoint.
@@ -378,7 +443,7 @@
             endpoints: ArcSwap::default(),
             domain,
             start: Instant::now(),
-            lanes: Mutex::default(),
+            demand: Mutex::default(),
         }
     }
 
@@ -516,13 +581,41 @@
         let reading = f64::from(want.prompt.tokens) / READ_RATE / 1_000.0;
         let writing = f64::from(want.prompt.output) * TOKEN_WORK;
         let work = Duration::from_secs_f64(reading + writing);
-        let mut lanes = self.lanes();
-        let found = lanes.binary_search_by(|item| item.0.as_str().cmp(want.service));
-        let at = found.unwrap_or_else(|at| {
-            lanes.insert(at, (want.service.to_string(), Lanes::default()));
-            at
-        });
-        lanes[at].1.note(now, want.lane == Lane::Fragile, work);
+        let mut all = self.demand();
+        let demand = Demand::of(&mut all, want.service);
+        demand.lanes.note(now, want.lane == Lane::Fragile, work);
+    }
+
+    /// Where a request of `rank` stands that is wanted within `objective`.
+    /// `entries`: how many entries send to the same endpoints.
+    pub fn stand(
+        &self,
+        want: &Want<'_>,
+        rank: usize,
+        objective: Duration,
+        entries: u32,
+    ) -> Standing {
+        if want.lane == Lane::Fragile || want.prompt.tokens == 0 {
+            return Standing::default();
+        }
+        let now = self.start.elapsed();
+        let endpoints = self.endpoints.load();
+        let usable = endpoints
+            .iter()
+            .filter(|endpoint| endpoint.service == want.service && !endpoint.leaving());
+        let all = usable.count() as f64 * READ_RATE * 1_000.0;
+        let least = all * LEAST_SHARE / f64::from(entries.max(1));
+        let backlog = Arc::clone(&Demand::of(&mut self.demand(), want.service).backlog);
+        let wait = {
+            let backlog = backlog.lock().unwrap_or_else(PoisonError::into_inner);
+            backlog.wait(now, rank, least)
+        };
+        Standing {
+            backlog: Some(backlog),
+            rank,
+            wait,
+            background: !backlog::hopeful(wait, objective),
+        }
     }
 
     /// How many endpoints are kept free of long prompts.
@@ -530,14 +623,12 @@
         if !want.mixed {
             return 0;
         }
-        let lanes = self.lanes();
-        let found = lanes.binary_search_by(|item| item.0.as_str().cmp(want.service));
-        let lanes = found.map_or_else(|_| Lanes::default(), |at| lanes[at].1);
-        lanes.reserved(endpoints)
+        let mut all = self.demand();
+        Demand::of(&mut all, want.service).lanes.reserved(endpoints)
     }
 
-    fn lanes(&self) -> MutexGuard<'_, Vec<(ServiceId, Lanes)>> {
-        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
+    fn demand(&self) -> MutexGuard<'_, Vec<(ServiceId, Demand)>> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request at one endpoint.
 
 use crate::dialect::{EndpointDialect, Prompt, Said, Tell};
-use crate::directory::{Endpoint, Sent};
+use crate::directory::{Endpoint, Sent, Standing};
 use crate::pool::{self, Line, Unconnected};
 use bytes::Bytes;
 use derive_more::Display;
@@ -137,7 +137,7 @@
     tell: &Tell<'_>,
     ask: Asked<'_>,
 ) -> Ended {
-    let mut sent = endpoint.enter(ask.prompt);
+    let mut sent = endpoint.enter(ask.prompt, ask.standing);
     let request = request(dialect, outbound, tell, endpoint);
     let tried = match endpoint.pool.take() {
         Some(line) => attempt(line, request, ask.until).await,
@@ -205,6 +205,8 @@
     pub id: &'a str,
     /// Its prompt.
     pub prompt: &'a Prompt,
+    /// Its place among those that wait.
+    pub standing: &'a Standing,
     /// When it is given up.
     pub until: Instant,
 }
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -7,7 +7,7 @@
 
 use crate::answer::{Cause, Reply, refuse};
 use crate::dialect::{Ask, EventId, Tell};
-use crate::directory::{Endpoint, Lane, Want};
+use crate::directory::{Endpoint, Lane, Standing, Want};
 use crate::exchange::{self, Answer, Asked, Ended, Loss, Outbound, Whole};
 use crate::request::{Shared, soon};
 use crate::stats::Record;
@@ -21,6 +21,7 @@
 use rand::RngExt;
 use std::fmt::Display;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -57,6 +58,7 @@
     outbound: Outbound,
     service: ServiceId,
     mixed: bool,
+    standing: Standing,
     tried: Vec<EndpointId>,
     sends: usize,
     /// Whether the next send is already taken out of the service's budget.
@@ -99,7 +101,7 @@
         let mixed = table.pauses(&service).is_some_and(|(shortest, longest)| {
             shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE
         });
-        let job = Self {
+        let mut job = Self {
             mixed,
             until,
             resume: ask.resume,
@@ -109,13 +111,23 @@
             admitted,
             outbound,
             service,
+            standing: Standing::default(),
             tried: Vec::new(),
             sends: 0,
             paid: false,
             may_have_run: false,
             _busy: busy,
         };
-        job.shared.directory.note(&job.want());
+        let directory = &job.shared.directory;
+        directory.note(&job.want());
+        let entries = job.shared.entries.load(Ordering::Relaxed);
+        let rank = job.admitted.rank.route;
+        let objective = job.admitted.route.objective;
+        job.standing = directory.stand(&job.want(), rank, objective, entries);
+        if let Some(record) = job.record.as_mut() {
+            record.wait = job.standing.wait;
+            record.background = job.standing.background;
+        }
         job
     }
 
@@ -273,11 +285,13 @@
             endpoint: &endpoint.id,
             workspace: self.admitted.workspace.as_deref(),
             rank: self.admitted.rank,
+            background: self.standing.background,
             resume: self.resume,
         };
         let asked = Asked {
             id: &self.ask.id,
             prompt: &self.ask.prompt,
+            standing: &self.standing,
             until: self.until,
         };
         let dialect = self.shared.endpoints.as_ref();
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -80,6 +80,10 @@
     pub output: u32,
     /// Version of the route set that decided.
     pub version: Version,
+    /// Predicted wait until its prompt would be read.
+    pub wait: Duration,
+    /// Whether it was sent as one that yields to all others.
+    pub background: bool,
     /// Endpoint it was sent to last.
     pub endpoint: EndpointId,
     /// Endpoints it was sent to.
@@ -102,6 +106,8 @@
             prompt: 0,
             output: 0,
             version: 0,
+            wait: Duration::ZERO,
+            background: false,
             endpoint: String::from("-"),
             sends: 0,
             choice: String::from("-"),
@@ -177,6 +183,8 @@
             .field("routes_version", self.version)
             .field("endpoint", &self.endpoint)
             .field("choice", &self.choice)
+            .field("wait_ms", self.wait.as_millis())
+            .field("background", self.background)
             .field("sends", self.sends)
             .field("status", status)
             .field("cause", cause)
--- /dev/null
+++ b/crates/policy/src/backlog.rs
@@ -0,0 +1,84 @@
+//! Which long prompts still have a chance, and which wait behind them.
+//!
+//! The pattern: on the hour, chapters of 9,000 tokens come at two to three
+//! times the rate at which the engines read. In one queue, each of them waits
+//! for a little longer than the one before; after a second all are late, and
+//! the engines spend the rest of the burst on reading prompts whose objective
+//! has passed. Nearly nobody is served in time, though the engines could have
+//! served half of them.
+//!
+//! So a request that would be late anyway goes to the background: engines take
+//! it up when nothing else waits. Those that are left in front are served in
+//! time, and those in the background when the burst ebbs: later, not never.
+//!
+//! The wait is predicted by Little's law from what the entry knows by itself:
+//! the tokens that it has sent and that are not read yet, over the rate at
+//! which tokens of its requests are read. All entries share the engines'
+//! queues, so all see about the same wait, without a message between them, and
+//! it follows a burst at once, while a measured latency would lag by itself.
+
+use std::time::Duration;
+
+/// Ranks of urgency that are told apart; less urgent ones share the last.
+const RANKS: usize = 8;
+/// Time constant of the measured rate. Shorter than a burst, and long enough
+/// for some ten long prompts of one entry.
+const MEMORY: f64 = 1.5;
+/// Part of the objective that the predicted wait may take. The rest is for the
+/// differences between endpoints, of which each has a queue of its own.
+const HOPE: f64 = 0.6;
+
+/// What an entry has sent to the endpoints of one service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backlog {
+    /// Tokens sent and not read, by rank; the background is not among them.
+    unread: [f64; RANKS],
+    /// Tokens read lately, fading.
+    read: f64,
+    at: Duration,
+}
+
+impl Backlog {
+    /// A request in front was sent.
+    pub fn sent(&mut self, rank: usize, tokens: f64) {
+        self.unread[place(rank)] += tokens;
+    }
+
+    /// A request in front no longer waits to be read.
+    pub fn left(&mut self, rank: usize, tokens: f64) {
+        let unread = &mut self.unread[place(rank)];
+        *unread = (*unread - tokens).max(0.0);
+    }
+
+    /// A prompt has been read, in front or in the background.
+    pub fn read(&mut self, now: Duration, tokens: f64) {
+        self.read = self.faded(now) + tokens;
+        self.at = now.max(self.at);
+    }
+
+    /// Time until a request of `rank` would be read that is sent now. `least`
+    /// is the rate, in tokens a second, that the entry may count on even if it
+    /// sent nothing lately.
+    pub fn wait(&self, now: Duration, rank: usize, least: f64) -> Duration {
+        let ahead: f64 = self.unread[..=place(rank)].iter().sum();
+        let rate = (self.faded(now) / MEMORY).max(least);
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(ahead / rate).unwrap_or(Duration::MAX)
+    }
+
+    fn faded(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.at).as_secs_f64();
+        self.read * (-idle / MEMORY).exp()
+    }
+}
+
+/// Whether a request that is predicted to wait for `wait` may be in time.
+pub fn hopeful(wait: Duration, objective: Duration) -> bool {
+    wait <= objective.mul_f64(HOPE)
+}
+
+fn place(rank: usize) -> usize {
+    rank.min(RANKS - 1)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! since only differences matter.
 
 pub mod affinity;
+pub mod backlog;
 pub mod budget;
 pub mod dispatch;
 pub mod gate;
