--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -12,6 +12,7 @@
 use dogwoodhill_policy::backlog::{self, Backlog};
 use dogwoodhill_policy::lanes::Lanes;
 use dogwoodhill_policy::packing::{self, Packing};
+use dogwoodhill_policy::pauses::{self, Longest};
 use dogwoodhill_policy::trust::{Record, Trust};
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -72,6 +73,7 @@
     active: u32,
     unread: f64,
     slowness: f64,
+    longest: Longest,
     shared: Vec<(u64, Duration)>,
 }
 
@@ -111,6 +113,7 @@
                 active: 0,
                 unread: 0.0,
                 slowness: 1.0,
+                longest: Longest::default(),
                 shared: Vec::new(),
             }),
         }
@@ -180,6 +183,22 @@
         self.view().record.deserted(now, sent)
     }
 
+    /// There was a pause in a stream that is disturbed by pauses.
+    pub fn paused(&self, pause: Duration) {
+        let now = self.start.elapsed();
+        self.view().longest.paused(now, pause);
+    }
+
+    /// A stream that is disturbed by pauses ended.
+    pub fn streamed(&self, longest: Duration) {
+        let now = self.start.elapsed();
+        self.view().longest.ended(now, longest);
+    }
+
+    fn longest(&self, now: Duration) -> Option<Duration> {
+        self.view().longest.known(now)
+    }
+
     /// It told its load.
     pub fn loaded(&self, load: Load) {
         let now = self.start.elapsed();
@@ -408,6 +427,8 @@
     pub prompt: &'a Prompt,
     /// Whether its stream is disturbed by long prompts.
     pub lane: Lane,
+    /// Shortest pause that streams of the service allow.
+    pub pause: Duration,
     /// Whether the service has requests of both lanes.
     pub mixed: bool,
     /// Endpoints that are not asked again.
@@ -491,8 +512,8 @@
             .iter()
             .filter(|endpoint| endpoint.service == want.service && !endpoint.leaving())
             .collect();
-        usable.sort_unstable_by_key(|endpoint| endpoint.hash);
         let reserved = self.reserved(want, usable.len());
+        usable.sort_unstable_by_key(|endpoint| endpoint.hash);
         let (own, others) = match want.lane {
             Lane::Fragile => usable.split_at(reserved),
             Lane::Other => {
@@ -546,7 +567,7 @@
         };
         let some: Vec<&&Arc<Endpoint>> = some.iter().filter(fits).collect();
         if want.lane == Lane::Fragile {
-            return self.packed(&some, now);
+            return self.packed(want, &some, now);
         }
         let candidates: Vec<Candidate> = some
             .iter()
@@ -557,17 +578,26 @@
         Some(some[at])
     }
 
-    /// Chooses among the first endpoints that together have room. Two of them
-    /// are drawn and the less busy one is taken: entries that all took the first
-    /// with room would all take the same one.
+    /// Chooses among the first endpoints that together have room; those that
+    /// are too slow for short pauses come last. Two of them are drawn and the
+    /// less busy one is taken: entries that all took the first with room would
+    /// all take the same one.
     fn packed<'a>(
         &self,
+        want: &Want<'_>,
         some: &[&&'a Arc<Endpoint>],
         now: Duration,
     ) -> Option<&'a Arc<Endpoint>> {
+        let known = some.iter().filter_map(|endpoint| endpoint.longest(now));
+        let slow_from = pauses::slow_from(known, want.pause);
+        let slow = |endpoint: &&&Arc<Endpoint>| {
+            endpoint.longest(now).is_some_and(|pause| pause > slow_from)
+        };
+        let mut some = some.to_vec();
+        some.sort_by_cached_key(slow);
         let loads: Vec<Packing> =
             some.iter().map(|endpoint| endpoint.packing(now)).collect();
-        let most = packing::needed(&loads);
+        let most = packing::needed(loads.iter().copied());
         let mut random = rand::rng();
         let mut draw = || (most > 0).then(|| random.random_range(0..most));
         let (a, b) = (draw()?, draw()?);
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -57,6 +57,8 @@
     admitted: Admitted,
     outbound: Outbound,
     service: ServiceId,
+    /// Shortest pause that streams of the service allow.
+    pause: Duration,
     mixed: bool,
     standing: Standing,
     tried: Vec<EndpointId>,
@@ -98,10 +100,10 @@
         record.output = ask.prompt.output;
         record.version = table.version();
         shared.earn(&service);
-        let mixed = table.pauses(&service).is_some_and(|(shortest, longest)| {
-            shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE
-        });
+        let (shortest, longest) = table.pauses(&service).unwrap_or_default();
+        let mixed = shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE;
         let mut job = Self {
+            pause: shortest,
             mixed,
             until,
             resume: ask.resume,
@@ -141,11 +143,17 @@
             service: &self.service,
             prompt: &self.ask.prompt,
             lane: if fragile { Lane::Fragile } else { Lane::Other },
+            pause: self.pause,
             mixed: self.mixed,
             tried: &self.tried,
         }
     }
 
+    /// Whether its stream is disturbed by pauses.
+    pub fn fragile(&self) -> bool {
+        self.want().lane == Lane::Fragile
+    }
+
     /// Whether it may run more than once.
     fn idempotent(&self) -> bool {
         self.admitted.route.repeat == Repeat::Allowed
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -130,10 +130,13 @@
         }
     }
 
-    fn event(&mut self) {
+    /// Notes events; returns the pause before them.
+    fn event(&mut self) -> Duration {
         let now = Instant::now();
-        self.longest = self.longest.max(now.duration_since(self.last));
+        let pause = now.duration_since(self.last);
+        self.longest = self.longest.max(pause);
         self.last = now;
+        pause
     }
 
     /// The longest one.
@@ -170,6 +173,9 @@
             // A caller that has gone needs no end.
             let _ = self.parts.send(Part::End).await;
             if let Some(source) = self.source {
+                if self.job.fragile() {
+                    source.endpoint().streamed(self.pauses.longest());
+                }
                 source.finish();
             }
         }
@@ -212,7 +218,10 @@
 
     async fn pass_on(&mut self, events: Events) -> Option<Over> {
         self.last = events.last.or(self.last);
-        self.pauses.event();
+        let pause = self.pauses.event();
+        if let Some(source) = self.source.as_ref().filter(|_| self.job.fragile()) {
+            source.endpoint().paused(pause);
+        }
         let sending = self.parts.send(Part::Events(events.bytes));
         tokio::select! {
             sent = sending => sent.is_err().then_some(Over::CallerGone),
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -31,6 +31,7 @@
         service: "voice",
         prompt,
         lane,
+        pause: Duration::from_millis(150),
         mixed: true,
         tried,
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod lanes;
 pub mod limit;
 pub mod packing;
+pub mod pauses;
 pub mod place;
 pub mod queue;
 pub mod quota;
--- a/crates/policy/src/packing.rs
+++ b/crates/policy/src/packing.rs
@@ -22,13 +22,14 @@
 
 /// How many of the endpoints, in their order, are needed so that together they
 /// are not filled beyond their share; all of them where that is not enough.
-pub fn needed(endpoints: &[Packing]) -> usize {
+pub fn needed(endpoints: impl ExactSizeIterator<Item = Packing>) -> usize {
+    let all = endpoints.len();
     let mut room = 0.0;
-    for (at, endpoint) in endpoints.iter().enumerate() {
+    for (at, endpoint) in endpoints.enumerate() {
         room += endpoint.slots * FILLED - endpoint.busy;
         if room > 0.0 {
             return at + 1;
         }
     }
-    endpoints.len()
+    all
 }
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -6,6 +6,7 @@
 use dogwoodhill_policy::budget::{Allowance, Budget};
 use dogwoodhill_policy::lanes::Lanes;
 use dogwoodhill_policy::packing::{Packing, needed};
+use dogwoodhill_policy::pauses::{Longest, slow_from};
 use dogwoodhill_policy::trust::{Record, Trust};
 use proptest::prelude::*;
 use std::collections::VecDeque;
@@ -135,7 +136,7 @@
             busy: *busy,
             slots: 64.0,
         };
-        needed(&busy.iter().map(one).collect::<Vec<Packing>>())
+        needed(busy.iter().map(one))
     };
     assert_eq!(with(&[0.0; 7]), 1);
     assert_eq!(with(&[17.0, 0.0, 0.0]), 2);
@@ -174,6 +175,51 @@
     assert!(!record.deserted(ms(1_501), ms(1_000)), "it speaks again");
 }
 
+/// Two endpoints of nine are slower by a third, as in the users' deployments:
+/// their streams pause for longer than the 150 ms allowed, and they are found
+/// by their second stream. An endpoint is tried again some time later.
+#[test]
+fn pauses_slow_endpoints_found() {
+    let mut all = [Longest::default(); 9];
+    for (at, longest) in all.iter_mut().enumerate() {
+        let pause = if at < 7 { ms(126) } else { ms(165) };
+        longest.paused(ms(1_000), pause);
+        longest.paused(ms(1_500), pause);
+        longest.ended(ms(2_000), pause);
+    }
+    let slow = |now| {
+        let known = all.iter().filter_map(|longest| longest.known(now));
+        let from = slow_from(known, ms(150));
+        let slow = |longest: &Longest| longest.known(now).is_some_and(|p| p > from);
+        all.iter().map(slow).collect::<Vec<bool>>()
+    };
+    let found = [vec![false; 7], vec![true; 2]].concat();
+    assert_eq!(slow(ms(2_100)), found);
+    assert_eq!(slow(ms(11_000)), vec![false; 9], "tried again");
+}
+
+/// A burst of cues: all endpoints are over the allowed pause by about as much,
+/// and moving streams about would help nobody.
+#[test]
+fn pauses_burst_slows_all_alike() {
+    let all = [ms(170), ms(160), ms(180), ms(175), ms(165)];
+    let from = slow_from(all.into_iter(), ms(150));
+    assert!(all.iter().all(|pause| *pause <= from), "{from:?}");
+}
+
+/// One pause of a stream that had none before is not enough to leave.
+#[test]
+fn pauses_one_is_no_proof() {
+    let mut longest = Longest::default();
+    for at in 0..10 {
+        longest.ended(ms(at * 100), ms(100));
+    }
+    longest.paused(ms(1_100), ms(170));
+    assert!(longest.known(ms(1_100)).expect("fresh") <= ms(150));
+    longest.paused(ms(1_200), ms(170));
+    assert!(longest.known(ms(1_200)).expect("fresh") > ms(150));
+}
+
 #[test]
 fn trust_silent_endpoint_left_and_tried_again() {
     let mut record = Record::default();
