An endpoint's queue is judged by how long the last prompts waited there

Prompts in the background counted as a queue before those in front, and taught slowness. Change: the wait at an endpoint is the longest of the own tokens ahead, what the last prompts in front waited there (fading within 3 s), and the age of the oldest that still waits. The background counts for itself only.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -14,6 +14,7 @@
 use dogwoodhill_policy::packing::{self, Packing};
 use dogwoodhill_policy::pauses::{self, Longest};
 use dogwoodhill_policy::trust::{Record, Trust};
+use dogwoodhill_policy::wait::Waits;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -71,7 +72,7 @@
     load: Load,
     loaded: Duration,
     active: u32,
-    unread: f64,
+    waits: Waits,
     slowness: f64,
     longest: Longest,
     shared: Vec<(u64, Duration)>,
@@ -84,9 +85,10 @@
         f64::from(count) * (-age / LOAD_FADES).exp()
     }
 
-    /// Tokens that are ahead of a request sent now.
-    fn ahead(&self) -> f64 {
-        self.unread
+    /// Time until a prompt sent now would begin to be read.
+    fn wait(&self, now: Duration, background: bool) -> Duration {
+        let own = self.reading(self.waits.ahead(background));
+        own.max(self.waits.predicted(now))
     }
 
     fn reading(&self, tokens: f64) -> Duration {
@@ -111,7 +113,7 @@
                 load: Load::default(),
                 loaded: Duration::ZERO,
                 active: 0,
-                unread: 0.0,
+                waits: Waits::default(),
                 slowness: 1.0,
                 longest: Longest::default(),
                 shared: Vec::new(),
@@ -133,8 +135,9 @@
         let fresh = prompt.tokens.saturating_sub(prompt.shared_tokens);
         let known = prompt.shared.is_some_and(|key| view.remember(key, now));
         let tokens = if known { fresh } else { prompt.tokens };
-        let expected = view.reading(view.ahead() + f64::from(tokens)) + STEP;
-        view.unread += f64::from(tokens);
+        let ahead = view.waits.ahead(standing.background);
+        let expected = view.reading(ahead + f64::from(tokens)) + STEP;
+        view.waits.sent(now, f64::from(tokens), standing.background);
         drop(view);
         standing.sent(f64::from(tokens));
         Sent {
@@ -222,7 +225,7 @@
         });
         let reads = prompt.tokens > 0 && want.lane == Lane::Other;
         let wait = if reads {
-            view.reading(view.ahead())
+            view.wait(now, want.background)
         } else {
             self.queueing(&view, now)
         };
@@ -322,13 +325,19 @@
         }
         self.begun = true;
         self.standing.read(now, self.tokens);
-        let took = now.saturating_sub(self.since).as_secs_f64();
-        let ratio = took / self.expected.as_secs_f64();
+        let took = now.saturating_sub(self.since);
         let mut view = self.endpoint.view();
-        view.unread = (view.unread - self.tokens).max(0.0);
+        let background = self.standing.background;
+        view.waits.left(self.since, self.tokens, background);
+        view.record.begun(took);
+        if background {
+            return;
+        }
+        let reading = view.reading(self.tokens) + STEP;
+        view.waits.learn(now, took.saturating_sub(reading));
+        let ratio = took.as_secs_f64() / self.expected.as_secs_f64();
         let slowness = view.slowness * (1.0 + (ratio.min(10.0) - 1.0) * NEWEST);
         view.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
-        view.record.begun(now.saturating_sub(self.since));
     }
 
     /// Nothing more is waited for.
@@ -340,7 +349,8 @@
         view.record.ended(self.begun);
         view.active = view.active.saturating_sub(1);
         if std::mem::take(&mut self.unread) {
-            view.unread = (view.unread - self.tokens).max(0.0);
+            let background = self.standing.background;
+            view.waits.left(self.since, self.tokens, background);
             self.standing.left(self.tokens);
         }
     }
@@ -429,6 +439,8 @@
     pub lane: Lane,
     /// Shortest pause that streams of the service allow.
     pub pause: Duration,
+    /// Whether it goes behind all that is not in the background.
+    pub background: bool,
     /// Whether the service has requests of both lanes.
     pub mixed: bool,
     /// Endpoints that are not asked again.
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -144,6 +144,7 @@
             prompt: &self.ask.prompt,
             lane: if fragile { Lane::Fragile } else { Lane::Other },
             pause: self.pause,
+            background: self.standing.background,
             mixed: self.mixed,
             tried: &self.tried,
         }
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -32,6 +32,7 @@
         prompt,
         lane,
         pause: Duration::from_millis(150),
+        background: false,
         mixed: true,
         tried,
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod subset;
 pub mod trust;
 pub mod view;
+pub mod wait;
 
 /// A point in time: the duration since the caller's clock started.
 pub type Moment = std::time::Duration;
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -8,6 +8,7 @@
 use dogwoodhill_policy::packing::{Packing, needed};
 use dogwoodhill_policy::pauses::{Longest, slow_from};
 use dogwoodhill_policy::trust::{Record, Trust};
+use dogwoodhill_policy::wait::Waits;
 use proptest::prelude::*;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -220,6 +221,44 @@
     assert!(longest.known(ms(1_200)).expect("fresh") > ms(150));
 }
 
+/// A beginning that gets much of the traffic through two dozen entries: this
+/// one has nothing of its own at the endpoint, and its last prompt waited there
+/// for two seconds. It knows the queue, and forgets it within seconds.
+#[test]
+fn waits_queue_of_others_seen() {
+    let mut waits = Waits::default();
+    assert_eq!(waits.predicted(ms(900)), ms(0));
+    waits.sent(ms(1_000), 9_000.0, false);
+    waits.left(ms(1_000), 9_000.0, false);
+    waits.learn(ms(3_000), ms(2_000));
+    assert!(waits.ahead(false) < 1.0);
+    let now = waits.predicted(ms(3_000));
+    assert!(now >= ms(700), "{now:?}");
+    waits.learn(ms(3_300), ms(2_000));
+    assert!(
+        waits.predicted(ms(3_300)) > now,
+        "the second one confirms it"
+    );
+    assert!(waits.predicted(ms(13_300)) < ms(50), "ten seconds later");
+}
+
+/// The queue is growing: a prompt sent two seconds ago still waits, before any
+/// answer could tell of it. Prompts in the background wait by design, and say
+/// nothing.
+#[test]
+fn waits_oldest_counts_in_front_only() {
+    let mut waits = Waits::default();
+    waits.sent(ms(1_000), 9_000.0, false);
+    waits.sent(ms(2_000), 9_000.0, false);
+    assert_eq!(waits.predicted(ms(3_000)), ms(2_000));
+    waits.left(ms(1_000), 9_000.0, false);
+    assert_eq!(waits.predicted(ms(3_000)), ms(1_000));
+    waits.left(ms(2_000), 9_000.0, false);
+    waits.sent(ms(3_000), 9_000.0, true);
+    assert_eq!(waits.predicted(ms(9_000)), ms(0));
+    assert_eq!((waits.ahead(false), waits.ahead(true)), (0.0, 9_000.0));
+}
+
 #[test]
 fn trust_silent_endpoint_left_and_tried_again() {
     let mut record = Record::default();
