Beginnings weighed 16 times; lanes remember seven seconds

Change: reading a beginning anew weighs 16 times its time instead of 8; the lanes' time constant is 7 s instead of 4 s.

--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -36,7 +36,7 @@
 
 /// Weight of the time that reading a beginning anew takes, against the
 /// request's own wait: under load it also delays all that wait behind it.
-const HARM: f64 = 8.0;
+const HARM: f64 = 16.0;
 
 /// Picks the candidate at which `key`, the hash of the shared beginning, is
 /// predicted to be done reading first. `None` without candidates.
--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -27,9 +27,9 @@
 const PRIOR: f64 = 2.0;
 /// Share of it that is fragile.
 const PRIOR_SHARE: f64 = 0.21;
-/// Time constant of the measured share. A burst lasts several seconds, and an
+/// Time constant of the measured share. A burst lasts four to nine seconds, and an
 /// entry sees some ten requests a second.
-const MEMORY: f64 = 4.0;
+const MEMORY: f64 = 7.0;
 
 /// Work of both kinds that came lately, fading.
 #[derive(Clone, Copy, Debug, Default)]
