Slow endpoints are told by the usual time between events

Cause: a third of the endpoints are slower by a third; cues there pause for 165 to 210 ms in a burst, against 150 allowed. The longest pause of a stream is an accident in calm hours, so an entry learned of them only in the burst itself. Change: each endpoint's usual time between two events is learned from the streams relayed, and compared with the others'; slow ones come last in their lane.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -11,8 +11,8 @@
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::backlog::{self, Backlog};
 use dogwoodhill_policy::lanes::Lanes;
+use dogwoodhill_policy::pace::{self, Pace};
 use dogwoodhill_policy::packing::{self, Packing};
-use dogwoodhill_policy::pauses::{self, Longest};
 use dogwoodhill_policy::trust::{Record, Trust};
 use dogwoodhill_policy::wait::Waits;
 use rand::RngExt;
@@ -74,7 +74,7 @@
     active: u32,
     waits: Waits,
     slowness: f64,
-    longest: Longest,
+    pace: Pace,
     shared: Vec<(u64, Duration)>,
 }
 
@@ -115,7 +115,7 @@
                 active: 0,
                 waits: Waits::default(),
                 slowness: 1.0,
-                longest: Longest::default(),
+                pace: Pace::default(),
                 shared: Vec::new(),
             }),
         }
@@ -186,20 +186,15 @@
         self.view().record.deserted(now, sent)
     }
 
-    /// There was a pause in a stream that is disturbed by pauses.
-    pub fn paused(&self, pause: Duration) {
+    /// An event came `pause` after the one before, in a stream that is disturbed
+    /// by pauses.
+    pub fn paced(&self, pause: Duration) {
         let now = self.start.elapsed();
-        self.view().longest.paused(now, pause);
+        self.view().pace.event(now, pause);
     }
 
-    /// A stream that is disturbed by pauses ended.
-    pub fn streamed(&self, longest: Duration) {
-        let now = self.start.elapsed();
-        self.view().longest.ended(now, longest);
-    }
-
-    fn longest(&self, now: Duration) -> Option<Duration> {
-        self.view().longest.known(now)
+    fn pace(&self, now: Duration) -> Option<Duration> {
+        self.view().pace.known(now)
     }
 
     /// It told its load.
@@ -437,8 +432,6 @@
     pub prompt: &'a Prompt,
     /// Whether its stream is disturbed by long prompts.
     pub lane: Lane,
-    /// Shortest pause that streams of the service allow.
-    pub pause: Duration,
     /// Whether it goes behind all that is not in the background.
     pub background: bool,
     /// Whether the service has requests of both lanes.
@@ -579,7 +572,7 @@
         };
         let some: Vec<&&Arc<Endpoint>> = some.iter().filter(fits).collect();
         if want.lane == Lane::Fragile {
-            return self.packed(want, &some, now);
+            return self.packed(&some, now);
         }
         let candidates: Vec<Candidate> = some
             .iter()
@@ -596,14 +589,13 @@
     /// all take the same one.
     fn packed<'a>(
         &self,
-        want: &Want<'_>,
         some: &[&&'a Arc<Endpoint>],
         now: Duration,
     ) -> Option<&'a Arc<Endpoint>> {
-        let known = some.iter().filter_map(|endpoint| endpoint.longest(now));
-        let slow_from = pauses::slow_from(known, want.pause);
+        let known = some.iter().filter_map(|endpoint| endpoint.pace(now));
+        let slow_from = pace::slow_from(known);
         let slow = |endpoint: &&&Arc<Endpoint>| {
-            endpoint.longest(now).is_some_and(|pause| pause > slow_from)
+            endpoint.pace(now).is_some_and(|pace| pace > slow_from)
         };
         let mut some = some.to_vec();
         some.sort_by_cached_key(slow);
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -57,8 +57,6 @@
     admitted: Admitted,
     outbound: Outbound,
     service: ServiceId,
-    /// Shortest pause that streams of the service allow.
-    pause: Duration,
     mixed: bool,
     standing: Standing,
     tried: Vec<EndpointId>,
@@ -103,7 +101,6 @@
         let (shortest, longest) = table.pauses(&service).unwrap_or_default();
         let mixed = shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE;
         let mut job = Self {
-            pause: shortest,
             mixed,
             until,
             resume: ask.resume,
@@ -143,7 +140,6 @@
             service: &self.service,
             prompt: &self.ask.prompt,
             lane: if fragile { Lane::Fragile } else { Lane::Other },
-            pause: self.pause,
             background: self.standing.background,
             mixed: self.mixed,
             tried: &self.tried,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -173,9 +173,6 @@
             // A caller that has gone needs no end.
             let _ = self.parts.send(Part::End).await;
             if let Some(source) = self.source {
-                if self.job.fragile() {
-                    source.endpoint().streamed(self.pauses.longest());
-                }
                 source.finish();
             }
         }
@@ -220,7 +217,7 @@
         self.last = events.last.or(self.last);
         let pause = self.pauses.event();
         if let Some(source) = self.source.as_ref().filter(|_| self.job.fragile()) {
-            source.endpoint().paused(pause);
+            source.endpoint().paced(pause);
         }
         let sending = self.parts.send(Part::Events(events.bytes));
         tokio::select! {
