After its rest an endpoint gets one trial

Cause: an endpoint that lies dark was sound again after each rest for all requests at once, and each of them waited 400 ms for a connection. Change: while a trial waits there, the others go elsewhere. Test: trust_rested_endpoint_gets_one_trial fails before.

--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -150,7 +150,10 @@
 
     /// What the record says now.
     pub fn trust(&self, now: Duration) -> Trust {
-        if now < self.rest || self.silence(now) >= self.patience() {
+        // After its rest one request tries it; the others follow when something
+        // came back.
+        let tried = self.unreached > 0 && self.waiting > 0;
+        if now < self.rest || tried || self.silence(now) >= self.patience() {
             Trust::Silent
         } else if self.failures(now) >= FAILING {
             Trust::Failing
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -254,6 +254,23 @@
     assert_eq!((waits.ahead(false), waits.ahead(true)), (0.0, 9_000.0));
 }
 
+/// An endpoint lies dark for some seconds while every entry gets ten requests a
+/// second: after its rest one request tries it, and the others don't follow
+/// before something came back.
+#[test]
+fn trust_rested_endpoint_gets_one_trial() {
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    record.unanswered(ms(1_400));
+    record.ended(false);
+    assert_eq!(record.trust(ms(1_500)), Trust::Silent, "it rests");
+    assert_eq!(record.trust(ms(1_701)), Trust::Sound, "one may try it");
+    record.sent(ms(1_701));
+    assert_eq!(record.trust(ms(1_702)), Trust::Silent, "the others wait");
+    record.heard(ms(1_760));
+    assert_eq!(record.trust(ms(1_761)), Trust::Sound, "it is back");
+}
+
 #[test]
 fn trust_silent_endpoint_left_and_tried_again() {
     let mut record = Record::default();
