Entries agree on the size of the lanes; the directory in three modules

Change: twice a second each entry tells one control instance what came at it, and is told the sums; it goes by them for 1.6 s, and by its own count otherwise.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,5 +1,6 @@
 //! A control instance's life from start to drain.
 
+use crate::demand::Demand;
 use crate::forward::{self, ANNOUNCE_PATH, Announced};
 use crate::internal;
 use crate::internal::{CLUSTER_PATH, Inside, JOIN_PATH, MEMBER_PATH};
@@ -235,6 +236,7 @@
         let inside = Inside {
             service,
             presence: presence.clone(),
+            demand: Demand::default(),
             cluster: self.cluster,
             secret: Arc::new(self.settings.secret.clone()),
         };
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -1,6 +1,7 @@
 //! What the router's own processes ask a control instance.
 
 use crate::command::{Action, Reply};
+use crate::demand::Demand;
 use crate::peers::{Envelope, LOG_PATH};
 use crate::presence::{Names, PRESENCE_PATH, Presence};
 use crate::replica::Input;
@@ -20,12 +21,14 @@
     Acquire, Answered, FINISH_PATH, Finish, LEASE_PATH, TAKE_PATH, Take, Unable,
     WATCH_PATH, Watch,
 };
+use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand};
 use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH};
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
+use tokio::time::Instant;
 
 /// Path that tells which cluster an instance belongs to.
 pub const CLUSTER_PATH: &str = "/internal/cluster";
@@ -45,6 +48,8 @@
     pub service: Service,
     /// Entries.
     pub presence: Presence,
+    /// What comes at them.
+    pub demand: Demand,
     /// Cluster's id.
     pub cluster: u128,
     /// Key shared by the router's processes.
@@ -68,6 +73,7 @@
         .route(ADD_PATH, post(add))
         .route(MEMBER_PATH, post(member))
         .route(ROUTES_PATH, post(follow_routes))
+        .route(DEMAND_PATH, post(demand))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE))
         .with_state(inside);
     guarded(routes, secret)
@@ -221,6 +227,13 @@
     .await
 }
 
+async fn demand(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |tell: TellDemand| async move {
+        inside.demand.tell(Instant::now(), tell)
+    })
+    .await
+}
+
 async fn follow_routes(State(inside): State<Inside>, bytes: Bytes) -> Response {
     serve(bytes, |follow: FollowRoutes| async move {
         routes::answer(&inside.service, &inside.presence, follow).await
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod command;
 pub mod control;
+pub mod demand;
 pub mod forward;
 pub mod internal;
 pub mod operators;
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -1,5 +1,6 @@
 //! The entry's life from start to drain.
 
+use crate::agree;
 use crate::dialect::{CallerDialect, EndpointDialect, EndpointList};
 use crate::directory::Directory;
 use crate::follow::{Control, Follower};
@@ -163,6 +164,7 @@
         } = self;
         let seeds = Arc::clone(&follower);
         let helpers = [
+            tokio::spawn(agree::run(Arc::clone(&follower))),
             tokio::spawn(follower.run()),
             tokio::spawn(listing::follow(
                 Arc::clone(&shared),
--- /dev/null
+++ b/crates/direct/src/directory/endpoint.rs
@@ -0,0 +1,363 @@
+//! One endpoint as an entry sees it.
+//!
+//! Everything here is belief: how far it is trusted, how long prompts wait
+//! there, how fast it is, which beginnings it has read. It comes from this
+//! entry's own requests, and from the load that answers carry.
+
+use super::standing::Standing;
+use super::{Lane, Want, log_change};
+use crate::dialect::{Listed, Load, Prompt};
+use crate::pool::Pool;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::affinity::{self, Candidate};
+use dogwoodhill_policy::pace::Pace;
+use dogwoodhill_policy::packing::Packing;
+use dogwoodhill_policy::trust::{Record, Trust};
+use dogwoodhill_policy::wait::Waits;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// Prompt tokens that an endpoint reads in a millisecond, before an entry has
+/// seen any: the lower end of what the engines in use reach.
+pub(super) const READ_RATE: f64 = 30.0;
+/// Time beyond the nearest endpoint's to one in another failure domain: the
+/// way there and back.
+const DISTANCE: Duration = Duration::from_millis(3);
+/// Shared beginnings that are remembered for each endpoint.
+const SHARED_KEPT: usize = 512;
+/// Time constant with which a reported load fades. An entry hears of each of
+/// some endpoints about once in two seconds.
+const LOAD_FADES: f64 = 4.0;
+/// Weight of the newest first event in the learned slowness.
+const NEWEST: f64 = 0.1;
+/// Bounds of the learned slowness.
+const SLOWNESS: (f64, f64) = (0.5, 30.0);
+/// Time until the first event beyond waiting and reading.
+const STEP: Duration = Duration::from_millis(25);
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Identity.
+    pub id: EndpointId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Connections to it.
+    pub pool: Pool,
+    pub(super) hash: u64,
+    slots: u32,
+    leaving: AtomicBool,
+    start: Instant,
+    view: Mutex<View>,
+}
+
+/// What the entry believes of one endpoint.
+#[derive(Debug)]
+struct View {
+    record: Record,
+    load: Load,
+    loaded: Duration,
+    active: u32,
+    waits: Waits,
+    slowness: f64,
+    pace: Pace,
+    shared: Vec<(u64, Duration)>,
+}
+
+impl View {
+    /// What is left of the load it told, after `age`.
+    fn told(&self, now: Duration, count: u32) -> f64 {
+        let age = now.saturating_sub(self.loaded).as_secs_f64();
+        f64::from(count) * (-age / LOAD_FADES).exp()
+    }
+
+    /// Time until a prompt sent now would begin to be read.
+    fn wait(&self, now: Duration, background: bool) -> Duration {
+        let own = self.reading(self.waits.ahead(background));
+        own.max(self.waits.predicted(now))
+    }
+
+    fn reading(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens / READ_RATE / 1_000.0 * self.slowness)
+    }
+}
+
+impl Endpoint {
+    pub(super) fn new(listed: Listed, start: Instant) -> Self {
+        Self {
+            hash: affinity::hash(listed.id.as_bytes()),
+            id: listed.id,
+            service: listed.service,
+            address: listed.address,
+            domain: listed.domain,
+            slots: listed.slots.max(1),
+            leaving: AtomicBool::new(listed.leaving),
+            pool: Pool::default(),
+            start,
+            view: Mutex::new(View {
+                record: Record::default(),
+                load: Load::default(),
+                loaded: Duration::ZERO,
+                active: 0,
+                waits: Waits::default(),
+                slowness: 1.0,
+                pace: Pace::default(),
+                shared: Vec::new(),
+            }),
+        }
+    }
+
+    /// Whether it is about to stop.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(self: &Arc<Self>, prompt: &Prompt, standing: &Standing) -> Sent {
+        let now = self.start.elapsed();
+        let mut view = self.view();
+        view.record.sent(now);
+        view.active += 1;
+        let fresh = prompt.tokens.saturating_sub(prompt.shared_tokens);
+        let known = prompt.shared.is_some_and(|key| view.remember(key, now));
+        let tokens = if known { fresh } else { prompt.tokens };
+        let ahead = view.waits.ahead(standing.background);
+        let expected = view.reading(ahead + f64::from(tokens)) + STEP;
+        view.waits.sent(now, f64::from(tokens), standing.background);
+        drop(view);
+        standing.sent(f64::from(tokens));
+        Sent {
+            endpoint: Arc::clone(self),
+            standing: standing.clone(),
+            tokens: f64::from(tokens),
+            expected,
+            since: now,
+            unread: true,
+            begun: false,
+            waits: true,
+        }
+    }
+
+    /// Bytes came.
+    pub fn heard(&self) {
+        let now = self.start.elapsed();
+        self.view().record.heard(now);
+    }
+
+    /// An answer came, or was lost.
+    pub fn judged(&self, failed: bool) {
+        let now = self.start.elapsed();
+        self.view().record.judged(now, failed);
+    }
+
+    /// It can't be reached, or said nothing for too long.
+    pub fn unreached(&self) {
+        let now = self.start.elapsed();
+        self.view().record.unreached(now);
+        self.pool.clear();
+    }
+
+    /// A new connection got no answer.
+    pub fn unanswered(&self) {
+        let now = self.start.elapsed();
+        self.view().record.unanswered(now);
+        self.pool.clear();
+    }
+
+    /// Whether a request that has waited there for `waited` had better be
+    /// elsewhere.
+    pub fn deserted(&self, waited: Duration) -> bool {
+        let now = self.start.elapsed();
+        let sent = now.saturating_sub(waited);
+        self.view().record.deserted(now, sent)
+    }
+
+    /// An event came `pause` after the one before, in a stream that is disturbed
+    /// by pauses.
+    pub fn paced(&self, pause: Duration) {
+        let now = self.start.elapsed();
+        self.view().pace.event(now, pause);
+    }
+
+    pub(super) fn pace(&self, now: Duration) -> Option<Duration> {
+        self.view().pace.known(now)
+    }
+
+    /// It told its load.
+    pub fn loaded(&self, load: Load) {
+        let now = self.start.elapsed();
+        let mut view = self.view();
+        view.load = load;
+        view.loaded = now;
+    }
+
+    /// How far it is trusted now.
+    pub fn trust(&self) -> Trust {
+        let now = self.start.elapsed();
+        self.view().record.trust(now)
+    }
+
+    pub(super) fn candidate(
+        &self,
+        want: &Want<'_>,
+        domain: &str,
+        now: Duration,
+    ) -> Candidate {
+        let view = self.view();
+        let prompt = want.prompt;
+        let seen = prompt.shared.and_then(|key| {
+            let at = view.shared.binary_search_by_key(&key, |item| item.0).ok()?;
+            Some(now.saturating_sub(view.shared[at].1))
+        });
+        let reads = prompt.tokens > 0 && want.lane == Lane::Other;
+        let wait = if reads {
+            view.wait(now, want.background)
+        } else {
+            self.queueing(&view, now)
+        };
+        Candidate {
+            hash: self.hash,
+            wait,
+            reading: view.reading(f64::from(prompt.shared_tokens)),
+            distance: if self.domain == domain {
+                Duration::ZERO
+            } else {
+                DISTANCE
+            },
+            seen,
+        }
+    }
+
+    /// What runs there, for packing streams with short pauses.
+    pub(super) fn packing(&self, now: Duration) -> Packing {
+        let view = self.view();
+        let told = view.told(now, view.load.running + view.load.waiting);
+        Packing {
+            busy: told.max(f64::from(view.active)),
+            slots: f64::from(self.slots),
+        }
+    }
+
+    /// Cost of what runs there beside the request, for plain services and for
+    /// streams that only share the endpoint's steps: a full endpoint costs as
+    /// much as four times the way to another domain.
+    fn queueing(&self, view: &View, now: Duration) -> Duration {
+        let told = view.told(now, view.load.running + view.load.waiting);
+        let busy = told.max(f64::from(view.active));
+        let share = busy / f64::from(self.slots);
+        DISTANCE.mul_f64(4.0 * share * view.slowness)
+    }
+
+    /// Takes in whether it is about to stop.
+    pub(super) fn mark(&self, leaving: bool) {
+        let before = self.leaving.swap(leaving, Ordering::AcqRel);
+        if leaving && !before {
+            log_change("endpoint-leaving", &self.id, &self.service);
+        }
+    }
+
+    fn view(&self) -> MutexGuard<'_, View> {
+        // Beliefs stay usable even if a holder panicked.
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl View {
+    /// Notes a shared beginning; whether it was sent there before.
+    fn remember(&mut self, key: u64, now: Duration) -> bool {
+        match self.shared.binary_search_by_key(&key, |item| item.0) {
+            Ok(at) => {
+                self.shared[at].1 = now;
+                true
+            }
+            Err(at) => {
+                self.shared.insert(at, (key, now));
+                if self.shared.len() > SHARED_KEPT {
+                    self.forget_oldest();
+                }
+                false
+            }
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .shared
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, item)| item.1);
+        if let Some(at) = oldest.map(|(at, _)| at) {
+            self.shared.remove(at);
+        }
+    }
+}
+
+/// A request at an endpoint; its drop ends it.
+#[derive(Debug)]
+pub struct Sent {
+    endpoint: Arc<Endpoint>,
+    standing: Standing,
+    tokens: f64,
+    expected: Duration,
+    since: Duration,
+    unread: bool,
+    begun: bool,
+    waits: bool,
+}
+
+impl Sent {
+    /// The endpoint.
+    pub fn endpoint(&self) -> &Arc<Endpoint> {
+        &self.endpoint
+    }
+
+    /// The first bytes of the answer came: its prompt is read.
+    pub fn begun(&mut self) {
+        let now = self.endpoint.start.elapsed();
+        if !std::mem::take(&mut self.unread) {
+            return;
+        }
+        self.begun = true;
+        self.standing.read(now, self.tokens);
+        let took = now.saturating_sub(self.since);
+        let mut view = self.endpoint.view();
+        let background = self.standing.background;
+        view.waits.left(self.since, self.tokens, background);
+        view.record.begun(took);
+        if background {
+            return;
+        }
+        let reading = view.reading(self.tokens) + STEP;
+        view.waits.learn(now, took.saturating_sub(reading));
+        let ratio = took.as_secs_f64() / self.expected.as_secs_f64();
+        let slowness = view.slowness * (1.0 + (ratio.min(10.0) - 1.0) * NEWEST);
+        view.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
+    }
+
+    /// Nothing more is waited for.
+    pub fn ended(&mut self) {
+        if !std::mem::take(&mut self.waits) {
+            return;
+        }
+        let mut view = self.endpoint.view();
+        view.record.ended(self.begun);
+        view.active = view.active.saturating_sub(1);
+        if std::mem::take(&mut self.unread) {
+            let background = self.standing.background;
+            view.waits.left(self.since, self.tokens, background);
+            self.standing.left(self.tokens);
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.ended();
+    }
+}
--- /dev/null
+++ b/crates/direct/src/directory/standing.rs
@@ -0,0 +1,42 @@
+//! A request's place among those of its service that wait to be read.
+
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::backlog::Backlog;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// A request's place among those of its service that wait to be read.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    /// `None` for requests without a long prompt.
+    pub(super) backlog: Option<Arc<Mutex<Backlog>>>,
+    pub(super) rank: usize,
+    /// Predicted wait, when it came.
+    pub wait: Duration,
+    /// Whether all others go first.
+    pub background: bool,
+}
+
+impl Standing {
+    pub(super) fn sent(&self, tokens: f64) {
+        if !self.background {
+            self.with(|backlog| backlog.sent(self.rank, tokens));
+        }
+    }
+
+    pub(super) fn left(&self, tokens: f64) {
+        if !self.background {
+            self.with(|backlog| backlog.left(self.rank, tokens));
+        }
+    }
+
+    pub(super) fn read(&self, now: Duration, tokens: f64) {
+        self.left(tokens);
+        self.with(|backlog| backlog.read(now, tokens));
+    }
+
+    fn with(&self, act: impl FnOnce(&mut Backlog)) {
+        if let Some(backlog) = &self.backlog {
+            act(&mut backlog.lock().unwrap_or_else(PoisonError::into_inner));
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 //! [`dialect`] has the traits behind which the words of callers, endpoints and
 //! the list of endpoints stand; [`direct`] assembles the daemon.
 
+pub mod agree;
 pub mod answer;
 pub mod dialect;
 pub mod direct;
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -3,7 +3,9 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{Listed, Prompt};
 use dogwoodhill_direct::directory::{Directory, Lane, Want};
+use dogwoodhill_wire::demand::{ServiceDemand, Totals};
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 fn listed(count: usize) -> Vec<Listed> {
     let one = |i: usize| Listed {
@@ -76,6 +78,48 @@
     assert!(of(Lane::Fragile).is_disjoint(&of(Lane::Other)));
 }
 
+/// One entry gets the cues and another the chapters: alone they keep different
+/// numbers of endpoints free, and some of them would serve both kinds. By the
+/// sums they keep the same ones.
+#[test]
+fn place_entries_agree_on_lanes() {
+    let entry = |lane| {
+        let directory = Directory::new("here".to_string());
+        directory.update(listed(34));
+        let prompt = prompt(1, 9_000);
+        (0..50).for_each(|_| directory.note(&want(&prompt, lane, &[])));
+        directory
+    };
+    let (cues, chapters) = (entry(Lane::Fragile), entry(Lane::Other));
+    let reserved = |directory: &Directory| {
+        let prompt = prompt(1, 9_000);
+        let placed = directory.place(&want(&prompt, Lane::Other, &[]));
+        placed.expect("some").reserved
+    };
+    assert!(reserved(&cues) > reserved(&chapters) + 10);
+    let told = [cues.demanded(), chapters.demanded()].concat();
+    let total = ServiceDemand {
+        service: "voice".to_string(),
+        fragile: told.iter().map(|one| one.fragile).sum(),
+        other: told.iter().map(|one| one.other).sum(),
+    };
+    let totals = Totals {
+        services: vec![total],
+    };
+    // The sums are used for more than a second; whatever held this test up for
+    // longer is tried again.
+    let both = loop {
+        let begun = Instant::now();
+        cues.agree(&totals);
+        chapters.agree(&totals);
+        let both = (reserved(&cues), reserved(&chapters));
+        if begun.elapsed() < Duration::from_secs(1) {
+            break both;
+        }
+    };
+    assert_eq!(both.0, both.1);
+}
+
 #[test]
 fn place_never_leaving_or_tried() {
     let directory = Directory::new("here".to_string());
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -4,7 +4,7 @@
 use dogwoodhill_policy::affinity::{Candidate, choose, hash};
 use dogwoodhill_policy::backlog::{Backlog, hopeful};
 use dogwoodhill_policy::budget::{Allowance, Budget};
-use dogwoodhill_policy::lanes::Lanes;
+use dogwoodhill_policy::lanes::{Lanes, Shares};
 use dogwoodhill_policy::pace::{Pace, slow_from};
 use dogwoodhill_policy::packing::{Packing, needed};
 use dogwoodhill_policy::trust::{Record, Trust};
@@ -377,6 +377,34 @@
     }
 }
 
+/// Sums over all entries go before the own count, and an entry that is told
+/// nothing more goes back to its own: cut off from control it decides alone.
+#[test]
+fn shares_agreed_then_alone() {
+    let mut shares = Shares::default();
+    (0..100).for_each(|at| shares.note(ms(at * 10), true, ms(100)));
+    let alone = shares.reserved(ms(1_000), 34);
+    shares.agree(ms(1_000), 10.0, 90.0);
+    let agreed = shares.reserved(ms(1_000), 34);
+    assert!(agreed < alone, "{agreed} of {alone}");
+    assert_eq!(shares.reserved(ms(2_500), 34), agreed);
+    let after = shares.reserved(ms(2_700), 34);
+    assert!(after > agreed, "{after}");
+}
+
+/// What entries tell fades, so that one which gets nothing more counts for
+/// nothing soon.
+#[test]
+fn shares_told_work_fades() {
+    let mut shares = Shares::default();
+    shares.note(ms(0), true, ms(500));
+    shares.note(ms(0), false, ms(1_500));
+    let (fragile, other) = shares.told(ms(0));
+    assert!((fragile - 0.5).abs() < 1e-9 && (other - 1.5).abs() < 1e-9);
+    let (fragile, other) = shares.told(ms(12_500));
+    assert!(fragile < 0.01 && other < 0.02);
+}
+
 /// A burst of chapters at the users' larger deployment: 57 endpoints' worth of
 /// long prompts and 10 of cues before 34 endpoints. Only what is in front
 /// counts, which is what the endpoints left to long prompts can do; the cues
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod client;
 pub mod codec;
 pub mod control;
+pub mod demand;
 pub mod follow;
 pub mod frame;
 pub mod routes;
