An endpoint that is not the one meant is gone

Change: an endpoint that calls itself another one gets nothing more, whatever a lagging list says: identities never come back. Test: misdirected_endpoint_is_gone fails before.

--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -53,6 +53,9 @@
     pub(super) hash: u64,
     slots: u32,
     leaving: AtomicBool,
+    /// Whether something else answers at its address. An identity never comes
+    /// back, whatever a list says that lags.
+    gone: AtomicBool,
     start: Instant,
     view: Mutex<View>,
 }
@@ -98,6 +101,7 @@
             domain: listed.domain,
             slots: listed.slots.max(1),
             leaving: AtomicBool::new(listed.leaving),
+            gone: AtomicBool::new(false),
             pool: Pool::default(),
             start,
             view: Mutex::new(View {
@@ -113,9 +117,17 @@
         }
     }
 
-    /// Whether it is about to stop.
+    /// Whether it gets no new requests: it is about to stop, or gone.
     pub fn leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.gone.load(Ordering::Acquire)
+    }
+
+    /// Something else answered at its address.
+    pub fn misdirected(&self) {
+        if !self.gone.swap(true, Ordering::AcqRel) {
+            log_change("endpoint-replaced", &self.id, &self.service);
+            self.pool.clear();
+        }
     }
 
     /// Counts a request in until the guard is dropped.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -261,6 +261,9 @@
             StatusCode::TOO_MANY_REQUESTS => Refusal::Full,
             _ => Refusal::Expired,
         };
+        if reason == Refusal::Misdirected {
+            endpoint.misdirected();
+        }
         keep(body, line, &said, Arc::clone(endpoint));
         return Ended::Refused(reason);
     }
--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -16,6 +16,8 @@
     Answer(u16, &'static str),
     /// Says that it did not run it.
     Refuse,
+    /// Says that it is not the endpoint that was meant.
+    Misdirect,
     /// Answers a 503 that does not say so.
     Unfounded,
     /// Answers with another request's id.
@@ -116,6 +118,7 @@
         let text = match act {
             Act::Answer(status, body) => answer(status, id, "x-proof: 1\r\n", body),
             Act::Refuse => answer(503, id, "x-not-run: 1\r\n", ""),
+            Act::Misdirect => answer(421, id, "x-not-run: 1\r\n", ""),
             Act::Unfounded => answer(503, id, "x-proof: 1\r\n", ""),
             Act::Foreign => answer(200, "another", "x-proof: 1\r\n", "foreign"),
             Act::Unproved => answer(200, id, "", "unproved"),
--- a/crates/direct/tests/all/outcomes.rs
+++ b/crates/direct/tests/all/outcomes.rs
@@ -143,6 +143,24 @@
     assert!(served > 0 && !endpoints[1].seen().is_empty());
 }
 
+/// An endpoint was replaced by another of its service at the same address, and
+/// the list still has the old one: it is asked once, and not again while the
+/// list lags.
+#[tokio::test]
+async fn misdirected_endpoint_is_gone() {
+    let replaced = StandIn::start(vec![Act::Misdirect; 40]).await;
+    let other = StandIn::start(Vec::new()).await;
+    let entry = Entry::before(&[&replaced, &other]).await;
+    let mut refused = 0;
+    for _ in 0..40 {
+        let got = entry.call("POST /once/", "", "").await;
+        refused += usize::from(got.status == 503);
+        entry.list(&[&replaced, &other]);
+    }
+    assert!(refused <= 1, "{refused}");
+    assert!(replaced.seen().len() <= 1, "{}", replaced.seen().len());
+}
+
 /// A burst: endpoints answer later than the objective, and the service has no
 /// second send left. Whoever left would get nothing; whoever waits is served.
 #[tokio::test]
