Each refusal is logged once, and three failures are traced from their id

Tests over all kinds of refusal of an entry without agents: one line each, with the cause that the caller is told; and ctl trace over the real lines of a refused request, a broken stream and a lost answer.

--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -129,13 +129,19 @@
     /// Sends `METHOD path` with further header lines, and reads until the
     /// entry closes.
     pub(crate) async fn call(&self, line: &str, headers: &str, body: &str) -> Got {
-        let mut stream = TcpStream::connect(self.callers).await.expect("connects");
-        let text = request(line, headers, body);
-        stream.write_all(text.as_bytes()).await.expect("writes");
-        let mut bytes = Vec::new();
-        // A connection that breaks off ends the answer, too.
-        let _ = stream.read_to_end(&mut bytes).await;
-        Got::new(&bytes)
+        self.call_as("r-1", line, headers, body).await
+    }
+
+    /// The same with a request id of its own.
+    pub(crate) async fn call_as(
+        &self,
+        id: &str,
+        line: &str,
+        headers: &str,
+        body: &str,
+    ) -> Got {
+        let stream = TcpStream::connect(self.callers).await.expect("connects");
+        Got::read(stream, &request_as(id, line, headers, body)).await
     }
 }
 
@@ -153,9 +159,13 @@
 }
 
 pub(crate) fn request(line: &str, headers: &str, body: &str) -> String {
+    request_as("r-1", line, headers, body)
+}
+
+pub(crate) fn request_as(id: &str, line: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     format!(
-        "{line} HTTP/1.1\r\nhost: test\r\nx-request-id: r-1\r\nconnection: close\r\n\
+        "{line} HTTP/1.1\r\nhost: test\r\nx-request-id: {id}\r\nconnection: close\r\n\
          content-length: {length}\r\n{headers}\r\n{body}"
     )
 }
@@ -169,6 +179,15 @@
 }
 
 impl Got {
+    /// Sends a request, and reads until the entry closes.
+    pub(crate) async fn read(mut stream: TcpStream, text: &str) -> Self {
+        stream.write_all(text.as_bytes()).await.expect("writes");
+        let mut bytes = Vec::new();
+        // A connection that breaks off ends the answer, too.
+        let _ = stream.read_to_end(&mut bytes).await;
+        Self::new(&bytes)
+    }
+
     pub(crate) fn new(bytes: &[u8]) -> Self {
         let text = String::from_utf8_lossy(bytes);
         let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
--- /dev/null
+++ b/crates/direct/tests/all/logged.rs
@@ -0,0 +1,228 @@
+//! What the log says of requests that failed, and what `trace` makes of it.
+
+use crate::endpoint::{Act, StandIn};
+use crate::entry::{Entry, Got, LONG, request_as, set};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_ctl::trace::trace;
+use dogwoodhill_route::prelude::*;
+use log::{LevelFilter, Log, Metadata, Record};
+use std::sync::{Mutex, Once};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep};
+
+/// Every line that this test program logs.
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+static BEGIN: Once = Once::new();
+/// Far longer than anything takes; only a test that fails waits so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Lines;
+
+impl Log for Lines {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        LINES
+            .lock()
+            .expect("not poisoned")
+            .push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn begin() {
+    BEGIN.call_once(|| {
+        log::set_logger(&Lines).expect("the only one");
+        log::set_max_level(LevelFilter::Info);
+    });
+}
+
+/// Lines about a request.
+fn about(id: &str) -> Vec<String> {
+    let field = format!("request={id} ");
+    let lines = LINES.lock().expect("not poisoned");
+    let ours = lines.iter().filter(|line| line.contains(&field));
+    ours.cloned().collect()
+}
+
+/// Lines about a request, once `event` is among them.
+async fn about_with(id: &str, event: &str) -> Vec<String> {
+    let begun = Instant::now();
+    loop {
+        let lines = about(id);
+        if lines.iter().any(|line| line.contains(event)) {
+            return lines;
+        }
+        assert!(begun.elapsed() < PATIENCE, "{id}: no {event} in {lines:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A request that was refused left one line that says so, with its cause, and
+/// the caller was told the same cause.
+fn refused_once(id: &str, got: &Got, cause: &str) {
+    let lines = about(id);
+    let of = |event: &str| {
+        let named = |line: &&String| line.starts_with(&format!("event={event} "));
+        lines.iter().filter(named).count()
+    };
+    assert_eq!(of("request-refused"), 1, "{cause}: {lines:#?}");
+    assert_eq!(
+        of("request-answered") + of("request-abandoned"),
+        0,
+        "{cause}"
+    );
+    let line = lines.iter().find(|line| line.contains("request-refused"));
+    let line = line.expect("counted");
+    assert!(line.contains(&format!(" cause={cause} ")), "{line}");
+    assert!(line.contains(&format!(" status={} ", got.status)), "{line}");
+    assert!(got.body.contains(&format!("\"{cause}\"")), "{got:?}");
+}
+
+/// Routes with keys, small bodies and short times.
+fn strict() -> RouteSet {
+    let mut set = set();
+    set.limits.body = 16;
+    set.workspaces = Some(vec![RouteWorkspace {
+        name: "demo".to_string(),
+        keys: vec!["k".to_string()],
+        tier: None,
+    }]);
+    for route in &mut set.routes {
+        route.timeout = Duration::from_millis(400);
+    }
+    set
+}
+
+const KEY: &str = "x-key: k\r\n";
+
+#[tokio::test]
+async fn refused_before_sending_logged_once() {
+    begin();
+    let endpoint = StandIn::start(Vec::new()).await;
+    let entry = Entry::with(&[&endpoint], strict()).await;
+    for (id, line, headers, body, cause) in [
+        ("log-route", "GET /none/", KEY, "", "unknown-route"),
+        ("log-key", "GET /safe/", "x-key: z\r\n", "", "unknown-key"),
+        (
+            "log-large",
+            "POST /once/",
+            KEY,
+            "0123456789abcdefg",
+            "too-large",
+        ),
+    ] {
+        let got = entry.call_as(id, line, headers, body).await;
+        refused_once(id, &got, cause);
+    }
+    // The body that is announced never comes.
+    let headers = format!("{KEY}content-length: 9\r\n");
+    let text = format!(
+        "POST /once/ HTTP/1.1\r\nhost: test\r\nx-request-id: log-slow\r\n\
+         connection: close\r\n{headers}\r\n"
+    );
+    let caller = TcpStream::connect(entry.callers).await.expect("connects");
+    let got = Got::read(caller, &text).await;
+    refused_once("log-slow", &got, "slow-body");
+    let entry = Entry::empty(&[&endpoint]).await;
+    let got = entry.call_as("log-none", "GET /safe/", "", "").await;
+    refused_once("log-none", &got, "no-routes");
+    let entry = Entry::before(&[]).await;
+    let got = entry.call_as("log-empty", "GET /safe/", "", "").await;
+    refused_once("log-empty", &got, "no-endpoint");
+}
+
+#[tokio::test]
+async fn refused_after_sending_logged_once() {
+    begin();
+    for (id, act, line, cause) in [
+        ("log-full", Act::Refuse, "POST /once/", "endpoints-full"),
+        ("log-lost", Act::Break, "POST /once/", "answer-lost"),
+        ("log-foreign", Act::Foreign, "POST /once/", "answer-lost"),
+        ("log-unproved", Act::Unproved, "POST /once/", "answer-lost"),
+        ("log-short", Act::Short, "POST /once/", "answer-lost"),
+        ("log-hang", Act::Hang, "POST /once/", "timeout"),
+        ("log-stream", Act::Hang, "POST /stream/", "timeout"),
+    ] {
+        let endpoint = StandIn::start(vec![act]).await;
+        let mut set = strict();
+        set.workspaces = None;
+        let entry = Entry::with(&[&endpoint], set).await;
+        let got = entry.call_as(id, line, "", "").await;
+        refused_once(id, &got, cause);
+    }
+}
+
+#[tokio::test]
+async fn refused_while_stopping_logged_once() {
+    begin();
+    let endpoint = StandIn::start(Vec::new()).await;
+    let mut set = set();
+    let stream = set.routes.iter_mut().find(|route| route.name == "stream");
+    stream.expect("it is there").objective = LONG;
+    let entry = Entry::with(&[&endpoint], set).await;
+    let kept = TcpStream::connect(entry.callers).await.expect("connects");
+    entry.drain.begin();
+    while entry.shared.stopping.get().is_none() {
+        tokio::task::yield_now().await;
+    }
+    let text = request_as("log-stop", "POST /stream/", "", "");
+    let got = Got::read(kept, &text).await;
+    refused_once("log-stop", &got, "stopping");
+}
+
+/// From the id alone to the cause: a refusal that did not run.
+#[tokio::test]
+async fn trace_refused_says_why() {
+    begin();
+    let endpoint = StandIn::start(Vec::new()).await;
+    let entry = Entry::empty(&[&endpoint]).await;
+    entry.call_as("trace-refused", "GET /safe/", "", "").await;
+    let text = traced("trace-refused").await;
+    assert!(
+        text.contains("no-routes: the entry had no route set yet"),
+        "{text}"
+    );
+}
+
+/// A stream that ended in the middle.
+#[tokio::test]
+async fn trace_broken_stream_says_why() {
+    begin();
+    let pieces = vec!["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+    let endpoint = StandIn::start(vec![Act::Stream(pieces, false)]).await;
+    let entry = Entry::before(&[&endpoint]).await;
+    let got = entry.call_as("trace-stream", "POST /stream/", "", "").await;
+    assert!(!got.ended());
+    about_with("trace-stream", "stream-ended").await;
+    let text = traced("trace-stream").await;
+    assert!(
+        text.contains("endpoint-lost: the stream's connection"),
+        "{text}"
+    );
+    assert!(text.contains("last_event=2"), "{text}");
+}
+
+/// A non-idempotent call whose answer is missing: it may have run.
+#[tokio::test]
+async fn trace_unknown_outcome_says_why() {
+    begin();
+    let endpoint = StandIn::start(vec![Act::Break]).await;
+    let entry = Entry::before(&[&endpoint]).await;
+    entry.call_as("trace-lost", "POST /once/", "", "").await;
+    let text = traced("trace-lost").await;
+    assert!(text.contains("answer-lost: an endpoint had it"), "{text}");
+    assert!(
+        text.contains("connection-broke: the endpoint closed"),
+        "{text}"
+    );
+}
+
+async fn traced(id: &str) -> String {
+    let lines = about_with(id, "event=").await.join("\n");
+    let logs = [("entry".to_string(), lines)];
+    trace(id, &logs).expect("lines are about it")
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod entry;
 mod events;
 mod limits;
+mod logged;
 mod outcomes;
 mod streams;
