A decision looks at sixteen endpoints, in lists arranged when they arrive

Change: lists are arranged by service once; a decision looks closely at the sixteen that the request's beginning ranks first, or that lie side by side for streams, and at the other lane only where its own has no sound endpoint.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -133,9 +133,6 @@
     /// Every endpoint that was asked refused.
     #[display("endpoints-full")]
     Full,
-    /// The service can't serve it in time.
-    #[display("overload")]
-    Overload,
     /// This entry is about to stop.
     #[display("stopping")]
     Stopping,
@@ -159,7 +156,6 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::Overload => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoutes
             | Self::NoEndpoint
             | Self::Full
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -5,6 +5,7 @@
 //! answers carry. Requests read a snapshot; only the list replaces it.
 
 mod endpoint;
+mod snapshot;
 mod standing;
 
 pub use endpoint::{Endpoint, Sent};
@@ -17,11 +18,13 @@
 use dogwoodhill_policy::backlog::Backlog;
 use dogwoodhill_policy::lanes::Shares;
 use dogwoodhill_policy::pace;
-use dogwoodhill_policy::packing::{self, Packing};
+use dogwoodhill_policy::packing;
 use dogwoodhill_policy::trust::Trust;
 use dogwoodhill_wire::demand::{ServiceDemand, Totals};
-use endpoint::READ_RATE;
+use endpoint::{Look, READ_RATE};
 use rand::RngExt;
+use snapshot::{Group, Snapshot};
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -35,9 +38,11 @@
 /// All endpoints an entry knows.
 #[derive(Debug)]
 pub struct Directory {
-    endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
+    snapshot: ArcSwap<Snapshot>,
     domain: DomainId,
     start: Instant,
+    /// Where this entry begins among many endpoints.
+    spread: u64,
     /// By service; sorted.
     demand: Mutex<Vec<(ServiceId, Demand)>>,
 }
@@ -104,9 +109,10 @@
     /// No endpoints yet; `domain` is the entry's own.
     pub fn new(domain: DomainId) -> Self {
         Self {
-            endpoints: ArcSwap::default(),
+            snapshot: ArcSwap::default(),
             domain,
             start: Instant::now(),
+            spread: rand::random(),
             demand: Mutex::default(),
         }
     }
@@ -114,7 +120,8 @@
     /// Takes a list in. Endpoints that stay keep what is believed of them.
     pub fn update(&self, mut listed: Vec<Listed>) {
         listed.sort_by(|a, b| a.id.cmp(&b.id));
-        let old = self.endpoints.load();
+        let snapshot = self.snapshot.load();
+        let old = &snapshot.all;
         let endpoints = listed.into_iter().map(|listed| {
             let found = old.binary_search_by(|known| known.id.cmp(&listed.id));
             match found.ok().map(|at| &old[at]) {
@@ -138,31 +145,34 @@
             gone.pool.clear();
             log_change("endpoint-gone", &gone.id, &gone.service);
         }
-        self.endpoints.store(Arc::new(endpoints));
+        self.snapshot.store(Arc::new(Snapshot::new(endpoints)));
     }
 
     /// All endpoints.
     pub fn all(&self) -> Arc<Vec<Arc<Endpoint>>> {
-        self.endpoints.load_full()
+        Arc::clone(&self.snapshot.load().all)
     }
 
     /// Chooses an endpoint. Sound ones go before failing ones, and those before
     /// silent ones; among equally trusted ones those of the request's lane go
     /// before the others.
     pub fn place(&self, want: &Want<'_>) -> Option<Placed> {
-        let endpoints = self.endpoints.load();
-        let mut usable: Vec<&Arc<Endpoint>> = endpoints
-            .iter()
-            .filter(|endpoint| endpoint.service == want.service && !endpoint.leaving())
-            .collect();
-        usable.sort_unstable_by_key(|endpoint| endpoint.hash);
-        let reserved = self.reserved(want, usable.len());
+        let snapshot = self.snapshot.load();
+        let group = snapshot.group(want.service)?;
+        let known = group.len();
+        let reserved = self.reserved(want, known);
+        let (fragile, rest) = (0..reserved, reserved..known);
         let (own, others) = match want.lane {
-            Lane::Fragile => usable.split_at(reserved),
-            Lane::Other => {
-                let (fragile, rest) = usable.split_at(reserved);
-                (rest, fragile)
-            }
+            Lane::Fragile => (fragile, rest),
+            Lane::Other => (rest, fragile),
+        };
+        let own = self.looks(want, group, own);
+        // The other lane is looked at only where a sound endpoint is missing.
+        let sound = own.iter().any(|look| look.trust == Trust::Sound);
+        let others = if sound {
+            Vec::new()
+        } else {
+            self.looks(want, group, others)
         };
         // Long prompts stay out of the other lane for as long as one of their
         // own endpoints is left, be it silent: under load silence is mostly a
@@ -170,81 +180,56 @@
         // A short prompt disturbs nobody, wherever it goes.
         let turns = match want.lane {
             Lane::Other => [
-                (Trust::Sound, own),
-                (Trust::Failing, own),
-                (Trust::Silent, own),
-                (Trust::Sound, others),
-                (Trust::Failing, others),
-                (Trust::Silent, others),
+                (Trust::Sound, &own),
+                (Trust::Failing, &own),
+                (Trust::Silent, &own),
+                (Trust::Sound, &others),
+                (Trust::Failing, &others),
+                (Trust::Silent, &others),
             ],
             Lane::Fragile => [
-                (Trust::Sound, own),
-                (Trust::Sound, others),
-                (Trust::Failing, own),
-                (Trust::Failing, others),
-                (Trust::Silent, own),
-                (Trust::Silent, others),
+                (Trust::Sound, &own),
+                (Trust::Sound, &others),
+                (Trust::Failing, &own),
+                (Trust::Failing, &others),
+                (Trust::Silent, &own),
+                (Trust::Silent, &others),
             ],
         };
-        let mut turns = turns.iter();
-        turns.find_map(|(trust, some)| {
-            let endpoint = self.best(want, *trust, some)?;
+        turns.into_iter().find_map(|(trust, looks)| {
+            let looks = looks.iter().filter(|look| look.trust == trust);
+            let endpoint = choose(want, looks.collect())?;
             Some(Placed {
                 endpoint: Arc::clone(endpoint),
-                trust: *trust,
-                known: usable.len(),
+                trust,
+                known,
                 reserved,
             })
         })
     }
 
-    fn best<'a>(
+    /// Looks at endpoints of a range that may be asked.
+    fn looks<'a>(
         &self,
         want: &Want<'_>,
-        trust: Trust,
-        some: &[&'a Arc<Endpoint>],
-    ) -> Option<&'a Arc<Endpoint>> {
+        group: &'a Group,
+        range: Range<usize>,
+    ) -> Vec<Look<'a>> {
         let now = self.start.elapsed();
-        let fits = |endpoint: &&&Arc<Endpoint>| {
-            endpoint.trust() == trust && !want.tried.contains(&endpoint.id)
+        let look = |endpoint: &'a Arc<Endpoint>| {
+            let usable = !endpoint.leaving() && !want.tried.contains(&endpoint.id);
+            usable.then(|| endpoint.look(want, &self.domain, now))
         };
-        let some: Vec<&&Arc<Endpoint>> = some.iter().filter(fits).collect();
-        if want.lane == Lane::Fragile {
-            return self.packed(&some, now);
+        match want.lane {
+            Lane::Fragile => {
+                let some = group.window(range, self.spread);
+                some.filter_map(look).collect()
+            }
+            Lane::Other => {
+                let key = want.prompt.shared.unwrap_or_else(rand::random);
+                group.ranked(range, key).filter_map(look).collect()
+            }
         }
-        let candidates: Vec<Candidate> = some
-            .iter()
-            .map(|endpoint| endpoint.candidate(want, &self.domain, now))
-            .collect();
-        let key = want.prompt.shared.filter(|_| want.lane == Lane::Other);
-        let at = affinity::choose(key.unwrap_or_else(rand::random), &candidates)?;
-        Some(some[at])
-    }
-
-    /// Chooses among the first endpoints that together have room; those that
-    /// are too slow for short pauses come last. Two of them are drawn and the
-    /// less busy one is taken: entries that all took the first with room would
-    /// all take the same one.
-    fn packed<'a>(
-        &self,
-        some: &[&&'a Arc<Endpoint>],
-        now: Duration,
-    ) -> Option<&'a Arc<Endpoint>> {
-        let known = some.iter().filter_map(|endpoint| endpoint.pace(now));
-        let slow_from = pace::slow_from(known);
-        let slow = |endpoint: &&&Arc<Endpoint>| {
-            endpoint.pace(now).is_some_and(|pace| pace > slow_from)
-        };
-        let mut some = some.to_vec();
-        some.sort_by_cached_key(slow);
-        let loads: Vec<Packing> =
-            some.iter().map(|endpoint| endpoint.packing(now)).collect();
-        let most = packing::needed(loads.iter().copied());
-        let mut random = rand::rng();
-        let mut draw = || (most > 0).then(|| random.random_range(0..most));
-        let (a, b) = (draw()?, draw()?);
-        let at = if loads[a].busy <= loads[b].busy { a } else { b };
-        Some(some[at])
     }
 
     /// Notes a request's work, from which the size of the lanes follows.
@@ -297,11 +282,9 @@
             return Standing::default();
         }
         let now = self.start.elapsed();
-        let endpoints = self.endpoints.load();
-        let usable = endpoints
-            .iter()
-            .filter(|endpoint| endpoint.service == want.service && !endpoint.leaving());
-        let all = usable.count() as f64 * READ_RATE * 1_000.0;
+        let snapshot = self.snapshot.load();
+        let known = snapshot.group(want.service).map_or(0, Group::len);
+        let all = known as f64 * READ_RATE * 1_000.0;
         let least = all * LEAST_SHARE / f64::from(entries.max(1));
         let backlog = Arc::clone(&Demand::of(&mut self.demand(), want.service).backlog);
         let (wait, hopeful) = {
@@ -333,6 +316,39 @@
     }
 }
 
+/// Chooses among endpoints that are trusted alike.
+fn choose<'a>(want: &Want<'_>, looks: Vec<&Look<'a>>) -> Option<&'a Arc<Endpoint>> {
+    match want.lane {
+        Lane::Fragile => packed(looks),
+        Lane::Other => {
+            let candidates: Vec<Candidate> =
+                looks.iter().map(|look| look.candidate).collect();
+            let key = want.prompt.shared.unwrap_or_else(rand::random);
+            let at = affinity::choose(key, &candidates)?;
+            Some(looks[at].endpoint)
+        }
+    }
+}
+
+/// Chooses among the first endpoints that together have room; those that are
+/// too slow for short pauses come last. Two of them are drawn and the less busy
+/// one is taken: entries that all took the first with room would all take the
+/// same one.
+fn packed<'a>(mut looks: Vec<&Look<'a>>) -> Option<&'a Arc<Endpoint>> {
+    let slow_from = pace::slow_from(looks.iter().filter_map(|look| look.pace));
+    looks.sort_by_key(|look| look.pace.is_some_and(|pace| pace > slow_from));
+    let most = packing::needed(looks.iter().map(|look| look.packing));
+    let mut random = rand::rng();
+    let mut draw = || (most > 0).then(|| looks[random.random_range(0..most)]);
+    let (a, b) = (draw()?, draw()?);
+    let less = if a.packing.busy <= b.packing.busy {
+        a
+    } else {
+        b
+    };
+    Some(less.endpoint)
+}
+
 fn log_change(event: &str, id: &str, service: &str) {
     Event::new(event)
         .field("endpoint", id)
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -60,6 +60,21 @@
     view: Mutex<View>,
 }
 
+/// An endpoint as one decision sees it.
+#[derive(Debug)]
+pub(super) struct Look<'a> {
+    /// The endpoint.
+    pub(super) endpoint: &'a Arc<Endpoint>,
+    /// How far it is trusted.
+    pub(super) trust: Trust,
+    /// For placing prompts.
+    pub(super) candidate: Candidate,
+    /// For packing streams with short pauses.
+    pub(super) packing: Packing,
+    /// Usual time between two events there.
+    pub(super) pace: Option<Duration>,
+}
+
 /// What the entry believes of one endpoint.
 #[derive(Debug)]
 struct View {
@@ -74,10 +89,12 @@
 }
 
 impl View {
-    /// What is left of the load it told, after `age`.
-    fn told(&self, now: Duration, count: u32) -> f64 {
+    /// Requests that run or wait there: what is left of the load it told, and
+    /// the entry's own at least.
+    fn busy(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.loaded).as_secs_f64();
-        f64::from(count) * (-age / LOAD_FADES).exp()
+        let told = f64::from(self.load.running + self.load.waiting);
+        (told * (-age / LOAD_FADES).exp()).max(f64::from(self.active))
     }
 
     /// Time until a prompt sent now would begin to be read.
@@ -197,10 +214,6 @@
         self.view().pace.event(now, pause);
     }
 
-    pub(super) fn pace(&self, now: Duration) -> Option<Duration> {
-        self.view().pace.known(now)
-    }
-
     /// It told its load.
     pub fn loaded(&self, load: Load) {
         let now = self.start.elapsed();
@@ -215,13 +228,33 @@
         self.view().record.trust(now)
     }
 
-    pub(super) fn candidate(
+    /// Looks at it on behalf of a request.
+    pub(super) fn look<'a>(
+        self: &'a Arc<Self>,
+        want: &Want<'_>,
+        domain: &str,
+        now: Duration,
+    ) -> Look<'a> {
+        let view = self.view();
+        Look {
+            endpoint: self,
+            trust: view.record.trust(now),
+            candidate: self.candidate(&view, want, domain, now),
+            packing: Packing {
+                busy: view.busy(now),
+                slots: f64::from(self.slots),
+            },
+            pace: view.pace.known(now),
+        }
+    }
+
+    fn candidate(
         &self,
+        view: &View,
         want: &Want<'_>,
         domain: &str,
         now: Duration,
     ) -> Candidate {
-        let view = self.view();
         let prompt = want.prompt;
         let seen = prompt.shared.and_then(|key| {
             let at = view.shared.binary_search_by_key(&key, |item| item.0).ok()?;
@@ -231,7 +264,7 @@
         let wait = if reads {
             view.wait(now, want.background)
         } else {
-            self.queueing(&view, now)
+            self.queueing(view, now)
         };
         Candidate {
             hash: self.hash,
@@ -246,23 +279,11 @@
         }
     }
 
-    /// What runs there, for packing streams with short pauses.
-    pub(super) fn packing(&self, now: Duration) -> Packing {
-        let view = self.view();
-        let told = view.told(now, view.load.running + view.load.waiting);
-        Packing {
-            busy: told.max(f64::from(view.active)),
-            slots: f64::from(self.slots),
-        }
-    }
-
     /// Cost of what runs there beside the request, for plain services and for
     /// streams that only share the endpoint's steps: a full endpoint costs as
     /// much as four times the way to another domain.
     fn queueing(&self, view: &View, now: Duration) -> Duration {
-        let told = view.told(now, view.load.running + view.load.waiting);
-        let busy = told.max(f64::from(view.active));
-        let share = busy / f64::from(self.slots);
+        let share = view.busy(now) / f64::from(self.slots);
         DISTANCE.mul_f64(4.0 * share * view.slowness)
     }
 
--- /dev/null
+++ b/crates/direct/src/directory/snapshot.rs
@@ -0,0 +1,112 @@
+//! The endpoints of one list, arranged for choosing among them.
+
+use super::endpoint::Endpoint;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::affinity::mix;
+use std::ops::Range;
+use std::sync::Arc;
+
+/// Endpoints that one decision looks at closely. Every look takes a lock and
+/// some 150 ns, and sixteen are as good to choose from as a thousand.
+const MOST: usize = 16;
+
+/// A list as it was taken in.
+#[derive(Debug, Default)]
+pub(super) struct Snapshot {
+    /// Sorted by identity.
+    pub(super) all: Arc<Vec<Arc<Endpoint>>>,
+    /// Sorted by service.
+    services: Vec<(ServiceId, Group)>,
+}
+
+/// Endpoints of one service that were not leaving, in the order that all
+/// entries share.
+#[derive(Debug, Default)]
+pub(super) struct Group {
+    hashes: Vec<u64>,
+    endpoints: Vec<Arc<Endpoint>>,
+}
+
+impl Snapshot {
+    /// Arranges endpoints that are sorted by identity.
+    pub(super) fn new(all: Vec<Arc<Endpoint>>) -> Self {
+        let mut services: Vec<(ServiceId, Group)> = Vec::new();
+        for endpoint in all.iter().filter(|endpoint| !endpoint.leaving()) {
+            let found = services.binary_search_by(|item| item.0.cmp(&endpoint.service));
+            let at = found.unwrap_or_else(|at| {
+                services.insert(at, (endpoint.service.clone(), Group::default()));
+                at
+            });
+            services[at].1.endpoints.push(Arc::clone(endpoint));
+        }
+        for (_, group) in &mut services {
+            group
+                .endpoints
+                .sort_unstable_by_key(|endpoint| endpoint.hash);
+            group.hashes = group.endpoints.iter().map(|e| e.hash).collect();
+        }
+        Self {
+            all: Arc::new(all),
+            services,
+        }
+    }
+
+    /// The endpoints of a service, if there are any.
+    pub(super) fn group(&self, service: &str) -> Option<&Group> {
+        let found = self
+            .services
+            .binary_search_by(|item| item.0.as_str().cmp(service));
+        found.ok().map(|at| &self.services[at].1)
+    }
+}
+
+impl Group {
+    /// Number of endpoints.
+    pub(super) fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Of the endpoints in `range`, those that `key` ranks first, in their order.
+    /// All entries find the same ones.
+    pub(super) fn ranked(
+        &self,
+        range: Range<usize>,
+        key: u64,
+    ) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let mut first: Vec<(u64, usize)> = Vec::with_capacity(MOST + 1);
+        for (at, hash) in range.clone().zip(&self.hashes[range]) {
+            let rank = (mix(key ^ hash), at);
+            if first.len() < MOST {
+                first.push(rank);
+                if first.len() == MOST {
+                    first.sort_unstable_by(|a, b| b.cmp(a));
+                }
+            } else if rank > first[MOST - 1] {
+                let place = first.partition_point(|other| *other > rank);
+                first.insert(place, rank);
+                first.truncate(MOST);
+            }
+        }
+        let mut places: Vec<usize> = first.into_iter().map(|(_, at)| at).collect();
+        places.sort_unstable();
+        places.into_iter().map(|at| &self.endpoints[at])
+    }
+
+    /// Of the endpoints in `range`, some that lie side by side. Where there are
+    /// more than one decision looks at, `spread` tells which: it differs between
+    /// entries, so that they use all.
+    pub(super) fn window(
+        &self,
+        range: Range<usize>,
+        spread: u64,
+    ) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let count = range.len();
+        let from = if count > MOST {
+            (spread % count as u64) as usize
+        } else {
+            0
+        };
+        let places = (0..count.min(MOST)).map(move |i| range.start + (from + i) % count);
+        places.map(|at| &self.endpoints[at])
+    }
+}
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod decision;
 pub mod memory;
+pub mod placement;
 pub mod recovery;
 pub mod traffic;
 pub mod watchers;
@@ -113,6 +114,7 @@
 /// Text that says why a measurement could not be made.
 pub async fn run() -> Result<(), String> {
     print!("{}", decision::measure().text());
+    print!("{}", placement::measure().text());
     print!("{}", memory::waiting().text());
     print!("{}", memory::documents().text());
     print!("{}", memory::streams().await.text());
--- /dev/null
+++ b/crates/load/src/slopes/placement.rs
@@ -0,0 +1,92 @@
+//! Cost of choosing an endpoint in an entry without agents, against the number
+//! of endpoints.
+
+use super::Table;
+use dogwoodhill_direct::dialect::{Listed, Prompt};
+use dogwoodhill_direct::directory::{Directory, Lane, Standing, Want};
+use hdrhistogram::Histogram;
+use std::time::Instant;
+
+/// Numbers of endpoints.
+const SIZES: [usize; 4] = [16, 64, 160, 1_200];
+/// Decisions measured at each size.
+const DECISIONS: u64 = 50_000;
+/// Shared beginnings.
+const SHARED: u64 = 500;
+/// Requests under way while decisions are measured, for each endpoint.
+const UNDER_WAY: usize = 12;
+
+/// Measures the choice for a long prompt and for a stream with short pauses.
+pub fn measure() -> Table {
+    let mut table = Table::new(
+        "Placement without agents",
+        &[
+            "endpoints",
+            "prompt p50 us",
+            "prompt p99 us",
+            "stream p50 us",
+            "stream p99 us",
+        ],
+    );
+    for size in SIZES {
+        let prompts = one(size, Lane::Other);
+        let streams = one(size, Lane::Fragile);
+        let micros = |h: &Histogram<u64>, q| h.value_at_quantile(q) as f64 / 1000.0;
+        table.add(&[
+            size as f64,
+            micros(&prompts, 0.5),
+            micros(&prompts, 0.99),
+            micros(&streams, 0.5),
+            micros(&streams, 0.99),
+        ]);
+    }
+    table
+}
+
+fn one(size: usize, lane: Lane) -> Histogram<u64> {
+    let directory = Directory::new("domain-0".to_string());
+    directory.update((0..size).map(listed).collect());
+    let standing = Standing::default();
+    let mut under_way = std::collections::VecDeque::new();
+    let mut histogram = Histogram::new(3).expect("a valid precision");
+    for number in 0..DECISIONS {
+        let prompt = prompt(number);
+        let want = Want {
+            service: "voice",
+            prompt: &prompt,
+            lane,
+            background: false,
+            mixed: true,
+            tried: &[],
+        };
+        directory.note(&want);
+        let begun = Instant::now();
+        let placed = directory.place(&want).expect("endpoints are listed");
+        let _ = histogram.record(begun.elapsed().as_nanos() as u64);
+        under_way.push_back(placed.endpoint.enter(&prompt, &standing));
+        if under_way.len() > size * UNDER_WAY {
+            under_way.pop_front();
+        }
+    }
+    histogram
+}
+
+fn listed(number: usize) -> Listed {
+    Listed {
+        id: format!("endpoint-{number}"),
+        service: "voice".to_string(),
+        address: ([127, 0, 0, 1], number as u16 + 1).into(),
+        domain: format!("domain-{}", number % 4),
+        slots: 64,
+        leaving: false,
+    }
+}
+
+fn prompt(number: u64) -> Prompt {
+    Prompt {
+        shared: Some(number % SHARED),
+        shared_tokens: 6_300,
+        tokens: 9_190,
+        output: 200,
+    }
+}
