Callers wait a moment for an entry's first routes

Change: a request waits for the first route set, for 0.7 s or a quarter of its caller's time at most, and is refused with a word to come back after that. Test: entry_without_routes_waits_for_them.

--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -24,6 +24,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, OnceLock};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Connections that wait to be accepted. A burst on the hour brings more than
@@ -89,6 +90,7 @@
         let metrics = Metrics::default();
         let shared = Arc::new(Shared {
             routes: ArcSwapOption::empty(),
+            routes_changed: Notify::new(),
             directory: Directory::new(settings.domain.clone()),
             callers: dialects.callers,
             endpoints: dialects.endpoints,
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -169,18 +169,9 @@
                 return;
             }
         };
-        let table = Arc::new(RouteTable::new(set));
-        let newer = |old: &Option<Arc<RouteTable>>| {
-            let older = old
-                .as_ref()
-                .is_none_or(|old| old.version() < table.version());
-            if older {
-                Some(Arc::clone(&table))
-            } else {
-                old.clone()
-            }
-        };
-        self.shared.routes.rcu(newer);
+        if !self.shared.take_routes(RouteTable::new(set)) {
+            return;
+        }
         Event::new("routes-in-force")
             .field("version", held.version)
             .field("before", known.unwrap_or_default())
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -21,8 +21,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 /// Longest wait for a body where the caller names no time.
@@ -31,6 +33,11 @@
 /// starts, a full endpoint, one that leaves. In milliseconds; spread so that
 /// those refused together do not return together.
 const SOON_MS: std::ops::Range<u64> = 120..400;
+/// Longest wait of a request for an entry's first route set. After all processes
+/// were killed there is a leader after 0.3 to 0.65 s.
+const ROUTES_WAIT: Duration = Duration::from_millis(700);
+/// Part of its caller's time that the wait may take: one in so many.
+const ROUTES_SHARE: u32 = 4;
 /// Time after the drain's beginning from which requests are refused, with a
 /// word to come back at once through another entry.
 const DRAIN_REFUSES: Duration = Duration::from_millis(2_800);
@@ -43,6 +50,8 @@
 pub struct Shared {
     /// Route set in force.
     pub routes: ArcSwapOption<RouteTable>,
+    /// Told when there is a newer one.
+    pub routes_changed: Notify,
     /// Endpoints.
     pub directory: Directory,
     /// How callers speak.
@@ -90,6 +99,41 @@
         job.serve().await
     }
 
+    /// Puts a route set in force, unless a newer one is. Whether it is now.
+    pub fn take_routes(&self, table: RouteTable) -> bool {
+        let table = Arc::new(table);
+        let newer = |old: &Option<Arc<RouteTable>>| {
+            let older = old
+                .as_ref()
+                .is_none_or(|old| old.version() < table.version());
+            if older {
+                Some(Arc::clone(&table))
+            } else {
+                old.clone()
+            }
+        };
+        let before = self.routes.rcu(newer);
+        self.routes_changed.notify_waiters();
+        before.is_none_or(|before| before.version() < table.version())
+    }
+
+    /// The route set in force; an entry that has none yet waits for a moment.
+    async fn routes_soon(&self, patience: Option<Duration>) -> Option<Arc<RouteTable>> {
+        if let Some(table) = self.routes.load_full() {
+            return Some(table);
+        }
+        let share = patience.unwrap_or(Duration::MAX) / ROUTES_SHARE;
+        let end = Instant::now() + share.min(ROUTES_WAIT);
+        loop {
+            let mut changed = pin!(self.routes_changed.notified());
+            changed.as_mut().enable();
+            if let Some(table) = self.routes.load_full() {
+                return Some(table);
+            }
+            timeout_at(end, changed).await.ok()?;
+        }
+    }
+
     /// Reads the body, and finds out what the request is.
     async fn prepare(
         &self,
@@ -103,7 +147,7 @@
         let end = arrived + self.body_time(&parts, ask.as_ref());
         let body = read_body(body, limits.body, end).await?;
         let ask = ask.ok_or((Cause::Malformed, None))?;
-        let table = self.routes.load_full();
+        let table = self.routes_soon(ask.patience).await;
         let table = table.ok_or_else(|| (Cause::NoRoutes, Some(soon())))?;
         let host = host(&parts).ok_or((Cause::Malformed, None))?;
         let admitted = table.admit(&host, parts.uri.path(), ask.key.as_deref());
--- a/crates/direct/tests/all/callers.rs
+++ b/crates/direct/tests/all/callers.rs
@@ -49,6 +49,21 @@
     assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
 }
 
+/// All processes were killed and start together: callers come before there is
+/// a leader that could tell the routes. They are served as soon as there is one.
+#[tokio::test]
+async fn entry_without_routes_waits_for_them() {
+    let endpoint = StandIn::start(Vec::new()).await;
+    let entry = Entry::empty(&[&endpoint]).await;
+    let call = entry.call("GET /safe/", "", "");
+    let routes = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        entry.shared.take_routes(RouteTable::new(set()));
+    };
+    let (got, ()) = tokio::join!(call, routes);
+    assert_eq!(got.status, 200);
+}
+
 #[tokio::test]
 async fn entry_without_routes_says_come_back() {
     let endpoint = StandIn::start(Vec::new()).await;
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -72,10 +72,7 @@
 
     pub(crate) async fn with(endpoints: &[&StandIn], set: RouteSet) -> Self {
         let entry = Self::empty(endpoints).await;
-        entry
-            .shared
-            .routes
-            .store(Some(Arc::new(RouteTable::new(set))));
+        entry.shared.take_routes(RouteTable::new(set));
         entry
     }
 
