A test that a stream which moves leaves the silent endpoint first

The second endpoint answers only once the first one's connection is closed. With the connection kept until then the stream ends in the middle at its route's time, and the test fails.

--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -38,6 +38,10 @@
     Slow(Duration, &'static str),
     /// Streams these pieces; the flag tells whether it ends properly.
     Stream(Vec<&'static str>, bool),
+    /// Streams these pieces, then nothing until the caller goes, and tells so.
+    Stall(Vec<&'static str>, Arc<Notify>),
+    /// Streams these pieces once it is told that a caller went elsewhere.
+    StreamAfter(Arc<Notify>, Vec<&'static str>),
 }
 
 /// A request as it arrived.
@@ -154,6 +158,17 @@
             Act::Stream(pieces, ends) => {
                 return self.stream(stream, id, pieces, ends).await;
             }
+            Act::Stall(pieces, gone) => {
+                self.stream(stream, id, pieces, false).await;
+                let mut byte = [0];
+                let _ = stream.read(&mut byte).await;
+                gone.notify_one();
+                return false;
+            }
+            Act::StreamAfter(gone, pieces) => {
+                gone.notified().await;
+                return self.stream(stream, id, pieces, true).await;
+            }
         };
         stream.write_all(text.as_bytes()).await.is_ok()
     }
--- a/crates/direct/tests/all/streams.rs
+++ b/crates/direct/tests/all/streams.rs
@@ -4,6 +4,7 @@
 use crate::entry::Entry;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
 
 const ONE: &str = "id: 1\ndata: one\n\n";
 const TWO: &str = "id: 2\ndata: two\n\n";
@@ -77,6 +78,32 @@
     assert_eq!(resumed.len(), 1);
 }
 
+/// A stream goes on at another endpoint because the first one fell silent, not
+/// because it broke: the first one's connection is closed before the other is
+/// asked, or both would work on the request.
+#[tokio::test]
+async fn stream_moved_leaves_the_silent_endpoint_first() {
+    let (a, b) = (
+        StandIn::start(Vec::new()).await,
+        StandIn::start(Vec::new()).await,
+    );
+    let entry = Entry::before(&[&a, &b]).await;
+    // Earn a second send.
+    for _ in 0..8 {
+        entry.call("GET /safe/", "", "").await;
+    }
+    let gone = Arc::new(Notify::new());
+    let acts = Arc::new(Mutex::new(VecDeque::from(vec![
+        Act::Stall(vec![ONE, TWO], Arc::clone(&gone)),
+        Act::StreamAfter(gone, vec![THREE]),
+    ])));
+    a.share(&acts);
+    b.share(&acts);
+    let got = entry.call("POST /resumable/", "", "").await;
+    assert_eq!(got.events(), ["one", "two", "three"]);
+    assert!(got.ended());
+}
+
 #[tokio::test]
 async fn stream_empty_is_complete() {
     let endpoint = StandIn::start(vec![Act::Stream(Vec::new(), true)]).await;
