One control instance sends a newer route set, not all of them

Cause: an entry polls all control instances; the others hold news back for 150 ms each, but their polls went on, so each sent the whole text in the end. Change: polls for an older version are dropped and asked anew as soon as a newer one is there. What remains was not taken apart. Test: newer_routes_end_older_polls.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -27,8 +27,8 @@
 /// Longest wait of an entry that has no set yet.
 const FIRST_POLL: Duration = Duration::from_millis(700);
 /// How much longer than the one before it each instance holds news back. A
-/// route set is in force within tens of milliseconds through the first; what
-/// the others hold back is mostly not sent any more.
+/// route set is in force within tens of milliseconds through the first, and the
+/// others are then asked anew, before they send it.
 const LAG: Duration = Duration::from_millis(150);
 /// Pause after a failed poll.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -113,11 +113,16 @@
                 wait,
             };
             let call = self.caller.call(address, ROUTES_PATH, &follow);
-            let answer: Option<Answered<RoutesNews>> =
-                match timeout(wait + SLACK, call).await {
-                    Ok(Ok(answer)) => Some(answer),
-                    _ => None,
-                };
+            let answered = tokio::select! {
+                answered = timeout(wait + SLACK, call) => answered,
+                // Another instance told first: this one need not send the same
+                // text, and is asked for what comes after it.
+                _ = self.shared.newer_routes(held) => continue,
+            };
+            let answer: Option<Answered<RoutesNews>> = match answered {
+                Ok(Ok(answer)) => Some(answer),
+                _ => None,
+            };
             if lost != answer.is_none() {
                 lost = answer.is_none();
                 let event = if lost {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -124,13 +124,20 @@
         }
         let share = patience.unwrap_or(Duration::MAX) / ROUTES_SHARE;
         let end = Instant::now() + share.min(ROUTES_WAIT);
+        timeout_at(end, self.newer_routes(None)).await.ok()
+    }
+
+    /// Waits for a route set newer than `held`.
+    pub async fn newer_routes(&self, held: Option<Version>) -> Arc<RouteTable> {
         loop {
             let mut changed = pin!(self.routes_changed.notified());
             changed.as_mut().enable();
-            if let Some(table) = self.routes.load_full() {
-                return Some(table);
+            let table = self.routes.load_full();
+            let newer = table.filter(|table| held.is_none_or(|v| table.version() > v));
+            if let Some(table) = newer {
+                return table;
             }
-            timeout_at(end, changed).await.ok()?;
+            changed.await;
         }
     }
 
