Late streams get more endpoints where there is room

Change: where streams with short pauses are late and no prompt went to the background for 3 s, their work counts up to twice, so that more endpoints are kept free.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -16,7 +16,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::backlog::Backlog;
-use dogwoodhill_policy::lanes::Shares;
+use dogwoodhill_policy::lanes::{Shares, Strain};
 use dogwoodhill_policy::pace;
 use dogwoodhill_policy::packing;
 use dogwoodhill_policy::trust::Trust;
@@ -51,6 +51,7 @@
 #[derive(Debug, Default)]
 struct Demand {
     shares: Shares,
+    strain: Strain,
     backlog: Arc<Mutex<Backlog>>,
 }
 
@@ -241,7 +242,18 @@
         let mut all = self.demand();
         let demand = Demand::of(&mut all, want.service);
         let fragile = want.lane == Lane::Fragile;
-        demand.shares.note(now, fragile, work);
+        let factor = if fragile {
+            demand.strain.factor(now)
+        } else {
+            1.0
+        };
+        demand.shares.note(now, fragile, work.mul_f64(factor));
+    }
+
+    /// A stream of a service that is disturbed by pauses ended; `late`: one of
+    /// its pauses was too long.
+    pub fn streamed(&self, service: &str, late: bool) {
+        Demand::of(&mut self.demand(), service).strain.ended(late);
     }
 
     /// What came here lately, for the other entries.
@@ -292,6 +304,10 @@
             let hopeful = backlog.hopeful(now, rank, least, objective);
             (backlog.wait(now, rank, least), hopeful)
         };
+        if !hopeful {
+            let mut all = self.demand();
+            Demand::of(&mut all, want.service).strain.crowded(now);
+        }
         Standing {
             backlog: Some(backlog),
             rank,
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -146,6 +146,14 @@
         }
     }
 
+    /// Notes that its stream is complete, with this longest pause.
+    pub fn streamed(&self, longest: Duration) {
+        if let Some(events) = self.admitted.route.events.filter(|_| self.fragile()) {
+            let late = longest > events.pause;
+            self.shared.directory.streamed(&self.service, late);
+        }
+    }
+
     /// Whether its stream is disturbed by pauses.
     pub fn fragile(&self) -> bool {
         self.want().lane == Lane::Fragile
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -170,6 +170,7 @@
         self.record
             .stream(status, cause, self.last, self.pauses.longest());
         if over == Over::Complete {
+            self.job.streamed(self.pauses.longest());
             // A caller that has gone needs no end.
             let _ = self.parts.send(Part::End).await;
             if let Some(source) = self.source {
