--- a/crates/direct/tests/all/callers.rs
+++ b/crates/direct/tests/all/callers.rs
@@ -1,7 +1,7 @@
 //! What callers may send, and the entry's own refusals.
 
 use crate::endpoint::StandIn;
-use crate::entry::{Entry, LONG, request, set};
+use crate::entry::{Entry, LONG, demo, request, set};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,11 +13,7 @@
     let endpoint = StandIn::start(Vec::new()).await;
     let mut set = set();
     set.limits.body = 16;
-    set.workspaces = Some(vec![RouteWorkspace {
-        name: "demo".to_string(),
-        keys: vec!["k".to_string()],
-        tier: None,
-    }]);
+    set.workspaces = Some(vec![demo()]);
     let entry = Entry::with(&[&endpoint], set).await;
     let key = "x-key: k\r\n";
     let long = "0123456789abcdefg";
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -18,6 +18,8 @@
 use tokio::sync::watch;
 
 pub(crate) const LONG: Duration = Duration::from_secs(30);
+/// Enough requests that a second send is in the budget.
+pub(crate) const EARNING: usize = 8;
 
 /// An entry that serves; it stops with the test's runtime.
 pub(crate) struct Entry {
@@ -64,6 +66,15 @@
     }
 }
 
+/// A workspace with the key `k`.
+pub(crate) fn demo() -> RouteWorkspace {
+    RouteWorkspace {
+        name: "demo".to_string(),
+        keys: vec!["k".to_string()],
+        tier: None,
+    }
+}
+
 impl Entry {
     /// An entry before these endpoints, with the routes of [`set`].
     pub(crate) async fn before(endpoints: &[&StandIn]) -> Self {
@@ -118,6 +129,13 @@
         entry
     }
 
+    /// Sends enough requests that a second send is in the budget.
+    pub(crate) async fn earn(&self) {
+        for _ in 0..EARNING {
+            self.call("GET /safe/", "", "").await;
+        }
+    }
+
     /// Replaces the list of endpoints.
     pub(crate) fn list(&self, endpoints: &[&StandIn]) {
         self.shared.directory.update(listed(endpoints));
--- a/crates/direct/tests/all/logged.rs
+++ b/crates/direct/tests/all/logged.rs
@@ -1,7 +1,7 @@
 //! What the log says of requests that failed, and what `trace` makes of it.
 
 use crate::endpoint::{Act, StandIn};
-use crate::entry::{Entry, Got, LONG, request_as, set};
+use crate::entry::{Entry, Got, LONG, demo, request_as, set};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_ctl::trace::trace;
 use dogwoodhill_route::prelude::*;
@@ -86,11 +86,7 @@
 fn strict() -> RouteSet {
     let mut set = set();
     set.limits.body = 16;
-    set.workspaces = Some(vec![RouteWorkspace {
-        name: "demo".to_string(),
-        keys: vec!["k".to_string()],
-        tier: None,
-    }]);
+    set.workspaces = Some(vec![demo()]);
     for route in &mut set.routes {
         route.timeout = Duration::from_millis(400);
     }
--- a/crates/direct/tests/all/outcomes.rs
+++ b/crates/direct/tests/all/outcomes.rs
@@ -2,19 +2,10 @@
 //! again.
 
 use crate::endpoint::{Act, StandIn};
-use crate::entry::{Entry, set};
+use crate::entry::{EARNING, Entry, set};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::prelude::*;
 
-/// Enough requests that a second send is in the budget.
-const EARNING: usize = 8;
-
-async fn earn(entry: &Entry) {
-    for _ in 0..EARNING {
-        entry.call("GET /safe/", "", "").await;
-    }
-}
-
 fn sum(endpoints: &[&StandIn]) -> usize {
     endpoints.iter().map(|endpoint| endpoint.seen().len()).sum()
 }
@@ -40,7 +31,7 @@
             StandIn::start(with(act.clone())).await,
         );
         let entry = Entry::before(&[&a, &b]).await;
-        earn(&entry).await;
+        entry.earn().await;
         // Each endpoint does its act only after the earning ones; ask until
         // one of them is met.
         let mut got = entry.call("POST /once/", "", "").await;
@@ -59,10 +50,10 @@
     for act in [Act::Break, Act::Foreign, Act::Short, Act::Unproved] {
         let endpoint = StandIn::start(Vec::new()).await;
         let entry = Entry::before(&[&endpoint]).await;
-        earn(&entry).await;
+        entry.earn().await;
         let broken = StandIn::start(vec![act; 50]).await;
         let entry = Entry::before(&[&endpoint, &broken]).await;
-        earn(&entry).await;
+        entry.earn().await;
         // The budget allows some of these; whoever gets an answer gets a
         // whole one.
         for _ in 0..EARNING {
@@ -187,7 +178,7 @@
         route.objective = Duration::from_millis(40);
     }
     let entry = Entry::with(&[&quick], set).await;
-    earn(&entry).await;
+    entry.earn().await;
     entry.list(&[&quick, &slow]);
     // One of two endpoints hangs: with ten units there is always one left.
     for _ in 0..EARNING {
--- a/crates/direct/tests/all/streams.rs
+++ b/crates/direct/tests/all/streams.rs
@@ -56,10 +56,7 @@
         StandIn::start(Vec::new()).await,
     );
     let entry = Entry::before(&[&a, &b]).await;
-    // Earn a second send.
-    for _ in 0..8 {
-        entry.call("GET /safe/", "", "").await;
-    }
+    entry.earn().await;
     // Whichever endpoint is asked first breaks off, the other one goes on.
     let acts = Arc::new(Mutex::new(VecDeque::from(vec![
         broken(),
@@ -88,10 +85,7 @@
         StandIn::start(Vec::new()).await,
     );
     let entry = Entry::before(&[&a, &b]).await;
-    // Earn a second send.
-    for _ in 0..8 {
-        entry.call("GET /safe/", "", "").await;
-    }
+    entry.earn().await;
     let gone = Arc::new(Notify::new());
     let acts = Arc::new(Mutex::new(VecDeque::from(vec![
         Act::Stall(vec![ONE, TWO], Arc::clone(&gone)),
