--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -76,7 +76,7 @@
     /// the endpoints have, and the share of the fragile streams, which are more
     /// urgent, would shrink while they need as much as before. What is in front
     /// is about what the endpoints left to it can do, so the fragile streams
-    /// get what they need and [`MARGIN`].
+    /// get what they need and a tenth more.
     pub fn note(&mut self, now: Duration, fragile: bool, work: Duration) {
         let fade = self.fade(now);
         self.fragile *= fade;
