Streams with the shortest pauses are kept apart unless what is seen speaks against it

Cause: whether prompts disturb a stream was decided by a constant of 160 ms, what the first engines needed. Ruled out: queues (their first events came after 56 to 70 ms in the middle).

Change: policy::disturbance. The shortest class of a service is kept apart until thirty streams beside long prompts show that it needn't be; entries share it with their demand. FRAGILE_PAUSE is gone.

--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -59,6 +59,8 @@
             Ok(at) => {
                 services[at].fragile += one.fragile;
                 services[at].other += one.other;
+                services[at].pauses += one.pauses;
+                services[at].streams += one.streams;
             }
             Err(at) => services.insert(at, one.clone()),
         }
--- a/crates/control/tests/demand.rs
+++ b/crates/control/tests/demand.rs
@@ -12,6 +12,8 @@
             service: service.to_string(),
             fragile,
             other,
+            pauses: 0.4,
+            streams: 2.0,
         }],
     }
 }
@@ -29,6 +31,12 @@
         .map(|sum| (sum.service.as_str(), sum.fragile, sum.other))
         .collect();
     assert_eq!(sums, [("chat", 8.0, 0.5), ("voice", 3.0, 7.0)]);
+    let pauses: Vec<(f64, f64)> = totals
+        .services
+        .iter()
+        .map(|sum| (sum.pauses, sum.streams))
+        .collect();
+    assert_eq!(pauses, [(0.4, 2.0), (0.8, 4.0)]);
 }
 
 /// An entry that tells again counts once.
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -16,6 +16,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::backlog::Backlog;
+use dogwoodhill_policy::disturbance::Disturbance;
 use dogwoodhill_policy::lanes::{Shares, Strain};
 use dogwoodhill_policy::pace;
 use dogwoodhill_policy::packing;
@@ -52,6 +53,7 @@
 struct Demand {
     shares: Shares,
     strain: Strain,
+    disturbance: Disturbance,
     backlog: Arc<Mutex<Backlog>>,
 }
 
@@ -250,10 +252,37 @@
         demand.shares.note(now, fragile, work.mul_f64(factor));
     }
 
-    /// A stream of a service that is disturbed by pauses ended; `late`: one of
-    /// its pauses was too long.
-    pub fn streamed(&self, service: &str, late: bool) {
-        Demand::of(&mut self.demand(), service).strain.ended(late);
+    /// Whether streams of `service` that allow a pause of `shortest`, and no other
+    /// stream less, are kept apart from those that allow up to `longest`.
+    pub fn apart(&self, service: &str, shortest: Duration, longest: Duration) -> bool {
+        let now = self.start.elapsed();
+        let mut all = self.demand();
+        let disturbance = &mut Demand::of(&mut all, service).disturbance;
+        if shortest >= longest {
+            return false;
+        }
+        if disturbance.decide(now, shortest) {
+            let known = disturbance.known(now).unwrap_or_default();
+            Event::new("streams-apart")
+                .field("service", service)
+                .field("apart", disturbance.apart())
+                .field("pause_ms", shortest.as_millis())
+                .field("disturbed_ms", known.as_millis())
+                .field("streams", disturbance.told(now).1)
+                .info();
+        }
+        disturbance.apart()
+    }
+
+    /// A stream of a request ended whose longest pause was `longest`, of `allowed`.
+    pub fn streamed(&self, want: &Want<'_>, longest: Duration, allowed: Duration) {
+        let now = self.start.elapsed();
+        let mut all = self.demand();
+        let demand = Demand::of(&mut all, want.service);
+        match want.lane {
+            Lane::Fragile => demand.strain.ended(longest > allowed),
+            Lane::Other => demand.disturbance.ended(now, longest),
+        }
     }
 
     /// What came here lately, for the other entries.
@@ -262,10 +291,14 @@
         let all = self.demand();
         let services = all.iter().map(|(service, demand)| {
             let (fragile, other) = demand.shares.told(now);
+            let (pause, streams) = demand.disturbance.told(now);
+            let streams = streams as f64;
             ServiceDemand {
                 service: service.clone(),
                 fragile,
                 other,
+                pauses: pause.as_secs_f64() * streams,
+                streams,
             }
         });
         services.collect()
@@ -278,6 +311,9 @@
         for total in &totals.services {
             let demand = Demand::of(&mut all, &total.service);
             demand.shares.agree(now, total.fragile, total.other);
+            let pause = Duration::try_from_secs_f64(total.pauses / total.streams);
+            let pause = pause.unwrap_or_default();
+            demand.disturbance.agree(now, pause, total.streams as usize);
         }
     }
 
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -15,7 +15,6 @@
 use bytes::Bytes;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_policy::lanes::FRAGILE_PAUSE;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
 use rand::RngExt;
@@ -58,6 +57,7 @@
     outbound: Outbound,
     service: ServiceId,
     mixed: bool,
+    lane: Lane,
     standing: Standing,
     tried: Vec<EndpointId>,
     sends: usize,
@@ -99,9 +99,12 @@
         record.version = table.version();
         shared.earn(&service);
         let (shortest, longest) = table.pauses(&service).unwrap_or_default();
-        let mixed = shortest <= FRAGILE_PAUSE && longest > FRAGILE_PAUSE;
+        let mixed = shared.directory.apart(&service, shortest, longest);
+        let events = admitted.route.events;
+        let fragile = mixed && events.is_some_and(|events| events.pause <= shortest);
         let mut job = Self {
             mixed,
+            lane: if fragile { Lane::Fragile } else { Lane::Other },
             until,
             resume: ask.resume,
             shared,
@@ -134,12 +137,10 @@
 
     /// What it wants of an endpoint.
     fn want(&self) -> Want<'_> {
-        let events = self.admitted.route.events;
-        let fragile = events.is_some_and(|events| events.pause <= FRAGILE_PAUSE);
         Want {
             service: &self.service,
             prompt: &self.ask.prompt,
-            lane: if fragile { Lane::Fragile } else { Lane::Other },
+            lane: self.lane,
             background: self.standing.background,
             mixed: self.mixed,
             tried: &self.tried,
@@ -148,15 +149,15 @@
 
     /// Notes that its stream is complete, with this longest pause.
     pub fn streamed(&self, longest: Duration) {
-        if let Some(events) = self.admitted.route.events.filter(|_| self.fragile()) {
-            let late = longest > events.pause;
-            self.shared.directory.streamed(&self.service, late);
+        if let Some(events) = self.admitted.route.events {
+            let directory = &self.shared.directory;
+            directory.streamed(&self.want(), longest, events.pause);
         }
     }
 
     /// Whether its stream is disturbed by pauses.
     pub fn fragile(&self) -> bool {
-        self.want().lane == Lane::Fragile
+        self.lane == Lane::Fragile
     }
 
     /// Whether it may run more than once.
@@ -364,7 +365,7 @@
     /// next in its queue, and would be read anew elsewhere.
     fn patience(&self) -> Option<Duration> {
         let route = &self.admitted.route;
-        let stays = route.events.is_some() && self.want().lane == Lane::Other;
+        let stays = route.events.is_some() && self.lane == Lane::Other;
         (!stays).then(|| route.objective.mul_f64(SILENT_OBJECTIVES))
     }
 
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -102,6 +102,7 @@
         service: "voice".to_string(),
         fragile: told.iter().map(|one| one.fragile).sum(),
         other: told.iter().map(|one| one.other).sum(),
+        ..ServiceDemand::default()
     };
     let totals = Totals {
         services: vec![total],
--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -1,25 +1,17 @@
 //! Which endpoints are kept free of long prompts.
 //!
-//! The pattern: one class streams short events to people who notice every
-//! pause (a cue feed with 120 ms between events), beside classes with prompts
-//! of thousands of tokens. An engine reads a prompt in chunks between the
-//! tokens of the streams that run beside it. While it reads without a break, a
-//! step takes 25 to 45 ms in place of 7, so an event of three to five tokens
-//! takes 125 to 155 ms, and the whole stream is late. Two long prompts that
-//! meet are enough.
+//! Streams with the shortest pauses of a service get endpoints of their own where
+//! prompts that are read beside them would make them late ([`disturbance`] tells
+//! whether they would). How many follows from the share of the work they bring,
+//! which every entry measures by itself; which ones follows from a fixed order of
+//! the endpoints. A dozen requests a second make a poor measure: entries alone
+//! differ by half, and an endpoint that some keep free and others don't serves both
+//! kinds badly. So they tell each other what came, and go by the sums ([`Shares`]).
 //!
-//! So streams whose pause is shorter than that get endpoints of their own. How
-//! many follows from the share of the work they bring, which every entry
-//! measures by itself; which ones follows from a fixed order of the endpoints.
-//! A dozen requests a second make a poor measure: entries alone differ by half,
-//! and an endpoint that some keep free and others don't serves both kinds
-//! badly. So they tell each other what came, and go by the sums ([`Shares`]).
+//! [`disturbance`]: crate::disturbance
 
 use std::time::Duration;
 
-/// Pause up to which a stream is disturbed by prompts read without a break:
-/// 125 to 155 ms at the engines in use.
-pub const FRAGILE_PAUSE: Duration = Duration::from_millis(160);
 /// Endpoints for fragile streams beyond their share of the work, so that they
 /// don't queue when they alone burst.
 const MARGIN: f64 = 1.1;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`budget`]: how many retries a service may add to its load;
 //! * [`affinity`]: the choice of an endpoint for a prompt whose beginning other
 //!   requests share;
+//! * [`disturbance`]: whether streams with short pauses are kept apart at all;
 //! * [`lanes`]: which endpoints are kept free of long prompts;
 //! * [`packing`]: how many endpoints streams with short pauses are packed on;
 //! * [`urgency`]: who goes first at an endpoint;
@@ -29,6 +30,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod dispatch;
+pub mod disturbance;
 pub mod gate;
 pub mod lanes;
 pub mod limit;
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -17,7 +17,7 @@
 }
 
 /// Work for one service, in seconds of an endpoint's time, fading alike at all
-/// entries.
+/// entries, and the pauses of its streams.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceDemand {
     /// The service.
@@ -26,6 +26,13 @@
     pub fragile: f64,
     /// Of other requests.
     pub other: f64,
+    /// Longest pauses of streams that ran beside long prompts, in seconds, times
+    /// `streams`.
+    #[serde(default)]
+    pub pauses: f64,
+    /// Streams that `pauses` comes from.
+    #[serde(default)]
+    pub streams: f64,
 }
 
 /// Sums over all entries that told lately; sorted by service.
