Two entries read the list of endpoints for all

Ruled out: a longer interval for all, which would have halved the calls and doubled the time until an endpoint that leaves is known.

Change: two entries read, a control instance passes it on with the exchange that entries have twice a second; whoever hears of no fresh read reads by itself. Only later reads replace earlier ones, an endpoint seen leaving never comes back, lists cut short are doubted.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,6 +4,7 @@
 use crate::forward::{self, ANNOUNCE_PATH, Announced};
 use crate::internal;
 use crate::internal::{CLUSTER_PATH, Inside, JOIN_PATH, MEMBER_PATH};
+use crate::lists::Lists;
 use crate::operators::{self, Outside};
 use crate::peers::Peers;
 use crate::presence::{INTERVAL, PRESENCE_PATH, Presence};
@@ -237,6 +238,7 @@
             service,
             presence: presence.clone(),
             demand: Demand::default(),
+            lists: Lists::default(),
             cluster: self.cluster,
             secret: Arc::new(self.settings.secret.clone()),
         };
--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -65,5 +65,8 @@
             Err(at) => services.insert(at, one.clone()),
         }
     }
-    Totals { services }
+    Totals {
+        services,
+        ..Totals::default()
+    }
 }
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{Action, Reply};
 use crate::demand::Demand;
+use crate::lists::Lists;
 use crate::peers::{Envelope, LOG_PATH};
 use crate::presence::{Names, PRESENCE_PATH, Presence};
 use crate::replica::Input;
@@ -21,7 +22,7 @@
     Acquire, Answered, FINISH_PATH, Finish, LEASE_PATH, TAKE_PATH, Take, Unable,
     WATCH_PATH, Watch,
 };
-use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand};
+use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand, Totals};
 use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH};
 use http::StatusCode;
 use serde::Serialize;
@@ -50,6 +51,8 @@
     pub presence: Presence,
     /// What comes at them.
     pub demand: Demand,
+    /// What entries read of the list of endpoints.
+    pub lists: Lists,
     /// Cluster's id.
     pub cluster: u128,
     /// Key shared by the router's processes.
@@ -229,7 +232,15 @@
 
 async fn demand(State(inside): State<Inside>, bytes: Bytes) -> Response {
     serve(bytes, |tell: TellDemand| async move {
-        inside.demand.tell(Instant::now(), tell)
+        let now = Instant::now();
+        let mut tell = tell;
+        let list = tell.list.take();
+        let news = inside.lists.tell(now, &tell.entry, tell.held, list);
+        Totals {
+            reader: news.reader,
+            list: news.newest,
+            ..inside.demand.tell(now, tell)
+        }
     })
     .await
 }
--- /dev/null
+++ b/crates/control/src/lists.rs
@@ -0,0 +1,146 @@
+//! The newest read of the list of endpoints, passed on from the entries that read
+//! it to all others.
+//!
+//! Nothing here is durable, and nobody waits for it: an entry that hears of no
+//! fresh read reads by itself. Two entries are asked to read for all, those first by
+//! name among the ones that lately could; so a reader that dies, freezes or is cut
+//! off from the list is replaced as soon as another one had to read by itself.
+
+use dogwoodhill_wire::list::{ListRead, Listed};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Entries that are asked to read. One may be lost at any moment.
+const READERS: usize = 2;
+/// How long an entry counts that tells nothing more: four of its intervals.
+const KEPT: Duration = Duration::from_secs(2);
+/// How long an entry counts as one that can read: three intervals of a reader.
+const READS: Duration = Duration::from_secs(3);
+/// Most entries that are held: five times the size that the design is made for.
+const MOST: usize = 2_500;
+/// Most endpoints of a list that is passed on: eight times that size.
+const MOST_ENDPOINTS: usize = 10_000;
+
+/// An entry that told lately.
+#[derive(Debug)]
+struct Teller {
+    entry: String,
+    told: Instant,
+    /// When it asked for the read that it told last.
+    read: Option<Instant>,
+}
+
+/// The newest read.
+#[derive(Debug)]
+struct Held {
+    mark: u64,
+    read: Instant,
+    endpoints: Vec<Listed>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Sorted by entry.
+    tellers: Vec<Teller>,
+    held: Option<Held>,
+}
+
+/// What entries told one instance of the list. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Lists {
+    state: Arc<Mutex<State>>,
+}
+
+/// What an entry is told of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListNews {
+    /// Whether it reads for the others.
+    pub reader: bool,
+    /// The newest read, if one is known.
+    pub newest: Option<ListRead>,
+}
+
+impl Lists {
+    /// Takes in what `entry` read, if it did; `held` is the mark of the content that
+    /// it has.
+    pub fn tell(
+        &self,
+        now: Instant,
+        entry: &str,
+        held: u64,
+        list: Option<ListRead>,
+    ) -> ListNews {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.tellers.retain(|t| now.duration_since(t.told) < KEPT);
+        let read = list.as_ref().and_then(|list| now.checked_sub(list.age));
+        state.note(now, entry, read);
+        if let (Some(list), Some(read)) = (list, read) {
+            state.take(list, read);
+        }
+        ListNews {
+            reader: state.reads(now, entry),
+            newest: state.held.as_ref().map(|newest| ListRead {
+                mark: newest.mark,
+                age: now.duration_since(newest.read),
+                endpoints: (newest.mark != held).then(|| newest.endpoints.clone()),
+            }),
+        }
+    }
+}
+
+impl State {
+    fn note(&mut self, now: Instant, entry: &str, read: Option<Instant>) {
+        match self
+            .tellers
+            .binary_search_by(|teller| teller.entry.as_str().cmp(entry))
+        {
+            Ok(at) => {
+                let teller = &mut self.tellers[at];
+                teller.told = now;
+                teller.read = teller.read.max(read);
+            }
+            Err(at) if self.tellers.len() < MOST => {
+                let entry = entry.to_string();
+                let teller = Teller {
+                    entry,
+                    told: now,
+                    read,
+                };
+                self.tellers.insert(at, teller);
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Takes a read that is newer than the one held. One without content counts
+    /// where the content is the one held.
+    fn take(&mut self, list: ListRead, read: Instant) {
+        if self.held.as_ref().is_some_and(|held| held.read >= read) {
+            return;
+        }
+        match (list.endpoints, &mut self.held) {
+            (_, Some(held)) if held.mark == list.mark => held.read = read,
+            (Some(endpoints), held) if endpoints.len() <= MOST_ENDPOINTS => {
+                *held = Some(Held {
+                    mark: list.mark,
+                    read,
+                    endpoints,
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether `entry` is among those that read.
+    fn reads(&self, now: Instant, entry: &str) -> bool {
+        let can = |teller: &&Teller| {
+            let read = teller.read.map(|read| now.duration_since(read));
+            read.is_some_and(|age| age < READS)
+        };
+        let able = self.tellers.iter().filter(can);
+        let others = self.tellers.iter().filter(|teller| !can(teller));
+        let mut readers = able.chain(others).take(READERS);
+        readers.any(|teller| teller.entry == entry)
+    }
+}
--- a/crates/control/tests/demand.rs
+++ b/crates/control/tests/demand.rs
@@ -15,6 +15,7 @@
             pauses: 0.4,
             streams: 2.0,
         }],
+        ..TellDemand::default()
     }
 }
 
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -1,7 +1,9 @@
-//! Agreeing with the other entries on what comes for each service.
+//! Agreeing with the other entries on what comes for each service, and on what the
+//! list of endpoints says.
 //!
 //! Twice a second an entry tells one control instance what came, and is told
-//! the sums over all entries. All entries ask the same instance as long as it
+//! the sums over all entries and the newest read of the list. An entry that has
+//! read the list tells at once. All entries ask the same instance as long as it
 //! answers: the first of those that they were told of, by address.
 
 use crate::follow::Follower;
@@ -10,6 +12,7 @@
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::time::{sleep, timeout};
 
 /// Interval at which an entry tells. A burst is known everywhere within two of
@@ -27,7 +30,10 @@
     let mut agreed = false;
     loop {
         let spread = rand::rng().random_range(SPREAD);
-        sleep(INTERVAL.mul_f64(spread)).await;
+        tokio::select! {
+            () = sleep(INTERVAL.mul_f64(spread)) => {}
+            () = follower.shared.lists.news.notified() => {}
+        }
         let totals = ask(&follower).await;
         if totals.is_some() != agreed {
             agreed = totals.is_some();
@@ -40,18 +46,22 @@
 }
 
 async fn ask(follower: &Follower) -> Option<Totals> {
+    let shared = &follower.shared;
+    let (held, list) = shared.lists.told();
     let tell = TellDemand {
         entry: follower.name.clone(),
-        services: follower.shared.directory.demanded(),
+        services: shared.directory.demanded(),
+        held,
+        list,
     };
-    if tell.services.is_empty() {
-        return None;
-    }
     let mut told: Vec<SocketAddr> = follower.control().told.clone();
     told.sort_unstable();
     for address in told.into_iter().take(TRIES) {
+        let asked = Instant::now();
         let call = follower.caller.call(address, DEMAND_PATH, &tell);
-        if let Ok(Ok(totals)) = timeout(PATIENCE, call).await {
+        let answered: Result<Result<Totals, _>, _> = timeout(PATIENCE, call).await;
+        if let Ok(Ok(mut totals)) = answered {
+            shared.lists.heard(&shared.directory, asked, &mut totals);
             return Some(totals);
         }
     }
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -6,9 +6,9 @@
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::prelude::Rank;
+pub use dogwoodhill_wire::list::Listed;
 use http::{HeaderMap, StatusCode};
 use std::fmt::Debug;
-use std::net::SocketAddr;
 use std::pin::Pin;
 
 /// What a caller asks beside method, path and body.
@@ -116,23 +116,6 @@
     fn read(&self, status: StatusCode, headers: &HeaderMap) -> Said;
 }
 
-/// One endpoint, as the list has it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Listed {
-    /// Identity; new with each start of the endpoint.
-    pub id: EndpointId,
-    /// Service.
-    pub service: ServiceId,
-    /// Address.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: DomainId,
-    /// Requests it can run at once.
-    pub slots: u32,
-    /// Whether it is about to stop.
-    pub leaving: bool,
-}
-
 /// The list could not be read; the last one stays in use.
 #[derive(Debug, Display, Error)]
 pub enum ListError {
@@ -146,6 +129,17 @@
     /// More calls than all daemons together may make.
     #[display("the list refuses more calls for now")]
     Busy,
+    /// It names far fewer endpoints than the one in use.
+    #[display(
+        "the list names {after} endpoints in place of {before}; check whoever keeps it"
+    )]
+    #[error(ignore)]
+    Doubtful {
+        /// Endpoints in use.
+        before: usize,
+        /// Endpoints named.
+        after: usize,
+    },
     /// The answer can't be read.
     #[display("the list's answer can't be read: {problem}")]
     #[error(ignore)]
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -5,6 +5,7 @@
 use crate::directory::Directory;
 use crate::follow::{Control, Follower};
 use crate::listing;
+use crate::lists::Lists;
 use crate::request::Shared;
 use crate::serve;
 use crate::settings::Settings;
@@ -92,6 +93,7 @@
             routes: ArcSwapOption::empty(),
             routes_changed: Notify::new(),
             directory: Directory::new(settings.domain.clone()),
+            lists: Lists::default(),
             callers: dialects.callers,
             endpoints: dialects.endpoints,
             stats: Stats::new(&metrics),
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -287,10 +287,10 @@
         DISTANCE.mul_f64(4.0 * share * view.slowness)
     }
 
-    /// Takes in whether it is about to stop.
+    /// Takes in whether it is about to stop. It never comes back from that under
+    /// the same identity: a list that says so is an older one that came late.
     pub(super) fn mark(&self, leaving: bool) {
-        let before = self.leaving.swap(leaving, Ordering::AcqRel);
-        if leaving && !before {
+        if leaving && !self.leaving.swap(true, Ordering::AcqRel) {
             log_change("endpoint-leaving", &self.id, &self.service);
         }
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod follow;
 pub mod job;
 pub mod listing;
+pub mod lists;
 pub mod pool;
 pub mod request;
 pub mod serve;
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -1,36 +1,59 @@
 //! Reading the list of endpoints.
 //!
-//! Every entry reads it at its own pace; the pace is slow enough that all of
-//! them together stay within what the list allows. A list that can't be read
-//! leaves the last one in use.
+//! Two entries read it for all, and every other one when it hears of no fresh read
+//! ([`dogwoodhill_policy::reads`]). A list that can't be read leaves the last one
+//! in use.
 
 use crate::dialect::{EndpointList, ListError};
 use crate::request::Shared;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::reads::Doubt;
 use rand::RngExt;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::time::{sleep, timeout};
 
 /// Longest wait for the list.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed read, at first.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Spread of the interval, so that entries do not read in step.
-const SPREAD: std::ops::Range<f64> = 0.85..1.15;
 
-/// Reads the list every `interval`, for ever.
+/// Reads the list when it is this entry's turn, for ever; `interval` is that of
+/// entries that read for the others.
 pub async fn follow(
     shared: Arc<Shared>,
     list: Box<dyn EndpointList>,
     interval: Duration,
 ) {
     let mut failures: u32 = 0;
+    let mut reader = false;
+    let mut doubt = Doubt::default();
+    let started = Instant::now();
     loop {
+        let due = shared.lists.due(interval, rand::rng().random());
+        if due > Duration::ZERO && failures == 0 {
+            sleep(due).await;
+            if !shared.lists.due(interval, 0.0).is_zero() {
+                continue;
+            }
+        }
+        if reader != shared.lists.reader() {
+            reader = !reader;
+            Event::new("list-reader").field("reader", reader).info();
+        }
+        let asked = Instant::now();
         let fetched = timeout(FETCH_TIMEOUT, list.fetch()).await;
         let listed = fetched.unwrap_or_else(|_| {
             let problem = "no answer in time".to_string();
             Err(ListError::Unreachable { problem })
         });
+        let listed = listed.and_then(|listed| {
+            let before = shared.directory.all().len();
+            let after = listed.len();
+            let believed = doubt.believes(started.elapsed(), before, after);
+            let doubtful = ListError::Doubtful { before, after };
+            if believed { Ok(listed) } else { Err(doubtful) }
+        });
         let pause = match listed {
             Ok(listed) => {
                 if failures > 0 {
@@ -39,20 +62,21 @@
                         .info();
                 }
                 failures = 0;
-                shared.directory.update(listed);
+                shared.stats.list_reads.with_label_values(&["used"]).inc();
+                shared.lists.read(&shared.directory, asked, listed);
                 note(&shared);
-                interval
+                continue;
             }
             Err(error) => {
                 if failures == 0 {
                     Event::new("list-lost").field("reason", error).warn();
                 }
                 failures += 1;
+                shared.stats.list_reads.with_label_values(&["failed"]).inc();
                 interval.min(FIRST_PAUSE * failures)
             }
         };
-        let spread = rand::rng().random_range(SPREAD);
-        sleep(pause.mul_f64(spread)).await;
+        sleep(pause).await;
     }
 }
 
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -9,6 +9,7 @@
 use crate::directory::Directory;
 use crate::exchange::{self, Outbound};
 use crate::job::{Job, Prepared};
+use crate::lists::Lists;
 use crate::stats::{Record, Stats};
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -54,6 +55,8 @@
     pub routes_changed: Notify,
     /// Endpoints.
     pub directory: Directory,
+    /// The list they come from.
+    pub lists: Lists,
     /// How callers speak.
     pub callers: Box<dyn CallerDialect>,
     /// How endpoints speak.
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -21,6 +21,8 @@
     streams: IntCounterVec,
     /// Time to the first byte of an answer.
     first: Histogram,
+    /// Own reads of the list of endpoints, by whether they were used.
+    pub list_reads: IntCounterVec,
     /// What the entry believes.
     pub beliefs: IntGaugeVec,
 }
@@ -48,6 +50,11 @@
                 "dogwoodhill_direct_first_byte_seconds",
                 "Time from a request's head to the head of its answer",
             ),
+            list_reads: metrics.counters(
+                "dogwoodhill_direct_list_reads_total",
+                "Own reads of the list of endpoints, by result",
+                &["result"],
+            ),
             beliefs: metrics.gauges(
                 "dogwoodhill_direct_beliefs",
                 "Version of the route set, endpoints known and leaving, control instances",
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -106,6 +106,7 @@
     };
     let totals = Totals {
         services: vec![total],
+        ..Totals::default()
     };
     // The sums are used for more than a second; whatever held this test up for
     // longer is tried again.
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod events;
 mod limits;
+mod lists;
 mod logged;
 mod outcomes;
 mod streams;
--- /dev/null
+++ b/crates/policy/src/reads.rs
@@ -0,0 +1,96 @@
+//! When an entry reads the list of endpoints by itself.
+//!
+//! The pattern: 33 entries that each read two pages a second make 67 calls a
+//! second, and 300 make more than a list allows, so that an endpoint that leaves
+//! gets new requests for five seconds. So two entries read, and a control instance
+//! passes on to the others what they read. An entry that hears of no fresh read
+//! reads by itself, whatever the reason: the readers died or froze, the list
+//! doesn't answer them, control can't be reached.
+//!
+//! Invariant: only a read that was asked for later than the one in use replaces
+//! it. Reads of others are dated by their age when the question for them was
+//! sent, so they never look newer than they are.
+
+use std::time::Duration;
+
+/// Age from which a read is no longer relied on. Readers read every second or a
+/// little more, tell at once, and others hear within 0.6 s: 1.8 s at the worst.
+pub const STALE: Duration = Duration::from_millis(2_000);
+
+/// How long a list stays in doubt that names far fewer endpoints than the one in
+/// use, before it is believed: shorter than the few seconds after which an endpoint
+/// that leaves must get nothing new.
+const DOUBT: Duration = Duration::from_millis(1_500);
+
+/// Lists that may be cut short or empty by a fault of whoever keeps them.
+///
+/// A list that names less than half of the endpoints in use is not believed at
+/// once; an empty one never is, since endpoints that are gone show it by themselves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Doubt {
+    since: Option<Duration>,
+}
+
+impl Doubt {
+    /// A list with `after` endpoints was read while one with `before` is in use.
+    /// Returns whether it is believed.
+    pub fn believes(&mut self, now: Duration, before: usize, after: usize) -> bool {
+        if after * 2 >= before {
+            self.since = None;
+            return true;
+        }
+        let since = *self.since.get_or_insert(now);
+        let believed = after > 0 && now.saturating_sub(since) >= DOUBT;
+        if believed {
+            self.since = None;
+        }
+        believed
+    }
+}
+
+/// The reads of the list that one entry knows of. Times are measured from the
+/// entry's start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reads {
+    newest: Option<Duration>,
+    reader: bool,
+}
+
+impl Reads {
+    /// A read came that was asked for at `read`. Returns whether it replaces the
+    /// one in use.
+    pub fn take(&mut self, read: Duration) -> bool {
+        let newer = self.newest.is_none_or(|newest| read > newest);
+        if newer {
+            self.newest = Some(read);
+        }
+        newer
+    }
+
+    /// Whether this entry reads for the others.
+    pub fn appoint(&mut self, reader: bool) {
+        self.reader = reader;
+    }
+
+    /// Whether this entry reads for the others.
+    pub fn reader(&self) -> bool {
+        self.reader
+    }
+
+    /// How long after `now` the entry reads next, if nothing more is heard: a
+    /// reader `interval` after the read in use, the others when that is stale.
+    /// `spread`, of 0 to 1, keeps entries that all hear nothing from reading at the
+    /// same moment: by up to a quarter of the time.
+    pub fn due(&self, now: Duration, interval: Duration, spread: f64) -> Duration {
+        let Some(newest) = self.newest else {
+            return Duration::ZERO;
+        };
+        let after = if self.reader {
+            interval
+        } else {
+            STALE.max(interval)
+        };
+        let at = newest + after.mul_f64(1.0 + 0.25 * spread.clamp(0.0, 1.0));
+        at.saturating_sub(now)
+    }
+}
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -1,6 +1,7 @@
-//! Messages about what comes for each service, between entries and control
-//! instances.
+//! Messages about what comes for each service, and what the list of endpoints says,
+//! between entries and control instances.
 
+use crate::list::ListRead;
 use dogwoodhill_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -8,12 +9,18 @@
 pub const DEMAND_PATH: &str = "/internal/demand";
 
 /// Tells what came lately at one entry. Answered with [`Totals`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TellDemand {
     /// Name of the entry.
     pub entry: String,
     /// Its services; sorted.
     pub services: Vec<ServiceDemand>,
+    /// Mark of the list that it has; 0 for none.
+    #[serde(default)]
+    pub held: u64,
+    /// Its own newest read of the list.
+    #[serde(default)]
+    pub list: Option<ListRead>,
 }
 
 /// Work for one service, in seconds of an endpoint's time, fading alike at all
@@ -35,9 +42,15 @@
     pub streams: f64,
 }
 
-/// Sums over all entries that told lately; sorted by service.
+/// Sums over all entries that told lately, and the newest read of the list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Totals {
-    /// The sums.
+    /// The sums; sorted by service.
     pub services: Vec<ServiceDemand>,
+    /// Whether the entry reads the list for the others.
+    #[serde(default)]
+    pub reader: bool,
+    /// The newest read of the list.
+    #[serde(default)]
+    pub list: Option<ListRead>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod demand;
 pub mod follow;
 pub mod frame;
+pub mod list;
 pub mod routes;
 
 /// The names most modules need, for one import line.
