An entry that stops answers what still waits

Cause: a prompt waited in an endpoint's queue for as long as the entry's grace lasted; the process ended, and its caller found a closed connection (LOST). Ruled out: the list's readers and the control exchange; the request was sent 2.4 s after SIGTERM and never begun by its endpoint.

--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -473,7 +473,11 @@
 
 impl Drop for Job {
     fn drop(&mut self) {
-        if let Some(record) = &self.record {
+        let Some(record) = &self.record else { return };
+        let last = self.shared.last_answers();
+        if last.is_some_and(|last| last <= Instant::now()) {
+            record.refused(Cause::Lost, None);
+        } else {
             record.abandoned();
         }
     }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -26,7 +26,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Longest wait for a body where the caller names no time.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -42,6 +42,11 @@
 /// Time after the drain's beginning from which requests are refused, with a
 /// word to come back at once through another entry.
 const DRAIN_REFUSES: Duration = Duration::from_millis(2_800);
+/// Time before the end of the grace at which requests without an answer get one of
+/// the entry's own: an engine with a long queue lets a prompt wait for as long as a
+/// drain lasts, and its caller must not find a connection closed instead. The
+/// process ends 0.4 s before the grace does, and answers take some milliseconds.
+const LAST_ANSWERS: Duration = Duration::from_millis(600);
 /// Longest usual time for one token of a stream; for judging whether one that
 /// begins now ends before the entry does.
 const TOKEN_TIME: Duration = Duration::from_millis(20);
@@ -99,7 +104,12 @@
         let record =
             std::mem::replace(record, Record::new(self.stats.clone(), String::new()));
         let job = Job::new(Arc::clone(&self), prepared, record, busy);
-        job.serve().await
+        let outlived = pin!(self.outlived());
+        tokio::select! {
+            biased;
+            response = job.serve() => response,
+            () = outlived => refuse(Cause::Lost, None),
+        }
     }
 
     /// Puts a route set in force, unless a newer one is. Whether it is now.
@@ -201,6 +211,21 @@
         route.map_or(patience, |route| route.timeout.min(patience))
     }
 
+    /// When requests that still wait for an answer get one of the entry's own, if it
+    /// is about to stop.
+    pub(crate) fn last_answers(&self) -> Option<Instant> {
+        let begun = self.stopping.get()?;
+        Some(*begun + self.grace.saturating_sub(LAST_ANSWERS))
+    }
+
+    /// Ends when the entry is about to stop and requests can't wait any longer.
+    async fn outlived(&self) {
+        self.drain.wait().await;
+        let begun = Instant::now();
+        let last = begun + self.grace.saturating_sub(LAST_ANSWERS);
+        sleep_until(self.last_answers().unwrap_or(last)).await;
+    }
+
     /// Whether the entry stops before the request would be done.
     fn too_late(&self, route: &Route, prompt: &Prompt) -> bool {
         let Some(begun) = self.stopping.get() else {
--- a/crates/direct/tests/all/callers.rs
+++ b/crates/direct/tests/all/callers.rs
@@ -1,12 +1,12 @@
 //! What callers may send, and the entry's own refusals.
 
-use crate::endpoint::StandIn;
+use crate::endpoint::{Act, StandIn};
 use crate::entry::{Entry, LONG, demo, request, set};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 #[tokio::test]
 async fn refused_before_any_endpoint() {
@@ -169,6 +169,26 @@
     assert!(answer.contains("connection: close"));
 }
 
+/// A prompt waits in an endpoint's queue for as long as the drain lasts: its caller
+/// gets an answer, which says that nobody knows whether it ran, and no closed
+/// connection.
+#[tokio::test]
+async fn drain_answers_what_still_waits() {
+    let endpoint = StandIn::start(vec![Act::Hang]).await;
+    let entry = Entry::with_grace(&[&endpoint], Duration::from_secs(1)).await;
+    entry.shared.take_routes(RouteTable::new(set()));
+    let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+    let text = request("POST /stream/", "", "");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    while endpoint.seen().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    entry.drain.begin();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
+
 /// A stream that began in the middle of a stop was cut at its end. One that
 /// would outlast the grace is refused at once, and what is short is served.
 #[tokio::test]
