The reading rate of a service's endpoints is learned

Cause: READ_RATE, 30 tokens a millisecond, described the first customers' engines; the new one's read 48. Waits, shares and lanes were predicted from it. Ruled out as a remedy: each endpoint's learned slowness, which is bounded at half of that constant and takes waits behind other entries' prompts for slowness.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -20,9 +20,10 @@
 use dogwoodhill_policy::lanes::{Shares, Strain};
 use dogwoodhill_policy::pace;
 use dogwoodhill_policy::packing;
+use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_policy::trust::Trust;
 use dogwoodhill_wire::demand::{ServiceDemand, Totals};
-use endpoint::{Look, READ_RATE};
+use endpoint::Look;
 use rand::RngExt;
 use snapshot::{Group, Snapshot};
 use std::ops::Range;
@@ -55,6 +56,7 @@
     strain: Strain,
     disturbance: Disturbance,
     backlog: Arc<Mutex<Backlog>>,
+    rate: Arc<Mutex<ReadRate>>,
 }
 
 impl Demand {
@@ -134,7 +136,8 @@
                 }
                 _ => {
                     log_change("endpoint-listed", &listed.id, &listed.service);
-                    Arc::new(Endpoint::new(listed, self.start))
+                    let rate = self.shared_rate(&listed.service);
+                    Arc::new(Endpoint::new(listed, self.start, rate))
                 }
             }
         });
@@ -219,9 +222,10 @@
         range: Range<usize>,
     ) -> Vec<Look<'a>> {
         let now = self.start.elapsed();
+        let rate = self.rate(want.service);
         let look = |endpoint: &'a Arc<Endpoint>| {
             let usable = !endpoint.leaving() && !want.tried.contains(&endpoint.id);
-            usable.then(|| endpoint.look(want, &self.domain, now))
+            usable.then(|| endpoint.look(want, &self.domain, now, rate))
         };
         match want.lane {
             Lane::Fragile => {
@@ -238,9 +242,11 @@
     /// Notes a request's work, from which the size of the lanes follows.
     pub fn note(&self, want: &Want<'_>) {
         let now = self.start.elapsed();
-        let reading = f64::from(want.prompt.tokens) / READ_RATE / 1_000.0;
+        let reading = self
+            .rate(want.service)
+            .reading(f64::from(want.prompt.tokens));
         let writing = f64::from(want.prompt.output) * TOKEN_WORK;
-        let work = Duration::from_secs_f64(reading + writing);
+        let work = reading + Duration::from_secs_f64(writing);
         let mut all = self.demand();
         let demand = Demand::of(&mut all, want.service);
         let fragile = want.lane == Lane::Fragile;
@@ -332,7 +338,7 @@
         let now = self.start.elapsed();
         let snapshot = self.snapshot.load();
         let known = snapshot.group(want.service).map_or(0, Group::len);
-        let all = known as f64 * READ_RATE * 1_000.0;
+        let all = known as f64 * self.rate(want.service).per_ms() * 1_000.0;
         let least = all * LEAST_SHARE / f64::from(entries.max(1));
         let backlog = Arc::clone(&Demand::of(&mut self.demand(), want.service).backlog);
         let (wait, hopeful) = {
@@ -363,6 +369,17 @@
         demand.shares.reserved(now, endpoints)
     }
 
+    /// How fast the endpoints of a service read.
+    fn rate(&self, service: &str) -> ReadRate {
+        let shared = self.shared_rate(service);
+        let rate = shared.lock().unwrap_or_else(PoisonError::into_inner);
+        *rate
+    }
+
+    fn shared_rate(&self, service: &str) -> Arc<Mutex<ReadRate>> {
+        Arc::clone(&Demand::of(&mut self.demand(), service).rate)
+    }
+
     fn demand(&self) -> MutexGuard<'_, Vec<(ServiceId, Demand)>> {
         self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -12,6 +12,7 @@
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
+use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_policy::trust::{Record, Trust};
 use dogwoodhill_policy::wait::Waits;
 use std::net::SocketAddr;
@@ -19,9 +20,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-/// Prompt tokens that an endpoint reads in a millisecond, before an entry has
-/// seen any: the lower end of what the engines in use reach.
-pub(super) const READ_RATE: f64 = 30.0;
 /// Time beyond the nearest endpoint's to one in another failure domain: the
 /// way there and back.
 const DISTANCE: Duration = Duration::from_millis(3);
@@ -57,6 +55,8 @@
     /// back, whatever a list says that lags.
     gone: AtomicBool,
     start: Instant,
+    /// How fast the endpoints of its service read.
+    rate: Arc<Mutex<ReadRate>>,
     view: Mutex<View>,
 }
 
@@ -98,18 +98,22 @@
     }
 
     /// Time until a prompt sent now would begin to be read.
-    fn wait(&self, now: Duration, background: bool) -> Duration {
-        let own = self.reading(self.waits.ahead(background));
+    fn wait(&self, now: Duration, rate: ReadRate, background: bool) -> Duration {
+        let own = self.reading(rate, self.waits.ahead(background));
         own.max(self.waits.predicted(now))
     }
 
-    fn reading(&self, tokens: f64) -> Duration {
-        Duration::from_secs_f64(tokens / READ_RATE / 1_000.0 * self.slowness)
+    fn reading(&self, rate: ReadRate, tokens: f64) -> Duration {
+        rate.reading(tokens).mul_f64(self.slowness)
     }
 }
 
 impl Endpoint {
-    pub(super) fn new(listed: Listed, start: Instant) -> Self {
+    pub(super) fn new(
+        listed: Listed,
+        start: Instant,
+        rate: Arc<Mutex<ReadRate>>,
+    ) -> Self {
         Self {
             hash: affinity::hash(listed.id.as_bytes()),
             id: listed.id,
@@ -121,6 +125,7 @@
             gone: AtomicBool::new(false),
             pool: Pool::default(),
             start,
+            rate,
             view: Mutex::new(View {
                 record: Record::default(),
                 load: Load::default(),
@@ -150,6 +155,7 @@
     /// Counts a request in until the guard is dropped.
     pub fn enter(self: &Arc<Self>, prompt: &Prompt, standing: &Standing) -> Sent {
         let now = self.start.elapsed();
+        let rate = self.rate();
         let mut view = self.view();
         view.record.sent(now);
         view.active += 1;
@@ -157,7 +163,7 @@
         let known = prompt.shared.is_some_and(|key| view.remember(key, now));
         let tokens = if known { fresh } else { prompt.tokens };
         let ahead = view.waits.ahead(standing.background);
-        let expected = view.reading(ahead + f64::from(tokens)) + STEP;
+        let expected = view.reading(rate, ahead + f64::from(tokens)) + STEP;
         view.waits.sent(now, f64::from(tokens), standing.background);
         drop(view);
         standing.sent(now, f64::from(tokens));
@@ -165,6 +171,7 @@
             endpoint: Arc::clone(self),
             standing: standing.clone(),
             tokens: f64::from(tokens),
+            certain: known || prompt.shared_tokens == 0,
             expected,
             since: now,
             unread: true,
@@ -234,12 +241,13 @@
         want: &Want<'_>,
         domain: &str,
         now: Duration,
+        rate: ReadRate,
     ) -> Look<'a> {
         let view = self.view();
         Look {
             endpoint: self,
             trust: view.record.trust(now),
-            candidate: self.candidate(&view, want, domain, now),
+            candidate: self.candidate(&view, want, domain, now, rate),
             packing: Packing {
                 busy: view.busy(now),
                 slots: f64::from(self.slots),
@@ -254,6 +262,7 @@
         want: &Want<'_>,
         domain: &str,
         now: Duration,
+        rate: ReadRate,
     ) -> Candidate {
         let prompt = want.prompt;
         let seen = prompt.shared.and_then(|key| {
@@ -262,14 +271,14 @@
         });
         let reads = prompt.tokens > 0 && want.lane == Lane::Other;
         let wait = if reads {
-            view.wait(now, want.background)
+            view.wait(now, rate, want.background)
         } else {
             self.queueing(view, now)
         };
         Candidate {
             hash: self.hash,
             wait,
-            reading: view.reading(f64::from(prompt.shared_tokens)),
+            reading: view.reading(rate, f64::from(prompt.shared_tokens)),
             distance: if self.domain == domain {
                 Duration::ZERO
             } else {
@@ -295,6 +304,14 @@
         }
     }
 
+    fn rate(&self) -> ReadRate {
+        *self.lock_rate()
+    }
+
+    fn lock_rate(&self) -> MutexGuard<'_, ReadRate> {
+        self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn view(&self) -> MutexGuard<'_, View> {
         // Beliefs stay usable even if a holder panicked.
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
@@ -337,6 +354,8 @@
     endpoint: Arc<Endpoint>,
     standing: Standing,
     tokens: f64,
+    /// Whether no other entry can have had them read there.
+    certain: bool,
     expected: Duration,
     since: Duration,
     unread: bool,
@@ -367,7 +386,14 @@
         if background {
             return;
         }
-        let reading = view.reading(self.tokens) + STEP;
+        let rate = {
+            let mut rate = self.endpoint.lock_rate();
+            if self.certain {
+                rate.learn(self.tokens, took.saturating_sub(STEP));
+            }
+            *rate
+        };
+        let reading = view.reading(rate, self.tokens) + STEP;
         let waited = took.saturating_sub(reading);
         view.waits.learn(now, waited);
         self.standing.waited(now, waited);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`disturbance`]: whether streams with short pauses are kept apart at all;
 //! * [`lanes`]: which endpoints are kept free of long prompts;
 //! * [`packing`]: how many endpoints streams with short pauses are packed on;
+//! * [`rate`]: how fast endpoints read prompts;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
 //! * [`urgency`]: who goes first at an endpoint;
 //! * [`trust`]: which endpoints an entry may use after what came back lately;
@@ -40,6 +41,7 @@
 pub mod place;
 pub mod queue;
 pub mod quota;
+pub mod rate;
 pub mod reads;
 pub mod subset;
 pub mod trust;
