--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -80,10 +80,16 @@
         let read = asked.duration_since(self.start).checked_sub(list.age);
         // A read from before this entry's start is no news: it reads by itself.
         let Some(read) = read else { return };
-        let known = state.mark == list.mark;
-        if (known || list.endpoints.is_some()) && state.reads.take(read) && !known {
+        if state.mark == list.mark {
+            state.reads.take(read);
+            return;
+        }
+        let Some(endpoints) = list.endpoints else {
+            return;
+        };
+        if state.reads.take(read) {
             state.mark = list.mark;
-            directory.update(list.endpoints.unwrap_or_default());
+            directory.update(endpoints);
         }
     }
 
--- a/crates/direct/tests/all/outcomes.rs
+++ b/crates/direct/tests/all/outcomes.rs
@@ -191,5 +191,8 @@
             return;
         }
     }
-    panic!("the endpoint that hangs was met {} times", slow.seen().len());
+    panic!(
+        "the endpoint that hangs was met {} times",
+        slow.seen().len()
+    );
 }
