--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -7,7 +7,9 @@
 //! answers: the first of those that they were told of, by address.
 
 use crate::follow::Follower;
+use derive_more::Display;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::client::CallError;
 use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand, Totals};
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -34,18 +36,33 @@
             () = sleep(INTERVAL.mul_f64(spread)) => {}
             () = follower.shared.lists.news.notified() => {}
         }
-        let totals = ask(&follower).await;
-        if totals.is_some() != agreed {
-            agreed = totals.is_some();
-            Event::new("demand-agreed").field("agreed", agreed).info();
+        let answered = ask(&follower).await;
+        if answered.is_ok() != agreed {
+            agreed = answered.is_ok();
+            let reason = answered.as_ref().err();
+            Event::new("demand-agreed")
+                .field("agreed", agreed)
+                .field("reason", reason.map_or("-".to_string(), Unheard::to_string))
+                .info();
         }
-        if let Some(totals) = totals {
+        if let Ok(totals) = answered {
             follower.shared.directory.agree(&totals);
         }
     }
 }
 
-async fn ask(follower: &Follower) -> Option<Totals> {
+/// Why an entry heard nothing, from the instance that it asked last.
+#[derive(Debug, Display)]
+enum Unheard {
+    #[display("no control instance is known")]
+    Unknown,
+    #[display("{_0} did not answer in time")]
+    Silent(SocketAddr),
+    #[display("{_0}")]
+    Failed(CallError),
+}
+
+async fn ask(follower: &Follower) -> Result<Totals, Unheard> {
     let shared = &follower.shared;
     let (held, list) = shared.lists.told();
     let tell = TellDemand {
@@ -56,14 +73,20 @@
     };
     let mut told: Vec<SocketAddr> = follower.control().told.clone();
     told.sort_unstable();
+    let mut reason = Unheard::Unknown;
     for address in told.into_iter().take(TRIES) {
         let asked = Instant::now();
         let call = follower.caller.call(address, DEMAND_PATH, &tell);
-        let answered: Result<Result<Totals, _>, _> = timeout(PATIENCE, call).await;
-        if let Ok(Ok(mut totals)) = answered {
-            shared.lists.heard(&shared.directory, asked, &mut totals);
-            return Some(totals);
-        }
+        let answered: Result<Result<Totals, CallError>, _> =
+            timeout(PATIENCE, call).await;
+        reason = match answered {
+            Ok(Ok(mut totals)) => {
+                shared.lists.heard(&shared.directory, asked, &mut totals);
+                return Ok(totals);
+            }
+            Ok(Err(error)) => Unheard::Failed(error),
+            Err(_) => Unheard::Silent(address),
+        };
     }
-    None
+    Err(reason)
 }
