--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -4,6 +4,7 @@
 //! worth now is known from the entry's own requests and from the load that
 //! answers carry. Requests read a snapshot; only the list replaces it.
 
+mod demand;
 mod endpoint;
 mod snapshot;
 mod standing;
@@ -13,26 +14,19 @@
 
 use crate::dialect::{Listed, Prompt};
 use arc_swap::ArcSwap;
+use demand::Demand;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
-use dogwoodhill_policy::backlog::Backlog;
-use dogwoodhill_policy::disturbance::Disturbance;
-use dogwoodhill_policy::lanes::{Shares, Strain};
 use dogwoodhill_policy::pace;
 use dogwoodhill_policy::packing;
-use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_policy::trust::Trust;
-use dogwoodhill_wire::demand::{ServiceDemand, Totals};
 use endpoint::Look;
 use rand::RngExt;
 use snapshot::{Group, Snapshot};
 use std::ops::Range;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
-/// Part of a second of an endpoint's time that one generated token takes: a
-/// step of 6.5 ms shared by some thirty streams.
-const TOKEN_WORK: f64 = 0.000_2;
 /// Part of its even share of the reading that an entry may count on before it
 /// has measured its own: entries get uneven numbers of callers.
 const LEAST_SHARE: f64 = 0.5;
@@ -49,28 +43,6 @@
     demand: Mutex<Vec<(ServiceId, Demand)>>,
 }
 
-/// What came for one service and what is sent and not read.
-#[derive(Debug, Default)]
-struct Demand {
-    shares: Shares,
-    strain: Strain,
-    disturbance: Disturbance,
-    backlog: Arc<Mutex<Backlog>>,
-    rate: Arc<Mutex<ReadRate>>,
-}
-
-impl Demand {
-    /// What came for a service.
-    fn of<'a>(all: &'a mut Vec<(ServiceId, Self)>, service: &str) -> &'a mut Self {
-        let found = all.binary_search_by(|item| item.0.as_str().cmp(service));
-        let at = found.unwrap_or_else(|at| {
-            all.insert(at, (service.to_string(), Self::default()));
-            at
-        });
-        &mut all[at].1
-    }
-}
-
 /// What a request wants of an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Want<'a> {
@@ -239,90 +211,6 @@
         }
     }
 
-    /// Notes a request's work, from which the size of the lanes follows.
-    pub fn note(&self, want: &Want<'_>) {
-        let now = self.start.elapsed();
-        let reading = self
-            .rate(want.service)
-            .reading(f64::from(want.prompt.tokens));
-        let writing = f64::from(want.prompt.output) * TOKEN_WORK;
-        let work = reading + Duration::from_secs_f64(writing);
-        let mut all = self.demand();
-        let demand = Demand::of(&mut all, want.service);
-        let fragile = want.lane == Lane::Fragile;
-        let factor = if fragile {
-            demand.strain.factor(now)
-        } else {
-            1.0
-        };
-        demand.shares.note(now, fragile, work.mul_f64(factor));
-    }
-
-    /// Whether streams of `service` that allow a pause of `shortest`, and no other
-    /// stream less, are kept apart from those that allow up to `longest`.
-    pub fn apart(&self, service: &str, shortest: Duration, longest: Duration) -> bool {
-        let now = self.start.elapsed();
-        let mut all = self.demand();
-        let disturbance = &mut Demand::of(&mut all, service).disturbance;
-        if shortest >= longest {
-            return false;
-        }
-        if disturbance.decide(now, shortest) {
-            let known = disturbance.known(now).unwrap_or_default();
-            Event::new("streams-apart")
-                .field("service", service)
-                .field("apart", disturbance.apart())
-                .field("pause_ms", shortest.as_millis())
-                .field("disturbed_ms", known.as_millis())
-                .field("streams", disturbance.told(now).1)
-                .info();
-        }
-        disturbance.apart()
-    }
-
-    /// A stream of a request ended whose longest pause was `longest`, of `allowed`.
-    pub fn streamed(&self, want: &Want<'_>, longest: Duration, allowed: Duration) {
-        let now = self.start.elapsed();
-        let mut all = self.demand();
-        let demand = Demand::of(&mut all, want.service);
-        match want.lane {
-            Lane::Fragile => demand.strain.ended(longest > allowed),
-            Lane::Other => demand.disturbance.ended(now, longest),
-        }
-    }
-
-    /// What came here lately, for the other entries.
-    pub fn demanded(&self) -> Vec<ServiceDemand> {
-        let now = self.start.elapsed();
-        let all = self.demand();
-        let services = all.iter().map(|(service, demand)| {
-            let (fragile, other) = demand.shares.told(now);
-            let (pause, streams) = demand.disturbance.told(now);
-            let streams = streams as f64;
-            ServiceDemand {
-                service: service.clone(),
-                fragile,
-                other,
-                pauses: pause.as_secs_f64() * streams,
-                streams,
-            }
-        });
-        services.collect()
-    }
-
-    /// Takes in what came at all entries.
-    pub fn agree(&self, totals: &Totals) {
-        let now = self.start.elapsed();
-        let mut all = self.demand();
-        for total in &totals.services {
-            let demand = Demand::of(&mut all, &total.service);
-            demand.shares.agree(now, total.fragile, total.other);
-            let pause = Duration::try_from_secs_f64(total.pauses / total.streams);
-            let pause = pause.unwrap_or_default();
-            demand.disturbance.agree(now, pause, total.streams as usize);
-        }
-    }
-
     /// Where a request of `rank` stands that is wanted within `objective`.
     /// `entries`: how many entries send to the same endpoints.
     pub fn stand(
@@ -357,32 +245,6 @@
             background: !hopeful,
         }
     }
-
-    /// How many endpoints are kept free of long prompts.
-    fn reserved(&self, want: &Want<'_>, endpoints: usize) -> usize {
-        if !want.mixed {
-            return 0;
-        }
-        let mut all = self.demand();
-        let now = self.start.elapsed();
-        let demand = Demand::of(&mut all, want.service);
-        demand.shares.reserved(now, endpoints)
-    }
-
-    /// How fast the endpoints of a service read.
-    fn rate(&self, service: &str) -> ReadRate {
-        let shared = self.shared_rate(service);
-        let rate = shared.lock().unwrap_or_else(PoisonError::into_inner);
-        *rate
-    }
-
-    fn shared_rate(&self, service: &str) -> Arc<Mutex<ReadRate>> {
-        Arc::clone(&Demand::of(&mut self.demand(), service).rate)
-    }
-
-    fn demand(&self) -> MutexGuard<'_, Vec<(ServiceId, Demand)>> {
-        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Chooses among endpoints that are trusted alike.
