--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -4,7 +4,7 @@
 //! ([`dogwoodhill_policy::reads`]). A list that can't be read leaves the last one
 //! in use.
 
-use crate::dialect::{EndpointList, ListError};
+use crate::dialect::{EndpointList, ListError, Listed};
 use crate::request::Shared;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::Doubt;
@@ -42,12 +42,7 @@
             Event::new("list-reader").field("reader", reader).info();
         }
         let asked = Instant::now();
-        let fetched = timeout(FETCH_TIMEOUT, list.fetch()).await;
-        let listed = fetched.unwrap_or_else(|_| {
-            let problem = "no answer in time".to_string();
-            Err(ListError::Unreachable { problem })
-        });
-        let listed = listed.and_then(|listed| {
+        let listed = fetch(list.as_ref()).await.and_then(|listed| {
             let before = shared.directory.all().len();
             let after = listed.len();
             let believed = doubt.believes(started.elapsed(), before, after);
@@ -80,6 +75,14 @@
     }
 }
 
+async fn fetch(list: &dyn EndpointList) -> Result<Vec<Listed>, ListError> {
+    let fetched = timeout(FETCH_TIMEOUT, list.fetch()).await;
+    fetched.unwrap_or_else(|_| {
+        let problem = "no answer in time".to_string();
+        Err(ListError::Unreachable { problem })
+    })
+}
+
 fn note(shared: &Shared) {
     let all = shared.directory.all();
     let leaving = all.iter().filter(|endpoint| endpoint.leaving()).count();
