--- a/crates/policy/src/disturbance.rs
+++ b/crates/policy/src/disturbance.rs
@@ -29,7 +29,7 @@
 /// Part of the streams that had no longer pause than the estimate. It is near to
 /// one, since nearly all prompts of a calm minute are read alone, and the estimate
 /// has to hold for a burst that comes next. With 0.9 of forty streams the classes
-/// were mixed in calm times, and 3 to 7 in 100 more of the most urgent streams
+/// were mixed in calm times, and 2 to 5 in 100 more of the most urgent streams
 /// were late. Two outliers, of endpoints that were lost or froze, don't move it.
 const MOSTLY: f64 = 0.97;
 /// Streams are kept apart again where the pause they allow is shorter than this
--- a/crates/policy/src/rate.rs
+++ b/crates/policy/src/rate.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Tokens a millisecond before anything was seen. A mere start: an engine of half or
-/// four times that rate is known after thirty prompts.
+/// four times that rate is known after sixty prompts.
 const START: f64 = 30.0;
 /// Bounds of the estimate, in tokens a millisecond: engines are known from one tenth
 /// of the upper one on.
