Logs say where large texts go and when a leader is lost

The record could not tell why control changed leaders six times: the leader's link was full, but with what, no line said. Now one line for each delivery of the log from 64 KiB on with its time and outcome, one for each route set sent to an entry, and one when an instance loses its leader.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -50,6 +50,18 @@
     TakeOver,
 }
 
+impl Message {
+    /// Bytes of the commands or the snapshot that it carries; 0 for all that
+    /// keeps a cluster in contact.
+    pub fn size(&self) -> usize {
+        match &self.body {
+            Body::Append(append) => append.entries.iter().map(Entry::size).sum(),
+            Body::Install { snapshot, .. } => snapshot.data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// What a voter has to know of a candidate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ballot {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Path of [`Envelope`].
 pub const LOG_PATH: &str = "/internal/log";
@@ -18,6 +18,10 @@
 const QUEUE: usize = 256;
 /// Longest time for one delivery.
 const DELIVERY: Duration = Duration::from_secs(1);
+/// Bytes of commands from which on a delivery gets a line of its own in the log: a
+/// message that can hold up heartbeats on a link of 10 Mbit/s (50 ms). Few are: what
+/// operators send.
+const LARGE: usize = 64 * 1024;
 
 /// Messages of one cluster's log.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -91,8 +95,25 @@
             cluster,
             messages: std::mem::take(&mut messages),
         };
+        let bytes = envelope.messages.iter().map(Message::size).sum();
+        let begun = Instant::now();
         let call = caller.call::<_, ()>(address, LOG_PATH, &envelope);
         // A failed delivery is a lost message.
-        let _ = timeout(DELIVERY, call).await;
+        let delivered = matches!(timeout(DELIVERY, call).await, Ok(Ok(())));
+        if bytes >= LARGE {
+            report(address, bytes, begun.elapsed(), delivered);
+        }
+    }
+}
+
+fn report(address: SocketAddr, bytes: usize, took: Duration, delivered: bool) {
+    let event = Event::new("log-delivery")
+        .field("address", address)
+        .field("bytes", bytes)
+        .field("ms", took.as_millis())
+        .field("delivered", delivered);
+    match delivered {
+        true => event.info(),
+        false => event.warn(),
     }
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -486,6 +486,16 @@
         };
         self.standing.send_if_modified(|old| {
             let changed = *old != standing;
+            if old.leader.is_some() && standing.leader.is_none() {
+                Event::new("leader-lost")
+                    .field(
+                        "address",
+                        old.leader
+                            .map_or("-".to_string(), |address| address.to_string()),
+                    )
+                    .field("term", standing.term)
+                    .warn();
+            }
             if old.leads != standing.leads {
                 Event::new("leadership-changed")
                     .field("leads", standing.leads)
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -134,6 +134,14 @@
     if follow.held.is_none() && newer.is_none() {
         return Err(Unable::NoMajority);
     }
+    if let Some(held) = &newer {
+        Event::new("routes-sent")
+            .field("entry", &follow.entry)
+            .field("version", held.version)
+            .field("before", follow.held.unwrap_or_default())
+            .field("bytes", held.source.len())
+            .info();
+    }
     Ok(RoutesNews {
         newer: newer.map(|held| held.as_ref().clone()),
         control: standing
