--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -94,13 +94,27 @@
 
     /// An entry without routes that stops within `grace`.
     pub(crate) async fn with_grace(endpoints: &[&StandIn], grace: Duration) -> Self {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+        Self::start(endpoints, grace, vec![nobody]).await
+    }
+
+    /// An entry without routes and endpoints that asks these control instances.
+    pub(crate) async fn following(control: Vec<SocketAddr>) -> Self {
+        Self::start(&[], LONG, control).await
+    }
+
+    async fn start(
+        endpoints: &[&StandIn],
+        grace: Duration,
+        control: Vec<SocketAddr>,
+    ) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
             name: "entry".to_string(),
             domain: "here".to_string(),
             listen: free,
             status: free,
-            control: vec![SocketAddr::from(([127, 0, 0, 1], 9))],
+            control,
             secret: "secret".to_string(),
             list: free,
             list_every: Duration::from_millis(50),
