Route sets are fetched once, in pieces, from one control instance at a time

Cause: an entry asked seven control instances for the whole text at once. All but one held it back by a constant, 150 ms each, less than one transfer takes on a small link, and one bound of 4.8 s covered a poll's wait and the transfer of its answer: what had arrived by then was thrown away. Ruled out: processor (at most 1%), flow control (the link was full), control being late (all had the set 2.9 s before).

Change: polls only tell versions; the text is fetched by a pure machine in policy, one piece at a time, what arrived is kept, sources differ among entries, a text under way is completed before a newer one is begun.

Left: control sends log entries again while they are under way and loses its leader by it (heartbeats wait behind them).

--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -192,7 +192,7 @@
 /// Tells an entry where to ask.
 async fn routes(State(known): State<Known>, bytes: Bytes) -> Response {
     internal::serve(bytes, |follow: FollowRoutes| async move {
-        if follow.held.is_some() {
+        if follow.known.is_some() {
             sleep(follow.wait).await;
         } else {
             sleep(PACE).await;
@@ -203,7 +203,7 @@
             return Err(Unable::NoMajority);
         }
         Ok(RoutesNews {
-            newer: None,
+            newest: None,
             control,
             entries: 0,
         })
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -23,7 +23,7 @@
     WATCH_PATH, Watch,
 };
 use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand, Totals};
-use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH};
+use dogwoodhill_wire::routes::{FetchRoutes, FollowRoutes, PIECE_PATH, ROUTES_PATH};
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -76,6 +76,7 @@
         .route(ADD_PATH, post(add))
         .route(MEMBER_PATH, post(member))
         .route(ROUTES_PATH, post(follow_routes))
+        .route(PIECE_PATH, post(fetch_routes))
         .route(DEMAND_PATH, post(demand))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE))
         .with_state(inside);
@@ -245,6 +246,14 @@
     .await
 }
 
+async fn fetch_routes(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(bytes, |fetch: FetchRoutes| async move {
+        let sets = inside.service.replica().routes.borrow().clone();
+        sets.find(fetch.version).map(|held| held.piece(&fetch))
+    })
+    .await
+}
+
 async fn follow_routes(State(inside): State<Inside>, bytes: Bytes) -> Response {
     serve(bytes, |follow: FollowRoutes| async move {
         routes::answer(&inside.service, &inside.presence, follow).await
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod replica;
 pub mod routes;
 pub mod service;
+pub mod sets;
 pub mod settings;
 pub mod state;
 pub mod watch;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -10,6 +10,7 @@
 
 use crate::command::{Action, Command, Reply};
 use crate::peers::Peers;
+use crate::sets::Sets;
 use crate::state::{Documents, State};
 use arc_swap::ArcSwap;
 use derive_more::{Display, Error};
@@ -22,7 +23,6 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_store::{Batch, Opened, Store, StoreError};
 use dogwoodhill_wire::control::{Answered, Unable};
-use dogwoodhill_wire::routes::HeldRoutes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::VecDeque;
@@ -63,7 +63,7 @@
     peers: Peers,
     inputs: mpsc::Receiver<Input>,
     documents: Arc<ArcSwap<Documents>>,
-    routes: watch::Sender<Option<Arc<HeldRoutes>>>,
+    routes: watch::Sender<Sets>,
     applied: watch::Sender<Index>,
     standing: watch::Sender<Standing>,
     waiters: VecDeque<Waiter>,
@@ -134,7 +134,9 @@
         random,
     );
     let documents = Arc::new(ArcSwap::from_pointee(state.documents.clone()));
-    let routes = watch::Sender::new(state.routes.clone());
+    let mut sets = Sets::default();
+    sets.take(state.routes.as_ref());
+    let routes = watch::Sender::new(sets);
     let applied = watch::Sender::new(applied);
     let standing = watch::Sender::new(Standing::default());
     let replica = Replica {
@@ -380,13 +382,11 @@
 
     /// Tells followers of a newer route set.
     fn publish_routes(&self) {
-        let version = |held: &Option<Arc<HeldRoutes>>| held.as_ref().map(|h| h.version);
-        self.routes.send_if_modified(|held| {
-            let newer = version(&self.state.routes) > version(held);
+        self.routes.send_if_modified(|sets| {
+            let newer = sets.take(self.state.routes.as_ref());
             if newer {
-                held.clone_from(&self.state.routes);
                 Event::new("routes-in-force")
-                    .field("version", version(held).unwrap_or_default())
+                    .field("version", sets.version().unwrap_or_default())
                     .field("index", *self.applied.borrow())
                     .info();
             }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -1,13 +1,13 @@
 //! What the rest of the process holds of a replica.
 
 use crate::command::{Action, Reply};
+use crate::sets::Sets;
 use crate::state::Documents;
 use arc_swap::ArcSwap;
 use dogwoodhill_consensus::members::{Member, Members};
 use dogwoodhill_consensus::message::Message;
 use dogwoodhill_consensus::{Index, NodeId, Term};
 use dogwoodhill_wire::control::{Answered, Unable};
-use dogwoodhill_wire::routes::HeldRoutes;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -66,8 +66,8 @@
     pub(super) inputs: mpsc::Sender<Input>,
     /// Documents, as far as applied.
     pub documents: Arc<ArcSwap<Documents>>,
-    /// Route set, as far as applied.
-    pub routes: watch::Receiver<Option<Arc<HeldRoutes>>>,
+    /// Route sets, as far as applied.
+    pub routes: watch::Receiver<Sets>,
     /// Applied position.
     pub applied: watch::Receiver<Index>,
     /// Standing.
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -8,6 +8,7 @@
 use crate::presence::Presence;
 use crate::replica::Replica;
 use crate::service::Service;
+use crate::sets::Sets;
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::check::Invalid;
@@ -16,7 +17,7 @@
 use dogwoodhill_wire::routes::{FollowRoutes, HeldRoutes, RoutesNews};
 use http::StatusCode;
 use std::sync::Arc;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Longest poll that is taken.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -89,8 +90,8 @@
     pub async fn get_routes(&self) -> Result<Arc<HeldRoutes>, RoutesError> {
         let confirmed = self.confirm().await;
         confirmed.map_err(|_| RoutesError::NoMajority)?;
-        let held = self.replica().routes.borrow().clone();
-        held.ok_or(RoutesError::Empty)
+        let sets = self.replica().routes.borrow().clone();
+        sets.newest().cloned().ok_or(RoutesError::Empty)
     }
 }
 
@@ -106,20 +107,15 @@
     follow: FollowRoutes,
 ) -> Answered<RoutesNews> {
     let _polling = presence.poll(&follow.entry);
-    if follow.held.is_none() {
+    if follow.known.is_none() {
         service.confirm().await?;
     }
     let replica = service.replica();
     let end = Instant::now() + follow.wait.min(MAX_WAIT);
     let mut routes = replica.routes.clone();
-    let newer = |held: &Option<Arc<HeldRoutes>>| {
-        held.as_ref()
-            .is_some_and(|held| follow.held.is_none_or(|known| held.version > known))
-    };
-    let waited = timeout_at(end, routes.wait_for(newer)).await.is_ok();
-    if waited && follow.held.is_some() {
-        sleep(follow.lag).await;
-    }
+    let newer = |sets: &Sets| sets.version() > follow.known;
+    // Whether one came or not, the answer says what there is.
+    let _ = timeout_at(end, routes.wait_for(newer)).await;
     news(replica, presence, &follow)
 }
 
@@ -128,22 +124,13 @@
     presence: &Presence,
     follow: &FollowRoutes,
 ) -> Answered<RoutesNews> {
-    let held = replica.routes.borrow().clone();
-    let newer = held.filter(|held| follow.held.is_none_or(|known| held.version > known));
+    let newest = replica.routes.borrow().version();
     let standing = replica.standing.borrow();
-    if follow.held.is_none() && newer.is_none() {
+    if follow.known.is_none() && newest.is_none() {
         return Err(Unable::NoMajority);
     }
-    if let Some(held) = &newer {
-        Event::new("routes-sent")
-            .field("entry", &follow.entry)
-            .field("version", held.version)
-            .field("before", follow.held.unwrap_or_default())
-            .field("bytes", held.source.len())
-            .info();
-    }
     Ok(RoutesNews {
-        newer: newer.map(|held| held.as_ref().clone()),
+        newest,
         control: standing
             .members
             .iter()
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -6,7 +6,9 @@
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_wire::client::Caller;
 use dogwoodhill_wire::control::Answered;
-use dogwoodhill_wire::routes::{FollowRoutes, ROUTES_PATH, RoutesNews};
+use dogwoodhill_wire::routes::{
+    FetchRoutes, FollowRoutes, PIECE_PATH, ROUTES_PATH, RoutesNews, RoutesPiece,
+};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -84,8 +86,7 @@
         let caller = Caller::new(SECRET.to_string());
         let follow = FollowRoutes {
             entry: "entry".to_string(),
-            held: None,
-            lag: Duration::ZERO,
+            known: None,
             wait: Duration::from_millis(200),
         };
         let call = caller.call(self.settings.internal, ROUTES_PATH, &follow);
@@ -93,6 +94,18 @@
             timeout(Duration::from_secs(4), call).await.ok()?.ok()?;
         answer.ok()
     }
+
+    /// Fetches the set of a version as an entry does, where it fits one piece.
+    async fn piece(&self, version: Version) -> Option<RoutesPiece> {
+        let caller = Caller::new(SECRET.to_string());
+        let fetch = FetchRoutes {
+            version,
+            from: 0,
+            most: usize::MAX,
+        };
+        let call = caller.call(self.settings.internal, PIECE_PATH, &fetch);
+        timeout(Duration::from_secs(4), call).await.ok()?.ok()?
+    }
 }
 
 impl Drop for Place {
@@ -102,15 +115,19 @@
     }
 }
 
+/// A set without routes.
+fn source(version: Version) -> Vec<u8> {
+    format!(r#"{{"version":{version},"routes":[],"services":[]}}"#).into_bytes()
+}
+
 /// Sends a change as any control instance would on behalf of an operator.
 async fn put(place: &Place, version: Version) -> bool {
     use dogwoodhill_control::command::{Action, Reply};
     use dogwoodhill_wire::routes::HeldRoutes;
     let caller = Caller::new(SECRET.to_string());
-    let source = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
     let action = Action::Routes(HeldRoutes {
         version,
-        source: source.into_bytes(),
+        source: source(version),
     });
     let call = caller.call(place.settings.internal, "/internal/submit", &action);
     let answer: Option<Answered<Reply>> = timeout(Duration::from_secs(2), call)
@@ -137,8 +154,11 @@
 async fn told(place: &Place, version: Version) {
     let end = Instant::now() + LONG;
     while Instant::now() < end {
-        let news = place.routes().await.and_then(|news| news.newer);
-        if news.is_some_and(|held| held.version == version) {
+        let newest = place.routes().await.and_then(|news| news.newest);
+        if newest == Some(version) {
+            let piece = place.piece(version).await.expect("what is told is kept");
+            assert_eq!(piece.bytes, source(version));
+            assert_eq!(piece.total, piece.bytes.len() as u64);
             return;
         }
         sleep(PAUSE).await;
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -3,7 +3,7 @@
 use crate::agree;
 use crate::dialect::{CallerDialect, EndpointDialect, EndpointList};
 use crate::directory::Directory;
-use crate::follow::{Control, Follower};
+use crate::follow::{Control, Fetching, Follower};
 use crate::listing;
 use crate::lists::Lists;
 use crate::request::Shared;
@@ -114,6 +114,7 @@
             caller: Caller::new(settings.secret.clone()),
             name: settings.name.clone(),
             control: Mutex::new(control),
+            fetching: Fetching::new(&settings.name),
         });
         Ok(Self {
             callers,
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -1,37 +1,44 @@
 //! Following the route set.
 //!
-//! An entry asks every control instance it knows at the same time and takes
-//! the highest version it hears of. A control instance that is frozen, cut off
-//! or behind therefore delays nothing as long as one other answers, and there
-//! is no fail-over to get wrong. Only accepted sets are ever told, and only
-//! newer ones are taken, so an entry never goes back. The first set has to be
-//! confirmed by a majority, since an entry that starts has nothing to compare.
+//! An entry asks every control instance it knows at the same time which version is
+//! the newest. A control instance that is frozen, cut off or behind therefore delays
+//! nothing as long as one other answers, and there is no fail-over to get wrong. The
+//! text itself is fetched from one of them at a time, in pieces
+//! ([`dogwoodhill_policy::transfer`]): the link of a small entry carries it once, and
+//! what has arrived is kept. Only accepted sets are ever told, and only newer ones are
+//! taken, so an entry never goes back. The first set has to be confirmed by a majority,
+//! since an entry that starts has nothing to compare.
 
 use crate::request::Shared;
+use derive_more::Display;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::transfer::{Fetch, PIECE_PATIENCE, Piece, Text, Transfer};
 use dogwoodhill_route::set::SetFormat;
 use dogwoodhill_route::table::RouteTable;
-use dogwoodhill_wire::client::Caller;
+use dogwoodhill_wire::client::{CallError, Caller};
 use dogwoodhill_wire::control::Answered;
-use dogwoodhill_wire::routes::{FollowRoutes, HeldRoutes, ROUTES_PATH, RoutesNews};
+use dogwoodhill_wire::routes::{
+    FetchRoutes, FollowRoutes, PIECE_PATH, ROUTES_PATH, RoutesNews, RoutesPiece,
+};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// Longest poll.
 const POLL: Duration = Duration::from_secs(4);
-/// Time beyond a poll after which its answer counts as lost.
+/// Time beyond a poll after which its answer, some hundred bytes, counts as lost.
 const SLACK: Duration = Duration::from_millis(800);
 /// Longest wait of an entry that has no set yet.
 const FIRST_POLL: Duration = Duration::from_millis(700);
-/// How much longer than the one before it each instance holds news back. A
-/// route set is in force within tens of milliseconds through the first, and the
-/// others are then asked anew, before they send it.
-const LAG: Duration = Duration::from_millis(150);
 /// Pause after a failed poll.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a piece that did not come, so that an instance that refuses is not
+/// asked in a loop: a few ways there and back.
+const PIECE_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which instances that appeared are begun to be asked.
 const LOOK: Duration = Duration::from_millis(500);
 /// Control instances that are asked at most.
@@ -50,6 +57,8 @@
     pub name: String,
     /// Control instances as the settings and the last answer name them.
     pub control: Mutex<Control>,
+    /// The set that is being fetched.
+    pub fetching: Fetching,
 }
 
 /// Addresses of control instances.
@@ -71,17 +80,62 @@
     }
 }
 
+/// What is known of newer sets, and what has arrived of one.
+#[derive(Debug)]
+pub struct Fetching {
+    start: Instant,
+    transfer: Mutex<Transfer>,
+    offered: Notify,
+}
+
+impl Fetching {
+    /// Nothing is known yet; `name` is the entry's.
+    pub fn new(name: &str) -> Self {
+        Self {
+            start: Instant::now(),
+            transfer: Mutex::new(Transfer::new(name)),
+            offered: Notify::new(),
+        }
+    }
+
+    fn transfer(&self) -> MutexGuard<'_, Transfer> {
+        self.transfer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Why a piece did not come.
+#[derive(Debug, Display)]
+enum Missed {
+    #[display("no answer in time")]
+    Late,
+    #[display("the instance does not keep that version")]
+    NotKept,
+    #[display("{_0}")]
+    Failed(CallError),
+}
+
+impl Missed {
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::NotKept => "not-kept",
+            Self::Failed(_) => "failed",
+        }
+    }
+}
+
 impl Follower {
-    /// Asks all control instances, for ever.
+    /// Asks all control instances, and fetches what is new, for ever.
     pub async fn run(self: Arc<Self>) {
         let mut asking: Vec<SocketAddr> = Vec::new();
         let mut tasks = JoinSet::new();
+        let mut fetching = JoinSet::new();
+        fetching.spawn(Arc::clone(&self).fetch());
         loop {
-            let all = self.control().all();
-            for (rank, address) in all.iter().enumerate() {
-                if !asking.contains(address) {
-                    asking.push(*address);
-                    tasks.spawn(Arc::clone(&self).ask(*address, rank as u32));
+            for address in self.control().all() {
+                if !asking.contains(&address) {
+                    asking.push(address);
+                    tasks.spawn(Arc::clone(&self).ask(address));
                 }
             }
             tokio::select! {
@@ -95,34 +149,20 @@
         }
     }
 
-    /// Asks one instance until it is none any more.
-    async fn ask(self: Arc<Self>, address: SocketAddr, rank: u32) -> SocketAddr {
+    /// Asks one instance which version it has, until it is none any more.
+    async fn ask(self: Arc<Self>, address: SocketAddr) -> SocketAddr {
         let mut lost = false;
         while self.control().all().contains(&address) {
-            let held = self
-                .shared
-                .routes
-                .load()
-                .as_ref()
-                .map(|table| table.version());
-            let wait = if held.is_none() { FIRST_POLL } else { POLL };
+            let known = self.fetching.transfer().known(address).max(self.version());
+            let wait = if known.is_none() { FIRST_POLL } else { POLL };
             let follow = FollowRoutes {
                 entry: self.name.clone(),
-                held,
-                lag: LAG * rank,
+                known,
                 wait,
             };
             let call = self.caller.call(address, ROUTES_PATH, &follow);
-            let answered = tokio::select! {
-                answered = timeout(wait + SLACK, call) => answered,
-                // Another instance told first: this one need not send the same
-                // text, and is asked for what comes after it.
-                _ = self.shared.newer_routes(held) => continue,
-            };
-            let answer: Option<Answered<RoutesNews>> = match answered {
-                Ok(Ok(answer)) => Some(answer),
-                _ => None,
-            };
+            let answer: Option<Answered<RoutesNews>> =
+                timeout(wait + SLACK, call).await.ok().and_then(Result::ok);
             if lost != answer.is_none() {
                 lost = answer.is_none();
                 let event = if lost {
@@ -133,42 +173,118 @@
                 Event::new(event).field("address", address).info();
             }
             match answer {
-                Some(Ok(news)) => self.take(news),
-                _ => sleep(PAUSE).await,
+                Some(Ok(news)) => self.take(address, news),
+                _ => {
+                    self.fetching.transfer().lost(address);
+                    sleep(PAUSE).await;
+                }
             }
         }
+        self.fetching.transfer().lost(address);
         address
     }
 
-    fn take(&self, news: RoutesNews) {
+    fn take(&self, address: SocketAddr, news: RoutesNews) {
         if !news.control.is_empty() {
             self.control().told = news.control;
         }
         self.shared
             .entries
             .fetch_max(news.entries, Ordering::Relaxed);
-        if let Some(newer) = news.newer {
-            self.put(&newer);
+        if let Some(version) = news.newest {
+            self.fetching.transfer().offered(address, version);
+            self.fetching.offered.notify_one();
+        }
+    }
+
+    /// Fetches newer sets, one piece after the other, for ever.
+    async fn fetch(self: Arc<Self>) {
+        let mut begun = Instant::now();
+        loop {
+            let next = self.fetching.transfer().wanted();
+            let Some(fetch) = next else {
+                self.fetching.offered.notified().await;
+                continue;
+            };
+            if fetch.from == 0 {
+                begun = Instant::now();
+            }
+            match self.fetch_piece(&fetch).await {
+                Ok(Some(text)) => self.put(&text, begun.elapsed()),
+                Ok(None) => {}
+                Err(missed) => {
+                    self.miss(&fetch, &missed);
+                    sleep(PIECE_PAUSE).await;
+                }
+            }
         }
     }
 
+    /// Asks for one piece. Returns the set that it completes.
+    async fn fetch_piece(&self, fetch: &Fetch) -> Result<Option<Text>, Missed> {
+        let ask = FetchRoutes {
+            version: fetch.version,
+            from: fetch.from,
+            most: fetch.most,
+        };
+        let asked = Instant::now();
+        let call = self.caller.call(fetch.source, PIECE_PATH, &ask);
+        let answered: Result<Option<RoutesPiece>, _> = timeout(PIECE_PATIENCE, call)
+            .await
+            .map_err(|_| Missed::Late)?;
+        let piece = answered.map_err(Missed::Failed)?.ok_or(Missed::NotKept)?;
+        let piece = Piece {
+            version: piece.version,
+            total: piece.total,
+            from: piece.from,
+            bytes: &piece.bytes,
+        };
+        let mut transfer = self.fetching.transfer();
+        Ok(transfer.arrived(fetch.source, asked.elapsed(), piece))
+    }
+
+    /// Notes a piece that did not come. One line for each source that begins to fail,
+    /// however often it does.
+    fn miss(&self, fetch: &Fetch, missed: &Missed) {
+        let counter = &self.shared.stats.missed_pieces;
+        counter.with_label_values(&[missed.label()]).inc();
+        let now = self.fetching.start.elapsed();
+        let mut transfer = self.fetching.transfer();
+        let news = match missed {
+            Missed::NotKept => {
+                transfer.lacks(fetch.source, fetch.version);
+                true
+            }
+            Missed::Late | Missed::Failed(_) => transfer.failed(now, fetch.source),
+        };
+        if news {
+            Event::new("routes-piece-missed")
+                .field("address", fetch.source)
+                .field("version", fetch.version)
+                .field("from", fetch.from)
+                .field("most", fetch.most)
+                .field("reason", missed)
+                .info();
+        }
+    }
+
+    fn version(&self) -> Option<Version> {
+        let routes = self.shared.routes.load();
+        routes.as_ref().map(|table| table.version())
+    }
+
     /// Puts a set in force, unless a newer one is.
-    fn put(&self, held: &HeldRoutes) {
-        let known = self
-            .shared
-            .routes
-            .load()
-            .as_ref()
-            .map(|table| table.version());
-        if known.is_some_and(|known| known >= held.version) {
+    fn put(&self, text: &Text, took: Duration) {
+        let known = self.version();
+        if known.is_some_and(|known| known >= text.version) {
             return;
         }
-        let set = match self.format.read(&held.source) {
+        let set = match self.format.read(&text.bytes) {
             Ok(set) => set,
             Err(error) => {
                 // Control accepts only what this reads; versions differ.
                 Event::new("routes-unreadable")
-                    .field("version", held.version)
+                    .field("version", text.version)
                     .field("reason", error)
                     .error();
                 return;
@@ -178,20 +294,21 @@
             return;
         }
         Event::new("routes-in-force")
-            .field("version", held.version)
+            .field("version", text.version)
             .field("before", known.unwrap_or_default())
-            .field("bytes", held.source.len())
+            .field("bytes", text.bytes.len())
+            .field("fetched_ms", took.as_millis())
             .info();
         let gauge = self
             .shared
             .stats
             .beliefs
             .with_label_values(&["routes-version"]);
-        gauge.set(held.version as i64);
+        gauge.set(text.version as i64);
     }
 
     /// The addresses, for a look or a change.
-    pub fn control(&self) -> std::sync::MutexGuard<'_, Control> {
+    pub fn control(&self) -> MutexGuard<'_, Control> {
         self.control.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -23,6 +23,8 @@
     first: Histogram,
     /// Own reads of the list of endpoints, by whether they were used.
     pub list_reads: IntCounterVec,
+    /// Pieces of route sets that did not come, by reason.
+    pub missed_pieces: IntCounterVec,
     /// What the entry believes.
     pub beliefs: IntGaugeVec,
 }
@@ -55,6 +57,11 @@
                 "Own reads of the list of endpoints, by result",
                 &["result"],
             ),
+            missed_pieces: metrics.counters(
+                "dogwoodhill_direct_missed_pieces_total",
+                "Pieces of route sets that did not come, by reason",
+                &["reason"],
+            ),
             beliefs: metrics.gauges(
                 "dogwoodhill_direct_beliefs",
                 "Version of the route set, endpoints known and leaving, control instances",
--- a/crates/direct/tests/all/callers.rs
+++ b/crates/direct/tests/all/callers.rs
@@ -60,21 +60,20 @@
     assert_eq!(got.status, 200);
 }
 
-/// While one control instance tells a set, the others hold it back; they are
-/// asked anew as soon as it is there, so that none of them sends it again.
+/// Who waits for routes goes on with the first set that is newer than what there was.
 #[tokio::test]
-async fn newer_routes_end_older_polls() {
+async fn newer_routes_end_a_wait() {
     let endpoint = StandIn::start(Vec::new()).await;
     let entry = Entry::before(&[&endpoint]).await;
     let held = set().version;
-    let mut poll = std::pin::pin!(entry.shared.newer_routes(Some(held)));
-    let early = timeout(Duration::from_millis(50), poll.as_mut()).await;
+    let mut wait = std::pin::pin!(entry.shared.newer_routes(Some(held)));
+    let early = timeout(Duration::from_millis(50), wait.as_mut()).await;
     assert!(early.is_err(), "the same version is no news");
     let version = held + 7;
     entry
         .shared
         .take_routes(RouteTable::new(RouteSet { version, ..set() }));
-    let table = timeout(LONG, poll).await.expect("there is a newer one");
+    let table = timeout(LONG, wait).await.expect("there is a newer one");
     assert_eq!(table.version(), version);
     let older = RouteTable::new(set());
     assert!(!entry.shared.take_routes(older), "never back");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`packing`]: how many endpoints streams with short pauses are packed on;
 //! * [`rate`]: how fast endpoints read prompts;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
+//! * [`transfer`]: fetching a large text that several sources have;
 //! * [`urgency`]: who goes first at an endpoint;
 //! * [`trust`]: which endpoints an entry may use after what came back lately;
 //! * [`gate`]: the agent's decision to start or refuse, with [`limit`], the
@@ -44,6 +45,7 @@
 pub mod rate;
 pub mod reads;
 pub mod subset;
+pub mod transfer;
 pub mod trust;
 pub mod urgency;
 pub mod view;
--- a/crates/wire/src/routes.rs
+++ b/crates/wire/src/routes.rs
@@ -1,4 +1,8 @@
 //! Messages about the route set between entries and control instances.
+//!
+//! Control instances only tell which version they have. The text is fetched apart, a
+//! piece at a time, so that no answer is longer than a small link carries in some
+//! ten milliseconds, and nothing is sent that was not asked for.
 
 use dogwoodhill_core::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -6,19 +10,21 @@
 
 /// Path of [`FollowRoutes`].
 pub const ROUTES_PATH: &str = "/internal/routes";
+/// Path of [`FetchRoutes`].
+pub const PIECE_PATH: &str = "/internal/routes/piece";
+/// Most bytes that one piece has, whatever is asked for.
+pub const MOST_PIECE: usize = 256 * 1024;
 
-/// Asks for a route set newer than `held`. Answered once there is one, or
+/// Asks which route set is the newest. Answered once it is newer than `known`, or
 /// when `wait` has passed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FollowRoutes {
     /// Name of the entry that asks.
     pub entry: String,
-    /// Version the entry has. An entry that has none is answered only after a
-    /// majority confirmed that the instance knows the newest one.
-    pub held: Option<Version>,
-    /// How long to hold news back. An entry asks several instances; all but
-    /// one hold the text back, which mostly is not needed any more then.
-    pub lag: Duration,
+    /// Newest version that the entry knows of by this instance. An entry that knows
+    /// of none is answered only after a majority confirmed that the instance knows
+    /// the newest one.
+    pub known: Option<Version>,
     /// Longest wait.
     pub wait: Duration,
 }
@@ -26,14 +32,40 @@
 /// Answer to [`FollowRoutes`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutesNews {
-    /// The newer set, where there is one.
-    pub newer: Option<HeldRoutes>,
+    /// Version of the newest set.
+    pub newest: Option<Version>,
     /// Internal addresses of the control instances.
     pub control: Vec<SocketAddr>,
     /// Entries that follow, as far as the instance knows.
     pub entries: u32,
 }
 
+/// Asks for a part of a set's text. Answered with a [`RoutesPiece`], or with `None`
+/// where the instance does not keep that version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FetchRoutes {
+    /// Which set.
+    pub version: Version,
+    /// From which byte on.
+    pub from: usize,
+    /// How many bytes at most.
+    pub most: usize,
+}
+
+/// A part of a set's text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutesPiece {
+    /// Which set.
+    pub version: Version,
+    /// Length of the whole text, in bytes.
+    pub total: u64,
+    /// Position of the first byte.
+    pub from: usize,
+    /// The bytes.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
 /// A route set as it was accepted.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldRoutes {
@@ -43,3 +75,18 @@
     #[serde(with = "serde_bytes")]
     pub source: Vec<u8>,
 }
+
+impl HeldRoutes {
+    /// The part of the text that `asked` names.
+    pub fn piece(&self, asked: &FetchRoutes) -> RoutesPiece {
+        let from = asked.from.min(self.source.len());
+        let most = asked.most.min(MOST_PIECE);
+        let end = (from + most).min(self.source.len());
+        RoutesPiece {
+            version: self.version,
+            total: self.source.len() as u64,
+            from,
+            bytes: self.source[from..end].to_vec(),
+        }
+    }
+}
