Route sets are packed where they come in

Cause: a set of 3,000 routes is 776 KB that says much the same again and again; it went as it is through the log of every control instance and over the link of every entry. Fetched once it still fills a link of 10 Mbit/s for 0.6 s, which callers use as well. Weighed: differences between versions, which help small changes only and need every earlier text; a set that adds 1,400 routes is large all the same.

Change: the text is packed (gzip, fastest) once, before it enters the log, and unpacked by entries and for operators that read it; what is not packed is taken as it is.

--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -384,7 +384,7 @@
     }
 
     fn propose(&mut self, i: usize) {
-        let large = self.chosen.len() % LARGE_EVERY == 0;
+        let large = self.chosen.len().is_multiple_of(LARGE_EVERY);
         let command = vec![self.chosen.len() as u8; if large { LARGE } else { 1 }];
         self.with(i, |node| {
             let _ = node.propose(command);
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -301,13 +301,10 @@
     headers: HeaderMap,
 ) -> Result<Response, Refused> {
     outside.team(&headers)?;
-    let held = outside
-        .service
-        .get_routes()
-        .await
-        .map_err(Refused::Routes)?;
+    let text = outside.service.get_routes().await;
+    let text = text.map_err(Refused::Routes)?;
     let kind = [(header::CONTENT_TYPE, "application/json")];
-    Ok((kind, held.source.clone()).into_response())
+    Ok((kind, text).into_response())
 }
 
 async fn status(
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -14,9 +14,9 @@
 use dogwoodhill_route::check::Invalid;
 use dogwoodhill_route::set::SetFormat;
 use dogwoodhill_wire::control::{Answered, Unable};
+use dogwoodhill_wire::pack::PackError;
 use dogwoodhill_wire::routes::{FollowRoutes, HeldRoutes, RoutesNews};
 use http::StatusCode;
-use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
 /// Longest poll that is taken.
@@ -34,6 +34,12 @@
     /// Whether the set is in force is not known.
     #[display("no majority confirmed in time; send the same set again")]
     NoMajority,
+    /// The set in force can't be unpacked.
+    #[display("{source}")]
+    Unreadable {
+        /// Why.
+        source: PackError,
+    },
     /// No set was accepted yet.
     #[display("no route set was accepted yet; send one")]
     Empty,
@@ -45,6 +51,7 @@
         match self {
             Self::Invalid { .. } => StatusCode::BAD_REQUEST,
             Self::NoMajority => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unreadable { .. } => StatusCode::INTERNAL_SERVER_ERROR,
             Self::Empty => StatusCode::NOT_FOUND,
         }
     }
@@ -65,10 +72,8 @@
             Event::new("routes-refused").field("reason", &source).warn();
             RoutesError::Invalid { source }
         })?;
-        let held = HeldRoutes {
-            version: set.version,
-            source: source.to_vec(),
-        };
+        let held = HeldRoutes::new(set.version, source);
+        let packed = held.source.len();
         let reply = self.submit(&Action::Routes(held)).await;
         let outcome = match reply {
             Ok(Reply::Routes(version)) => Ok(version),
@@ -76,22 +81,31 @@
         };
         Event::new("routes-answered")
             .field("version", set.version)
+            .field("bytes", source.len())
+            .field("packed", packed)
             .field("in_force", outcome.as_ref().copied().unwrap_or_default())
             .field("acknowledged", outcome.is_ok())
             .info();
         outcome
     }
 
-    /// The route set in force, as a majority has it now.
+    /// The text of the route set in force, as a majority has it now.
     ///
     /// # Errors
     ///
     /// [`RoutesError`].
-    pub async fn get_routes(&self) -> Result<Arc<HeldRoutes>, RoutesError> {
+    pub async fn get_routes(&self) -> Result<Vec<u8>, RoutesError> {
         let confirmed = self.confirm().await;
         confirmed.map_err(|_| RoutesError::NoMajority)?;
         let sets = self.replica().routes.borrow().clone();
-        sets.newest().cloned().ok_or(RoutesError::Empty)
+        let held = sets.newest().ok_or(RoutesError::Empty)?;
+        held.text().map_err(|source| {
+            Event::new("routes-unreadable")
+                .field("version", held.version)
+                .field("reason", &source)
+                .error();
+            RoutesError::Unreadable { source }
+        })
     }
 }
 
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -7,6 +7,7 @@
 //! answers: the first of those that they were told of, by address.
 
 use crate::follow::Follower;
+use crate::request::Shared;
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::client::CallError;
@@ -28,15 +29,15 @@
 const TRIES: usize = 2;
 
 /// Tells and listens, for ever.
-pub async fn run(follower: Arc<Follower>) {
+pub async fn run(follower: Arc<Follower>, shared: Arc<Shared>) {
     let mut agreed = false;
     loop {
         let spread = rand::rng().random_range(SPREAD);
         tokio::select! {
             () = sleep(INTERVAL.mul_f64(spread)) => {}
-            () = follower.shared.lists.news.notified() => {}
+            () = shared.lists.news.notified() => {}
         }
-        let answered = ask(&follower).await;
+        let answered = ask(&follower, &shared).await;
         if answered.is_ok() != agreed {
             agreed = answered.is_ok();
             let reason = answered.as_ref().err();
@@ -46,7 +47,7 @@
                 .info();
         }
         if let Ok(totals) = answered {
-            follower.shared.directory.agree(&totals);
+            shared.directory.agree(&totals);
         }
     }
 }
@@ -62,8 +63,7 @@
     Failed(CallError),
 }
 
-async fn ask(follower: &Follower) -> Result<Totals, Unheard> {
-    let shared = &follower.shared;
+async fn ask(follower: &Follower, shared: &Shared) -> Result<Totals, Unheard> {
     let (held, list) = shared.lists.told();
     let tell = TellDemand {
         entry: follower.name.clone(),
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -7,6 +7,7 @@
 use crate::listing;
 use crate::lists::Lists;
 use crate::request::Shared;
+use crate::routes::Routes;
 use crate::serve;
 use crate::settings::Settings;
 use crate::stats::Stats;
@@ -108,9 +109,12 @@
             seeds: settings.control.clone(),
             told: Vec::new(),
         };
-        let follower = Arc::new(Follower {
+        let sink = Routes {
             shared: Arc::clone(&shared),
             format: dialects.routes,
+        };
+        let follower = Arc::new(Follower {
+            sink: Arc::new(sink),
             caller: Caller::new(settings.secret.clone()),
             name: settings.name.clone(),
             control: Mutex::new(control),
@@ -169,7 +173,7 @@
         } = self;
         let seeds = Arc::clone(&follower);
         let helpers = [
-            tokio::spawn(agree::run(Arc::clone(&follower))),
+            tokio::spawn(agree::run(Arc::clone(&follower), Arc::clone(&shared))),
             tokio::spawn(follower.run()),
             tokio::spawn(listing::follow(
                 Arc::clone(&shared),
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -9,19 +9,15 @@
 //! taken, so an entry never goes back. The first set has to be confirmed by a majority,
 //! since an entry that starts has nothing to compare.
 
-use crate::request::Shared;
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::transfer::{Fetch, PIECE_PATIENCE, Piece, Text, Transfer};
-use dogwoodhill_route::set::SetFormat;
-use dogwoodhill_route::table::RouteTable;
 use dogwoodhill_wire::client::{CallError, Caller};
 use dogwoodhill_wire::control::Answered;
 use dogwoodhill_wire::routes::{
     FetchRoutes, FollowRoutes, PIECE_PATH, ROUTES_PATH, RoutesNews, RoutesPiece,
 };
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -44,13 +40,23 @@
 /// Control instances that are asked at most.
 const MOST: usize = 7;
 
+/// Where route sets go.
+pub trait RouteSink: Send + Sync + std::fmt::Debug {
+    /// Version of the set in force.
+    fn version(&self) -> Option<Version>;
+    /// So many entries follow.
+    fn count(&self, entries: u32);
+    /// A set arrived whole, `took` after its first piece was asked for.
+    fn take(&self, text: &Text, took: Duration);
+    /// A piece did not come; `reason` is one of a few words.
+    fn missed(&self, reason: &str);
+}
+
 /// Follows the route set.
 #[derive(Debug)]
 pub struct Follower {
-    /// What the requests share.
-    pub shared: Arc<Shared>,
-    /// How route sets are written.
-    pub format: Box<dyn SetFormat>,
+    /// Where it goes.
+    pub sink: Arc<dyn RouteSink>,
     /// Client for control instances.
     pub caller: Caller,
     /// Name of this entry.
@@ -153,7 +159,11 @@
     async fn ask(self: Arc<Self>, address: SocketAddr) -> SocketAddr {
         let mut lost = false;
         while self.control().all().contains(&address) {
-            let known = self.fetching.transfer().known(address).max(self.version());
+            let known = self
+                .fetching
+                .transfer()
+                .known(address)
+                .max(self.sink.version());
             let wait = if known.is_none() { FIRST_POLL } else { POLL };
             let follow = FollowRoutes {
                 entry: self.name.clone(),
@@ -188,9 +198,7 @@
         if !news.control.is_empty() {
             self.control().told = news.control;
         }
-        self.shared
-            .entries
-            .fetch_max(news.entries, Ordering::Relaxed);
+        self.sink.count(news.entries);
         if let Some(version) = news.newest {
             self.fetching.transfer().offered(address, version);
             self.fetching.offered.notify_one();
@@ -210,7 +218,7 @@
                 begun = Instant::now();
             }
             match self.fetch_piece(&fetch).await {
-                Ok(Some(text)) => self.put(&text, begun.elapsed()),
+                Ok(Some(text)) => self.sink.take(&text, begun.elapsed()),
                 Ok(None) => {}
                 Err(missed) => {
                     self.miss(&fetch, &missed);
@@ -246,8 +254,7 @@
     /// Notes a piece that did not come. One line for each source that begins to fail,
     /// however often it does.
     fn miss(&self, fetch: &Fetch, missed: &Missed) {
-        let counter = &self.shared.stats.missed_pieces;
-        counter.with_label_values(&[missed.label()]).inc();
+        self.sink.missed(missed.label());
         let now = self.fetching.start.elapsed();
         let mut transfer = self.fetching.transfer();
         let news = match missed {
@@ -268,45 +275,6 @@
         }
     }
 
-    fn version(&self) -> Option<Version> {
-        let routes = self.shared.routes.load();
-        routes.as_ref().map(|table| table.version())
-    }
-
-    /// Puts a set in force, unless a newer one is.
-    fn put(&self, text: &Text, took: Duration) {
-        let known = self.version();
-        if known.is_some_and(|known| known >= text.version) {
-            return;
-        }
-        let set = match self.format.read(&text.bytes) {
-            Ok(set) => set,
-            Err(error) => {
-                // Control accepts only what this reads; versions differ.
-                Event::new("routes-unreadable")
-                    .field("version", text.version)
-                    .field("reason", error)
-                    .error();
-                return;
-            }
-        };
-        if !self.shared.take_routes(RouteTable::new(set)) {
-            return;
-        }
-        Event::new("routes-in-force")
-            .field("version", text.version)
-            .field("before", known.unwrap_or_default())
-            .field("bytes", text.bytes.len())
-            .field("fetched_ms", took.as_millis())
-            .info();
-        let gauge = self
-            .shared
-            .stats
-            .beliefs
-            .with_label_values(&["routes-version"]);
-        gauge.set(text.version as i64);
-    }
-
     /// The addresses, for a look or a change.
     pub fn control(&self) -> MutexGuard<'_, Control> {
         self.control.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod lists;
 pub mod pool;
 pub mod request;
+pub mod routes;
 pub mod serve;
 pub mod settings;
 pub mod stats;
--- /dev/null
+++ b/crates/direct/src/routes.rs
@@ -0,0 +1,74 @@
+//! Putting route sets in force.
+
+use crate::follow::RouteSink;
+use crate::request::Shared;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::transfer::Text;
+use dogwoodhill_route::prelude::*;
+use dogwoodhill_route::set::SetFormat;
+use dogwoodhill_wire::pack::unpack;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// The entry as the place where route sets go.
+#[derive(Debug)]
+pub struct Routes {
+    /// What the requests share.
+    pub shared: Arc<Shared>,
+    /// How route sets are written.
+    pub format: Box<dyn SetFormat>,
+}
+
+impl Routes {
+    fn read(&self, text: &Text) -> Result<RouteTable, String> {
+        let source = unpack(&text.bytes).map_err(|error| error.to_string())?;
+        let set = self.format.read(&source);
+        set.map(RouteTable::new).map_err(|error| error.to_string())
+    }
+}
+
+impl RouteSink for Routes {
+    fn version(&self) -> Option<Version> {
+        let routes = self.shared.routes.load();
+        routes.as_ref().map(|table| table.version())
+    }
+
+    fn count(&self, entries: u32) {
+        self.shared.entries.fetch_max(entries, Ordering::Relaxed);
+    }
+
+    fn take(&self, text: &Text, took: Duration) {
+        let known = self.version();
+        if known.is_some_and(|known| known >= text.version) {
+            return;
+        }
+        let table = match self.read(text) {
+            Ok(table) => table,
+            Err(error) => {
+                // Control accepts only what this reads; versions differ.
+                Event::new("routes-unreadable")
+                    .field("version", text.version)
+                    .field("reason", error)
+                    .error();
+                return;
+            }
+        };
+        if !self.shared.take_routes(table) {
+            return;
+        }
+        Event::new("routes-in-force")
+            .field("version", text.version)
+            .field("before", known.unwrap_or_default())
+            .field("bytes", text.bytes.len())
+            .field("fetched_ms", took.as_millis())
+            .info();
+        let beliefs = &self.shared.stats.beliefs;
+        let gauge = beliefs.with_label_values(&["routes-version"]);
+        gauge.set(text.version as i64);
+    }
+
+    fn missed(&self, reason: &str) {
+        let counter = &self.shared.stats.missed_pieces;
+        counter.with_label_values(&[reason]).inc();
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod follow;
 pub mod frame;
 pub mod list;
+pub mod pack;
 pub mod routes;
 
 /// The names most modules need, for one import line.
--- a/crates/wire/src/routes.rs
+++ b/crates/wire/src/routes.rs
@@ -4,6 +4,7 @@
 //! piece at a time, so that no answer is longer than a small link carries in some
 //! ten milliseconds, and nothing is sent that was not asked for.
 
+use crate::pack::{PackError, pack, unpack};
 use dogwoodhill_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -71,13 +72,30 @@
 pub struct HeldRoutes {
     /// Version.
     pub version: Version,
-    /// Text, as the operator sent it.
+    /// Text, as the operator sent it, [packed](crate::pack).
     #[serde(with = "serde_bytes")]
     pub source: Vec<u8>,
 }
 
 impl HeldRoutes {
-    /// The part of the text that `asked` names.
+    /// Packs what an operator sent.
+    pub fn new(version: Version, text: &[u8]) -> Self {
+        Self {
+            version,
+            source: pack(text),
+        }
+    }
+
+    /// What the operator sent.
+    ///
+    /// # Errors
+    ///
+    /// [`PackError`].
+    pub fn text(&self) -> Result<Vec<u8>, PackError> {
+        unpack(&self.source)
+    }
+
+    /// The part of the packed text that `asked` names.
     pub fn piece(&self, asked: &FetchRoutes) -> RoutesPiece {
         let from = asked.from.min(self.source.len());
         let most = asked.most.min(MOST_PIECE);
