--- a/crates/load/src/arguments.rs
+++ b/crates/load/src/arguments.rs
@@ -66,7 +66,13 @@
         )
         .subcommand(
             Command::new("slopes")
-                .about("Measures the slopes that docs/CAPACITY.md uses"),
+                .about("Measures the slopes that docs/CAPACITY.md uses")
+                .arg(
+                    Arg::new("routes")
+                        .long("routes")
+                        .action(ArgAction::SetTrue)
+                        .help("Measure route sets only"),
+                ),
         )
 }
 
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -33,7 +33,7 @@
     match matches.subcommand() {
         Some(("run", sub)) => scenarios(sub).await,
         Some(("latency", sub)) => measure_latency(sub).await,
-        Some(("slopes", _)) => crate::slopes::run().await,
+        Some(("slopes", sub)) => crate::slopes::run(sub.get_flag("routes")).await,
         _ => Err("name a command; see --help".to_string()),
     }
 }
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -9,6 +9,7 @@
 pub mod memory;
 pub mod placement;
 pub mod recovery;
+pub mod routes;
 pub mod traffic;
 pub mod watchers;
 
@@ -107,12 +108,18 @@
     }
 }
 
-/// Measures every slope and prints the tables.
+/// Measures every slope, or only that of route sets, and prints the tables.
 ///
 /// # Errors
 ///
 /// Text that says why a measurement could not be made.
-pub async fn run() -> Result<(), String> {
+pub async fn run(only_routes: bool) -> Result<(), String> {
+    for packed in [false, true] {
+        print!("{}", routes::measure(packed).await?.text());
+    }
+    if only_routes {
+        return Ok(());
+    }
     print!("{}", decision::measure().text());
     print!("{}", placement::measure().text());
     print!("{}", memory::waiting().text());
