A large entry that was taken and forgotten is sent again soon

Change: the leader is told of deliveries as well, and expects the answer within four heartbeats then. replicate_large_entry_taken_and_forgotten_sent_again covers it.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -19,7 +19,8 @@
 /// bytes a second: 1 Mbit/s, the hundredth part of a control instance's link. A set of
 /// 516 KB was sent four times within 0.9 s when any silence of two heartbeats counted.
 const SLOWEST: f64 = 125_000.0;
-/// Heartbeats that an answer may take beside the transfer: syncs on both sides.
+/// Heartbeats that an answer may take beside the transfer: syncs on both sides. Who
+/// takes longer, as with a disk that stalls, is silent, and gets no entries.
 const ANSWER_BEATS: u32 = 4;
 /// Heartbeats without an answer after which a peer gets no entries, only
 /// probes: what piles up for one that is cut off would fill the memory.
@@ -193,14 +194,21 @@
         self.ready.prompt.push(message);
     }
 
-    /// A large message to `id` was not delivered: it is sent again with the next
-    /// heartbeat.
-    pub fn undelivered(&mut self, id: NodeId) {
+    /// A large message to `id` was delivered, or not. One that was not is sent again
+    /// with the next heartbeat; so is one that was, if no answer follows soon: whoever
+    /// took it may have restarted before it was on disk.
+    pub fn delivery(&mut self, now: Moment, id: NodeId, delivered: bool) {
         let Role::Leader(leading) = &mut self.role else {
             return;
         };
-        if let Some(peer) = leading.peers.iter_mut().find(|peer| peer.id == id) {
+        let Some(peer) = leading.peers.iter_mut().find(|peer| peer.id == id) else {
+            return;
+        };
+        if !delivered {
             peer.go_back();
+        } else if let Some(flight) = &mut peer.flight {
+            let soon = now + self.timing.heartbeat * ANSWER_BEATS;
+            flight.until = flight.until.min(soon);
         }
     }
 
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -380,12 +380,22 @@
 fn replicate_large_entry_undelivered_sent_again() {
     let (mut node, index) = with_large_entry();
     let term = node.term();
-    node.undelivered(2);
+    node.delivery(LATE, 2, false);
     assert_eq!(beats(&mut node, 1..=5), 1, "once");
     node.receive(LATE, matched(2, term, index));
     assert_eq!(node.commit(), index);
 }
 
+#[test]
+fn replicate_large_entry_taken_and_forgotten_sent_again() {
+    // Its receiver restarted before the entry was on disk: it answers heartbeats, and
+    // would be left without the entry until that is overdue by its size, 4.5 s.
+    let (mut node, _) = with_large_entry();
+    node.delivery(LATE, 2, true);
+    assert_eq!(beats(&mut node, 1..=3), 0, "an answer may still come");
+    assert_eq!(beats(&mut node, 4..=5), 1);
+}
+
 #[test]
 fn replicate_large_entry_overdue_sent_again() {
     // 516 KB at 125 KB/s and four heartbeats are 4.5 s.
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -295,7 +295,8 @@
         if lost.size() >= LARGE {
             let from = self.places.iter().position(|place| place.id == lost.from);
             if let Some(i) = from {
-                self.with(i, |node| node.undelivered(lost.to));
+                let now = self.clock(i);
+                self.with(i, |node| node.delivery(now, lost.to, false));
             }
         }
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,7 +5,7 @@
 //! heartbeat therefore never waits for a large text, which on a full link may take
 //! seconds, far longer than followers wait for their leader. What does not fit a queue
 //! is dropped: the log copes with lost messages, and a slow peer must not hold memory
-//! here. A large message that is lost is reported to the replica, which sends nothing
+//! here. What becomes of a large message is reported to the replica, which sends nothing
 //! of it again before that.
 
 use dogwoodhill_consensus::NodeId;
@@ -60,28 +60,37 @@
     /// With connections of its own.
     apart: Caller,
     peers: Vec<Peer>,
-    undelivered: mpsc::UnboundedSender<NodeId>,
-    lost: Option<mpsc::UnboundedReceiver<NodeId>>,
+    report: mpsc::UnboundedSender<Delivery>,
+    reports: Option<mpsc::UnboundedReceiver<Delivery>>,
+}
+
+/// What became of a large message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delivery {
+    /// To whom it went.
+    pub peer: NodeId,
+    /// Whether it arrived.
+    pub delivered: bool,
 }
 
 impl Peers {
     /// No peers yet.
     pub fn new(cluster: u128, caller: Caller) -> Self {
-        let (undelivered, lost) = mpsc::unbounded_channel();
+        let (report, reports) = mpsc::unbounded_channel();
         Self {
             cluster,
             apart: caller.apart(),
             caller,
             peers: Vec::new(),
-            undelivered,
-            lost: Some(lost),
+            report,
+            reports: Some(reports),
         }
     }
 
-    /// Peers that a large message did not reach, as it happens. There is one message of
-    /// a few bytes for each, and one owner: the first who asks.
-    pub fn lost(&mut self) -> Option<mpsc::UnboundedReceiver<NodeId>> {
-        self.lost.take()
+    /// What becomes of large messages, as it happens. There is one report of a few bytes
+    /// for each, and one owner: the first who asks.
+    pub fn reports(&mut self) -> Option<mpsc::UnboundedReceiver<Delivery>> {
+        self.reports.take()
     }
 
     /// Sends a message to the instance at `address`.
@@ -102,8 +111,12 @@
             // A full queue drops the message; the log sends again.
             let _ = peer.small.try_send(message);
         } else if peer.large.try_send(message).is_err() {
-            // The receiver ends with the replica, which then needs no word.
-            let _ = self.undelivered.send(id);
+            let delivered = false;
+            // The receiver ends with the replica, which then needs no report.
+            let _ = self.report.send(Delivery {
+                peer: id,
+                delivered,
+            });
         }
     }
 
@@ -121,8 +134,8 @@
             cluster: self.cluster,
             address,
         };
-        let undelivered = self.undelivered.clone();
-        tokio::spawn(lane.deliver_large(messages, id, undelivered));
+        let report = self.report.clone();
+        tokio::spawn(lane.deliver_large(messages, id, report));
         Peer {
             id,
             address,
@@ -150,18 +163,17 @@
         }
     }
 
-    /// Delivers one message after the other, and says which peer one did not reach.
+    /// Delivers one message after the other, and reports on each.
     async fn deliver_large(
         self,
         mut queue: mpsc::Receiver<Message>,
-        id: NodeId,
-        undelivered: mpsc::UnboundedSender<NodeId>,
+        peer: NodeId,
+        report: mpsc::UnboundedSender<Delivery>,
     ) {
         while let Some(message) = queue.recv().await {
-            if !self.deliver(vec![message]).await {
-                // The receiver ends with the replica, which then needs no word.
-                let _ = undelivered.send(id);
-            }
+            let delivered = self.deliver(vec![message]).await;
+            // The receiver ends with the replica, which then needs no report.
+            let _ = report.send(Delivery { peer, delivered });
         }
     }
 
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -9,7 +9,7 @@
 pub use handle::{Input, Replica, Standing};
 
 use crate::command::{Action, Command, Reply};
-use crate::peers::Peers;
+use crate::peers::{Delivery, Peers};
 use crate::sets::Sets;
 use crate::state::{Documents, State};
 use arc_swap::ArcSwap;
@@ -19,7 +19,7 @@
 use dogwoodhill_consensus::message::Message;
 use dogwoodhill_consensus::node::{Node, Refused, Timing};
 use dogwoodhill_consensus::ready::Ready;
-use dogwoodhill_consensus::{Index, Moment, NodeId, ReadId, Term};
+use dogwoodhill_consensus::{Index, Moment, ReadId, Term};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_store::{Batch, Opened, Store, StoreError};
 use dogwoodhill_wire::control::{Answered, Unable};
@@ -62,8 +62,8 @@
     state: State,
     peers: Peers,
     inputs: mpsc::Receiver<Input>,
-    /// Peers that a large message did not reach.
-    lost: mpsc::UnboundedReceiver<NodeId>,
+    /// What became of large messages.
+    reports: mpsc::UnboundedReceiver<Delivery>,
     documents: Arc<ArcSwap<Documents>>,
     routes: watch::Sender<Sets>,
     applied: watch::Sender<Index>,
@@ -125,7 +125,7 @@
 /// belong to another replica already.
 pub fn make(opened: Opened, mut peers: Peers, limits: Limits, seed: u64) -> Made {
     let (sender, inputs) = mpsc::channel(INPUTS);
-    let lost = peers.lost().expect("peers belong to one replica");
+    let reports = peers.reports().expect("peers belong to one replica");
     let snapshot = &opened.durable.snapshot;
     let state = decode(&snapshot.data);
     let applied = snapshot.index;
@@ -156,7 +156,7 @@
         state,
         peers,
         inputs,
-        lost,
+        reports,
         documents,
         routes,
         applied,
@@ -200,7 +200,7 @@
                         return Ok(());
                     }
                 }
-                Some(id) = self.lost.recv() => self.node.undelivered(id),
+                Some(report) = self.reports.recv() => self.delivery(report),
                 _ = ticks.tick() => {}
             }
             let mut stop = false;
@@ -217,6 +217,11 @@
         }
     }
 
+    fn delivery(&mut self, report: Delivery) {
+        let now = self.start.elapsed();
+        self.node.delivery(now, report.peer, report.delivered);
+    }
+
     fn take(&mut self, input: Input) {
         let now = self.start.elapsed();
         match input {
