--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -270,3 +270,80 @@
         sleep(PAUSE).await;
     }
 }
+
+/// An entry's poll at `place`, which waits for longer than any test.
+fn poll(place: &Place, known: Version) -> JoinHandle<()> {
+    let caller = Caller::new(SECRET.to_string());
+    let address = place.settings.internal;
+    let follow = FollowRoutes {
+        entry: "entry".to_string(),
+        known: Some(known),
+        wait: LONG * 2,
+    };
+    tokio::spawn(async move {
+        // However it ends: with a word, or with the connection.
+        let _ = caller
+            .call::<_, Answered<RoutesNews>>(address, ROUTES_PATH, &follow)
+            .await;
+    })
+}
+
+/// What was seen: an instance that was told to stop stood for as long as the polls of
+/// entries that waited there, seconds with its listeners closed. The others took it for
+/// gone and removed it; it found that out, and joined again, with a seat, a moment before
+/// it ended. The cluster then kept a place for one that never came, could not replace the
+/// next one that was lost, and had no majority after the one after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_ends_polls() {
+    let (mut places, _) = found(["drain-1", "drain-2", "drain-3", "drain-4"]).await;
+    accept(&places, 5).await;
+    told(&places[1], 5).await;
+    let polling = poll(&places[1], 5);
+    sleep(PAUSE).await;
+    let (drain, task) = places[1].running.take().expect("runs");
+    drain.begin();
+    // Half of the longest poll there is.
+    let ended = timeout(LONG / 2, task).await;
+    let ended = ended.expect("polls hold nothing up");
+    assert_eq!(ended.expect("no panic"), Ok(()));
+    polling.await.expect("no panic");
+}
+
+/// An instance that was removed while it was away comes back without the seat, which its
+/// replacement has: the cluster does not grow by it, and goes on removing what is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn returned_instance_has_no_seat() {
+    let names = ["seat-1", "seat-2", "seat-3", "seat-4"];
+    let (mut places, seeds) = found(names).await;
+    accept(&places, 1).await;
+    places[2].kill().await;
+    places.push(Place::new("seat-5"));
+    places[4].start(&seeds, false);
+    members_are(&places, &[0, 1, 3, 4]).await;
+    // Its settings still speak of the first start.
+    places[2].start(&seeds, true);
+    members_are(&places, &[0, 1, 2, 3, 4]).await;
+    places[4].kill().await;
+    members_are(&places, &[0, 1, 2, 3]).await;
+}
+
+/// Waits until the cluster consists of these instances.
+async fn members_are(places: &[Place], expected: &[usize]) {
+    let mut expected: Vec<SocketAddr> = expected
+        .iter()
+        .map(|at| places[*at].settings.internal)
+        .collect();
+    expected.sort();
+    let end = Instant::now() + LONG;
+    let mut last = Vec::new();
+    while Instant::now() < end {
+        let news = places[0].routes().await;
+        last = news.map_or(Vec::new(), |news| news.control);
+        last.sort();
+        if last == expected {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+    panic!("members are {last:?}, not {expected:?}");
+}
