A control instance that stops ends its polls, does not join again, and one that returns has no seat

Cause: polls of entries wait for up to 4 s, and a stopping instance waited for them with its listeners closed. The others removed it as gone, it found that out and joined again with the seat of its first start, then ended. Ruled out: large entries (the log shows none on the way), lost acknowledgements (three of four voters were missing).

Change: polls end when a drain begins, also at instances without a disk; nothing joins during a drain; an instance that was a member comes back without a seat, which its replacement has.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -163,15 +163,15 @@
             .await
             .change_context(ControlError::Listen)?;
         let identity = opened.identity.clone();
+        let fresh = opened.durable.hard.term == 0;
         let member = Member {
             id: identity.node,
             name: settings.name.clone(),
             address: internal.address(),
             voter: false,
-            seat: settings.start != Start::Seeded || settings.seeds.founding,
+            seat: fresh && (settings.start != Start::Seeded || settings.seeds.founding),
         };
         let peers = Peers::new(identity.cluster, caller.clone());
-        let fresh = opened.durable.hard.term == 0;
         let seed = rand::rng().random();
         let Made {
             replica,
@@ -248,9 +248,12 @@
         let public = operators::routes(outside)
             .merge(health.clone())
             .merge(extra);
-        let private = internal::routes(inside).merge(health);
+        let private =
+            internal::ending_polls(internal::routes(inside), self.drain.clone());
+        let private = private.merge(health);
         let replica = self.replica.clone();
         let stop = hand_over(replica.clone(), self.drain.clone());
+        let drain = self.drain.clone();
         let linger = self.settings.linger;
         let handle = replica.clone();
         let known = self.settings.known();
@@ -269,7 +272,7 @@
                 known.clone(),
                 self.caller.clone(),
             )),
-            helper(stay_member(replica, self.member, known, self.caller)),
+            helper(stay_member(replica, self.member, known, self.caller, drain)),
         ];
         let stopping = Drain::default();
         let serve = async {
@@ -410,17 +413,23 @@
 }
 
 /// Asks to be added whenever this instance is no member: because it is new, or
-/// because it was taken for gone and removed.
+/// because it was taken for gone and removed. One that stops does not: the cluster
+/// would count on it.
 async fn stay_member(
     replica: Replica,
-    member: Member,
+    mut member: Member,
     known: watch::Receiver<Vec<SocketAddr>>,
     caller: Caller,
+    drain: Drain,
 ) {
     let mut contact = Instant::now();
-    loop {
+    while !drain.begun() {
         let standing = replica.standing.borrow().clone();
         let listed = standing.members.get(member.id).is_some();
+        // Where it was a member, its seat went to whoever replaced it: with a second
+        // one the cluster would keep a place that nobody fills, and could replace
+        // nobody else.
+        member.seat &= !(listed && standing.contact);
         if standing.contact {
             contact = Instant::now();
         } else if !listed || contact.elapsed() >= DOUBT {
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -153,7 +153,8 @@
     let metrics = Metrics::default();
     let health = health::routes(&drain, &metrics, Arc::new(|| true));
     let public = Router::new().fallback(redirect).with_state(known.clone());
-    let private = private(known).merge(health.clone());
+    let private = internal::ending_polls(private(known), drain.clone());
+    let private = private.merge(health.clone());
     tokio::join!(
         outside.serve(public.merge(health), drain.clone(), settings.linger),
         inside.serve(private, drain, settings.linger),
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -17,6 +17,7 @@
 use dogwoodhill_consensus::NodeId;
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::Drain;
 use dogwoodhill_wire::codec::decode;
 use dogwoodhill_wire::control::{
     Acquire, Answered, FINISH_PATH, Finish, LEASE_PATH, TAKE_PATH, Take, Unable,
@@ -88,6 +89,26 @@
     routes.layer(from_fn_with_state(secret, guard))
 }
 
+/// Ends polls when the instance begins to stop. A poll waits for seconds with nothing
+/// to say; an instance that waited for it would stand with its listeners closed until
+/// the others take it for gone.
+pub(crate) fn ending_polls(routes: Router, drain: Drain) -> Router {
+    routes.layer(from_fn_with_state(drain, end_poll))
+}
+
+async fn end_poll(State(drain): State<Drain>, request: Request, next: Next) -> Response {
+    if ![ROUTES_PATH, WATCH_PATH].contains(&request.uri().path()) {
+        return next.run(request).await;
+    }
+    tokio::select! {
+        answered = next.run(request) => answered,
+        () = drain.wait() => {
+            let text = "this instance stops; ask another one\n";
+            (StatusCode::SERVICE_UNAVAILABLE, text).into_response()
+        }
+    }
+}
+
 async fn guard(
     State(secret): State<Arc<String>>,
     request: Request,
