--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,9 +1,20 @@
 //! Messages between instances.
 
 use crate::log::{Entry, Snapshot};
-use crate::{Index, NodeId, Term};
+use crate::{Index, Moment, NodeId, Term};
 use serde::{Deserialize, Serialize};
 
+/// Bytes from which on a message counts as large: one that takes more than half of a
+/// heartbeat's interval on a link of 10 Mbit/s, so that no answer to it can be expected
+/// within the two intervals after which small ones are sent again. Few are: what
+/// operators send, and snapshots.
+const LARGE: usize = 64 * 1024;
+/// Slowest rate at which a message may go to one peer before it counts as lost, in bytes
+/// a second: 1 Mbit/s, the hundredth part of a control instance's link. Bounds that took
+/// no account of size gave up sets of 768 KB on full links of 100 Mbit/s and began them
+/// anew, and sent one of 516 KB four times within 0.9 s.
+const SLOWEST: f64 = 125_000.0;
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -55,11 +66,32 @@
     /// keeps a cluster in contact.
     pub fn size(&self) -> usize {
         match &self.body {
-            Body::Append(append) => append.entries.iter().map(Entry::size).sum(),
+            Body::Append(append) => size(&append.entries),
             Body::Install { snapshot, .. } => snapshot.data.len(),
             _ => 0,
         }
     }
+
+    /// Whether it goes apart from what keeps a cluster in contact, and is not sent again
+    /// while it is under way.
+    pub fn large(&self) -> bool {
+        self.size() >= LARGE
+    }
+}
+
+/// Longest time that `size` bytes may be on their way to one peer.
+pub fn transfer(size: usize) -> Moment {
+    Moment::from_secs_f64(size as f64 / SLOWEST)
+}
+
+/// Whether a message with these entries would be a large one.
+pub(crate) fn large(entries: &[Entry]) -> bool {
+    size(entries) >= LARGE
+}
+
+/// Bytes of the commands in `entries`.
+fn size(entries: &[Entry]) -> usize {
+    entries.iter().map(Entry::size).sum()
 }
 
 /// What a voter has to know of a candidate.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,7 +1,7 @@
 //! From the leader's log to the others', and what is committed by it.
 
 use crate::log::{Entry, Snapshot};
-use crate::message::{Append, Appended, Body, Message};
+use crate::message::{self, Append, Appended, Body, Message};
 use crate::node::{Flight, Leading, Node, Role};
 use crate::{Index, Moment, NodeId};
 use rand::Rng;
@@ -11,14 +11,6 @@
 /// Most bytes of commands in one message, unless a single one is larger: a
 /// message must be sent well within a heartbeat on a link of 100 Mbit/s.
 const BATCH_BYTES: usize = 256 * 1024;
-/// Bytes from which on a message counts as large: one that takes more than half of a
-/// heartbeat's interval on a link of 10 Mbit/s, so that no answer to it can be expected
-/// within the two intervals after which small ones are sent again.
-const LARGE: usize = 64 * 1024;
-/// Slowest rate at which a large message may go to one peer before it counts as lost, in
-/// bytes a second: 1 Mbit/s, the hundredth part of a control instance's link. A set of
-/// 516 KB was sent four times within 0.9 s when any silence of two heartbeats counted.
-const SLOWEST: f64 = 125_000.0;
 /// Heartbeats that an answer may take beside the transfer: syncs on both sides. Who
 /// takes longer, as with a disk that stalls, is silent, and gets no entries.
 const ANSWER_BEATS: u32 = 4;
@@ -136,7 +128,7 @@
         let body = match self.log.term(prev) {
             Some(prev_term) => {
                 let mut entries = batch(self.log.slice(peer.next, BATCH));
-                let large = size(entries) >= LARGE;
+                let large = message::large(entries);
                 if large && prev != peer.matched {
                     // Whether it fits has to be known first: nothing that the other
                     // one says is taken for an answer to what is on its way.
@@ -167,10 +159,8 @@
             term: self.hard.term,
             body,
         };
-        let size = message.size();
-        if size >= LARGE {
-            let transfer = Moment::from_secs_f64(size as f64 / SLOWEST);
-            let until = now + beat * ANSWER_BEATS + transfer;
+        if message.large() {
+            let until = now + beat * ANSWER_BEATS + message::transfer(message.size());
             peer.flight = Some(Flight { last, until });
         }
         self.ready.prompt.push(message);
@@ -426,11 +416,6 @@
     voters.map(|peer| peer.round).collect()
 }
 
-/// Bytes of the commands in `entries`.
-fn size(entries: &[Entry]) -> usize {
-    entries.iter().map(Entry::size).sum()
-}
-
 /// As many entries as one message may carry, but at least one.
 fn batch(entries: &[Entry]) -> &[Entry] {
     let mut bytes = 0;
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -292,7 +292,7 @@
 
     /// Whoever sends a large message learns that it was not delivered.
     fn report(&mut self, lost: &Message) {
-        if lost.size() >= LARGE {
+        if lost.large() {
             let from = self.places.iter().position(|place| place.id == lost.from);
             if let Some(i) = from {
                 let now = self.clock(i);
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -9,7 +9,7 @@
 //! of it again before that.
 
 use dogwoodhill_consensus::NodeId;
-use dogwoodhill_consensus::message::Message;
+use dogwoodhill_consensus::message::{Message, transfer};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::client::Caller;
 use serde::{Deserialize, Serialize};
@@ -26,15 +26,6 @@
 const LARGE_QUEUE: usize = 2;
 /// Longest time for one delivery, beside the transfer of what it carries.
 const DELIVERY: Duration = Duration::from_secs(1);
-/// Slowest rate at which a delivery may go on, in bytes a second: 1 Mbit/s, the
-/// hundredth part of a control instance's link. A bound that took no account of size
-/// gave up sets of 768 KB on full links of 100 Mbit/s, and began them anew.
-const SLOWEST: f64 = 125_000.0;
-/// Bytes of commands from which on a message goes apart, and its delivery gets a line in
-/// the log: one that would hold up heartbeats for half of their interval on a link of
-/// 10 Mbit/s (52 ms). Few are: what operators send.
-const LARGE: usize = 64 * 1024;
-
 /// Messages of one cluster's log.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Envelope {
@@ -107,7 +98,7 @@
             self.peers[at] = self.start(id, address);
         }
         let peer = &self.peers[at];
-        if message.size() < LARGE {
+        if !message.large() {
             // A full queue drops the message; the log sends again.
             let _ = peer.small.try_send(message);
         } else if peer.large.try_send(message).is_err() {
@@ -185,11 +176,12 @@
             messages,
         };
         let bytes = envelope.messages.iter().map(Message::size).sum::<usize>();
-        let most = DELIVERY + Duration::from_secs_f64(bytes as f64 / SLOWEST);
+        let large = envelope.messages.iter().any(Message::large);
         let begun = Instant::now();
         let call = self.caller.call::<_, ()>(self.address, LOG_PATH, &envelope);
-        let delivered = matches!(timeout(most, call).await, Ok(Ok(())));
-        if bytes >= LARGE {
+        let delivered =
+            matches!(timeout(DELIVERY + transfer(bytes), call).await, Ok(Ok(())));
+        if large {
             report(self.address, bytes, begun.elapsed(), delivered);
         }
         delivered
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -135,6 +135,7 @@
     pub async fn run(self: Arc<Self>) {
         let mut asking: Vec<SocketAddr> = Vec::new();
         let mut tasks = JoinSet::new();
+        // Ends with this task, as those of `tasks` do.
         let mut fetching = JoinSet::new();
         fetching.spawn(Arc::clone(&self).fetch());
         loop {
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -114,7 +114,7 @@
 ///
 /// Text that says why a measurement could not be made.
 pub async fn run(only_routes: bool) -> Result<(), String> {
-    for packed in [false, true] {
+    for packed in [true, false] {
         print!("{}", routes::measure(packed).await?.text());
     }
     if only_routes {
