An endpoint is its name and its start; each entry of the list stands for itself

Cause: what an entry believes of an endpoint hung on the endpoint's name, and an endpoint may start again under that name. Its memory, its queue and whether it was leaving were then taken for those of the run before. One unreadable entry of a page rejected the whole read.

Ruled out: comparing starts with a clock of ours (a step of any clock would change the answer); taking a missing start for a new run (an older reader would undo "leaving"); going by whatever list came last (two readers and a lagging list tell starts crossed).

A later start is another endpoint, an earlier one never comes back. What waits at a run that is over leaves once it is quiet. List entries are read one by one; what can't be read is left out, counted by cause and logged when its count changes.

Entries and control instances are to be exchanged together: the list that they pass on has another shape.

--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -1,6 +1,7 @@
 //! The list of endpoints, read by a few entries and passed on to all.
 
 use dogwoodhill_control::lists::Lists;
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::{Reads, STALE};
 use dogwoodhill_wire::list::{ListRead, Listed};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 
 fn endpoints(count: usize) -> Vec<Listed> {
     let one = |i: usize| Listed {
-        id: format!("i-{i}"),
+        run: Incarnation::new(format!("i-{i}"), None),
         service: "voice".to_string(),
         address: ([127, 0, 0, 1], 1_000 + i as u16).into(),
         domain: "here".to_string(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod fault;
 pub mod ids;
+pub mod incarnation;
 pub mod keys;
 pub mod load;
 pub mod outcome;
@@ -29,6 +30,7 @@
     pub use crate::event::Event;
     pub use crate::fault::{Fault, Faults};
     pub use crate::ids::*;
+    pub use crate::incarnation::{Born, Incarnation};
     pub use crate::outcome::Outcome;
     pub use crate::text::Section;
     pub use std::time::Duration;
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -149,9 +149,58 @@
     },
 }
 
+/// Why an entry of the list names no endpoint to use. The others hold.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Flaw {
+    /// It can't be read: a field is missing, or of another type.
+    #[display("shape")]
+    Shape,
+    /// Its state is none that is known.
+    #[display("state")]
+    State,
+    /// Its name, service or failure domain is empty, too long, or no plain text.
+    #[display("name")]
+    Name,
+    /// Nothing can listen at its address.
+    #[display("address")]
+    Address,
+    /// It claims to run more requests at once than any endpoint does.
+    #[display("slots")]
+    Slots,
+}
+
+/// The list, as far as it can be read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListContent {
+    /// Endpoints.
+    pub endpoints: Vec<Listed>,
+    /// Why entries were left out, and how many of them.
+    pub flaws: Vec<(Flaw, usize)>,
+}
+
+impl ListContent {
+    /// Adds an entry, or what is wrong with it.
+    pub fn add(&mut self, entry: Result<Listed, Flaw>) {
+        match entry {
+            Ok(listed) => self.endpoints.push(listed),
+            Err(flaw) => match self.flaws.iter_mut().find(|item| item.0 == flaw) {
+                Some((_, count)) => *count += 1,
+                None => self.flaws.push((flaw, 1)),
+            },
+        }
+    }
+}
+
+impl From<Vec<Listed>> for ListContent {
+    fn from(endpoints: Vec<Listed>) -> Self {
+        let flaws = Vec::new();
+        Self { endpoints, flaws }
+    }
+}
+
 /// A list being fetched.
 pub type Fetch<'a> =
-    Pin<Box<dyn Future<Output = Result<Vec<Listed>, ListError>> + Send + 'a>>;
+    Pin<Box<dyn Future<Output = Result<ListContent, ListError>> + Send + 'a>>;
 
 /// Source of endpoints.
 pub trait EndpointList: Send + Sync + Debug {
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -17,12 +17,14 @@
 use demand::Demand;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
+use dogwoodhill_policy::incarnations::{self, Incarnations};
 use dogwoodhill_policy::pace;
 use dogwoodhill_policy::packing;
 use dogwoodhill_policy::trust::Trust;
 use endpoint::Look;
 use rand::RngExt;
 use snapshot::{Group, Snapshot};
+use std::cmp::{Ordering, Reverse};
 use std::ops::Range;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
@@ -41,6 +43,7 @@
     spread: u64,
     /// By service; sorted.
     demand: Mutex<Vec<(ServiceId, Demand)>>,
+    runs: Mutex<Incarnations>,
 }
 
 /// What a request wants of an endpoint.
@@ -57,7 +60,7 @@
     /// Whether the service has requests of both lanes.
     pub mixed: bool,
     /// Endpoints that are not asked again.
-    pub tried: &'a [EndpointId],
+    pub tried: &'a [Incarnation],
 }
 
 /// An endpoint chosen for a request, and what decided.
@@ -91,37 +94,72 @@
             start: Instant::now(),
             spread: rand::random(),
             demand: Mutex::default(),
+            runs: Mutex::default(),
         }
     }
 
-    /// Takes a list in. Endpoints that stay keep what is believed of them.
+    /// Takes a list in. Endpoints that stay keep what is believed of them; one that
+    /// started again is another endpoint. Of several entries with one name the one
+    /// with the latest start counts, and among equal ones the one in use, or the
+    /// first.
     pub fn update(&self, mut listed: Vec<Listed>) {
-        listed.sort_by(|a, b| a.id.cmp(&b.id));
+        let now = self.start.elapsed();
         let snapshot = self.snapshot.load();
         let old = &snapshot.all;
-        let endpoints = listed.into_iter().map(|listed| {
-            let found = old.binary_search_by(|known| known.id.cmp(&listed.id));
-            match found.ok().map(|at| &old[at]) {
-                Some(known) if known.address == listed.address => {
-                    known.mark(listed.leaving);
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        for listed in &listed {
+            let standing = runs.told(now, &listed.run, listed.leaving);
+            if standing == incarnations::Standing::Older {
+                log_change("endpoint-outdated", &listed.run, &listed.service);
+            }
+        }
+        runs.forget(now);
+        let in_use = |listed: &Listed| {
+            let known = find(old, &listed.run.id);
+            known.is_some_and(|known| known.is(listed))
+        };
+        listed.sort_by_cached_key(|listed| {
+            let id = listed.run.id.clone();
+            (id, Reverse(listed.run.born), !in_use(listed))
+        });
+        listed.dedup_by(|a, b| a.run.id == b.run.id);
+        let endpoints = listed.into_iter().filter_map(|listed| {
+            let (run, leaving) = runs.newest(&listed.run.id)?;
+            let known = find(old, &run.id);
+            if listed.run.cmp_start(run) == Ordering::Less {
+                // The list lags behind the run that is in use.
+                return known.cloned();
+            }
+            let known = known.filter(|known| known.is(&listed));
+            let endpoint = match known {
+                Some(known) => {
+                    known.named(run.born);
                     Arc::clone(known)
                 }
-                _ => {
-                    log_change("endpoint-listed", &listed.id, &listed.service);
+                None => {
+                    log_change("endpoint-listed", run, &listed.service);
                     let rate = self.shared_rate(&listed.service);
+                    let run = run.clone();
+                    let listed = Listed { run, ..listed };
                     Arc::new(Endpoint::new(listed, self.start, rate))
                 }
-            }
+            };
+            endpoint.mark(leaving);
+            Some(endpoint)
         });
         let endpoints: Vec<Arc<Endpoint>> = endpoints.collect();
-        let stays = |id: &str| {
-            let found = endpoints.binary_search_by(|known| known.id.as_str().cmp(id));
-            found.is_ok()
+        drop(runs);
+        let stays = |known: &Arc<Endpoint>| {
+            find(&endpoints, &known.id).is_some_and(|other| Arc::ptr_eq(known, other))
         };
-        for gone in old.iter().filter(|known| !stays(&known.id)) {
+        for gone in old.iter().filter(|known| !stays(known)) {
             gone.mark(true);
+            let successor = find(&endpoints, &gone.id);
+            if successor.is_some_and(|next| !next.runs_as(&gone.run())) {
+                gone.over();
+            }
             gone.pool.clear();
-            log_change("endpoint-gone", &gone.id, &gone.service);
+            log_change("endpoint-gone", &gone.run(), &gone.service);
         }
         self.snapshot.store(Arc::new(Snapshot::new(endpoints)));
     }
@@ -196,7 +234,8 @@
         let now = self.start.elapsed();
         let rate = self.rate(want.service);
         let look = |endpoint: &'a Arc<Endpoint>| {
-            let usable = !endpoint.leaving() && !want.tried.contains(&endpoint.id);
+            let tried = want.tried.iter().any(|run| endpoint.runs_as(run));
+            let usable = !endpoint.leaving() && !tried;
             usable.then(|| endpoint.look(want, &self.domain, now, rate))
         };
         match want.lane {
@@ -282,9 +321,15 @@
     Some(less.endpoint)
 }
 
-fn log_change(event: &str, id: &str, service: &str) {
+/// The endpoint of this name among `all`, which are sorted by name.
+fn find<'a>(all: &'a [Arc<Endpoint>], id: &str) -> Option<&'a Arc<Endpoint>> {
+    let found = all.binary_search_by(|known| known.id.as_str().cmp(id));
+    found.ok().map(|at| &all[at])
+}
+
+fn log_change(event: &str, run: &Incarnation, service: &str) {
     Event::new(event)
-        .field("endpoint", id)
+        .field("endpoint", run)
         .field("service", service)
         .info();
 }
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -17,7 +17,7 @@
 use dogwoodhill_policy::wait::Waits;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
 /// Time beyond the nearest endpoint's to one in another failure domain: the
@@ -38,8 +38,10 @@
 /// One endpoint.
 #[derive(Debug)]
 pub struct Endpoint {
-    /// Identity.
+    /// Name; its start is in [`Endpoint::run`].
     pub id: EndpointId,
+    /// When it started, once that was told.
+    born: OnceLock<Born>,
     /// Service.
     pub service: ServiceId,
     /// Address.
@@ -51,8 +53,8 @@
     pub(super) hash: u64,
     slots: u32,
     leaving: AtomicBool,
-    /// Whether something else answers at its address. An identity never comes
-    /// back, whatever a list says that lags.
+    /// Whether something else answers at its address. A run never comes back,
+    /// whatever a list says that lags.
     gone: AtomicBool,
     start: Instant,
     /// How fast the endpoints of its service read.
@@ -115,8 +117,11 @@
         rate: Arc<Mutex<ReadRate>>,
     ) -> Self {
         Self {
-            hash: affinity::hash(listed.id.as_bytes()),
-            id: listed.id,
+            // By the name alone: beginnings find the same endpoint after it
+            // started again, and at entries that were not told of its start.
+            hash: affinity::hash(listed.run.id.as_bytes()),
+            born: listed.run.born.map_or_else(OnceLock::new, OnceLock::from),
+            id: listed.run.id,
             service: listed.service,
             address: listed.address,
             domain: listed.domain,
@@ -139,6 +144,34 @@
         }
     }
 
+    /// The run of its process.
+    pub fn run(&self) -> Incarnation {
+        Incarnation::new(self.id.clone(), self.born.get().copied())
+    }
+
+    /// Whether `run` is this one, as far as anybody told.
+    pub(super) fn runs_as(&self, run: &Incarnation) -> bool {
+        let same = match (self.born.get(), run.born) {
+            (Some(own), Some(other)) => *own == other,
+            _ => true,
+        };
+        same && self.id == run.id
+    }
+
+    /// Whether `listed` means this run of this endpoint.
+    pub(super) fn is(&self, listed: &Listed) -> bool {
+        self.runs_as(&listed.run)
+            && self.address == listed.address
+            && self.service == listed.service
+    }
+
+    /// Takes in when it started.
+    pub(super) fn named(&self, born: Option<Born>) {
+        if let Some(born) = born {
+            self.born.get_or_init(|| born);
+        }
+    }
+
     /// Whether it gets no new requests: it is about to stop, or gone.
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire) || self.gone.load(Ordering::Acquire)
@@ -147,7 +180,7 @@
     /// Something else answered at its address.
     pub fn misdirected(&self) {
         if !self.gone.swap(true, Ordering::AcqRel) {
-            log_change("endpoint-replaced", &self.id, &self.service);
+            log_change("endpoint-replaced", &self.run(), &self.service);
             self.pool.clear();
         }
     }
@@ -214,6 +247,12 @@
         self.view().record.deserted(now, sent)
     }
 
+    /// It has started again since, as another endpoint.
+    pub(super) fn over(&self) {
+        let now = self.start.elapsed();
+        self.view().record.over(now);
+    }
+
     /// An event came `pause` after the one before, in a stream that is disturbed
     /// by pauses.
     pub fn paced(&self, pause: Duration) {
@@ -297,10 +336,10 @@
     }
 
     /// Takes in whether it is about to stop. It never comes back from that under
-    /// the same identity: a list that says so is an older one that came late.
+    /// the same start: a list that says so is an older one that came late.
     pub(super) fn mark(&self, leaving: bool) {
         if leaving && !self.leaving.swap(true, Ordering::AcqRel) {
-            log_change("endpoint-leaving", &self.id, &self.service);
+            log_change("endpoint-leaving", &self.run(), &self.service);
         }
     }
 
@@ -369,6 +408,11 @@
         &self.endpoint
     }
 
+    /// Tokens of its prompt that the endpoint is believed not to have read before.
+    pub fn unread_tokens(&self) -> u32 {
+        self.tokens as u32
+    }
+
     /// The first bytes of the answer came: its prompt is read.
     pub fn begun(&mut self) {
         let now = self.endpoint.start.elapsed();
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -59,7 +59,7 @@
     mixed: bool,
     lane: Lane,
     standing: Standing,
-    tried: Vec<EndpointId>,
+    tried: Vec<Incarnation>,
     sends: usize,
     /// Whether the next send is already taken out of the service's budget.
     paid: bool,
@@ -238,7 +238,7 @@
     pub fn left_behind(&mut self, endpoint: &Endpoint, reason: impl Display) {
         Event::new("endpoint-left")
             .field("request", &self.ask.id)
-            .field("endpoint", &endpoint.id)
+            .field("endpoint", endpoint.run())
             .field("reason", reason)
             .field("sends", self.sends)
             .field("trust", format!("{:?}", endpoint.trust()).to_lowercase())
@@ -264,7 +264,7 @@
             if let Some(record) = self.record.as_mut() {
                 record.placed(&placed, sends);
             }
-            self.tried.push(endpoint.id.clone());
+            self.tried.push(endpoint.run());
             match self.send(&endpoint).await {
                 Ended::Answered(answer) => {
                     self.sends += 1;
@@ -411,7 +411,7 @@
         Event::new("send-failed")
             .field("request", &self.ask.id)
             .field("service", &self.service)
-            .field("endpoint", &endpoint.id)
+            .field("endpoint", endpoint.run())
             .field("result", result)
             .field("sends", self.sends)
             .warn();
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -4,7 +4,7 @@
 //! ([`dogwoodhill_policy::reads`]). A list that can't be read leaves the last one
 //! in use.
 
-use crate::dialect::{EndpointList, ListError, Listed};
+use crate::dialect::{EndpointList, Flaw, ListContent, ListError};
 use crate::request::Shared;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::Doubt;
@@ -28,6 +28,7 @@
     let mut failures: u32 = 0;
     let mut reader = false;
     let mut doubt = Doubt::default();
+    let mut flaws = Flaws::default();
     let started = Instant::now();
     loop {
         let due = shared.lists.due(interval, rand::rng().random());
@@ -42,12 +43,17 @@
             Event::new("list-reader").field("reader", reader).info();
         }
         let asked = Instant::now();
-        let listed = fetch(list.as_ref()).await.and_then(|listed| {
+        let listed = fetch(list.as_ref()).await.and_then(|content| {
+            flaws.note(&shared, &content);
             let before = shared.directory.all().len();
-            let after = listed.len();
+            let after = content.endpoints.len();
             let believed = doubt.believes(started.elapsed(), before, after);
             let doubtful = ListError::Doubtful { before, after };
-            if believed { Ok(listed) } else { Err(doubtful) }
+            if believed {
+                Ok(content.endpoints)
+            } else {
+                Err(doubtful)
+            }
         });
         let pause = match listed {
             Ok(listed) => {
@@ -75,7 +81,31 @@
     }
 }
 
-async fn fetch(list: &dyn EndpointList) -> Result<Vec<Listed>, ListError> {
+/// Entries that were left out of the last read, by cause.
+#[derive(Debug, Default)]
+struct Flaws(Vec<(Flaw, usize)>);
+
+impl Flaws {
+    /// Counts entries that were left out. A cause is logged when its count changes:
+    /// an entry that stays unreadable for days is one line.
+    fn note(&mut self, shared: &Shared, content: &ListContent) {
+        for (flaw, count) in &content.flaws {
+            let label = flaw.to_string();
+            let counter = shared.stats.list_flaws.with_label_values(&[&*label]);
+            counter.inc_by(*count as u64);
+            if !self.0.contains(&(*flaw, *count)) {
+                Event::new("list-entries-left-out")
+                    .field("cause", label)
+                    .field("entries", count)
+                    .field("read", content.endpoints.len())
+                    .warn();
+            }
+        }
+        self.0.clone_from(&content.flaws);
+    }
+}
+
+async fn fetch(list: &dyn EndpointList) -> Result<ListContent, ListError> {
     let fetched = timeout(FETCH_TIMEOUT, list.fetch()).await;
     fetched.unwrap_or_else(|_| {
         let problem = "no answer in time".to_string();
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -125,14 +125,14 @@
 fn mark(endpoints: &[Listed]) -> u64 {
     let one = |listed: &Listed| {
         let Listed {
-            id,
+            run,
             service,
             address,
             domain,
             slots,
             leaving,
         } = listed;
-        let text = format!("{id} {service} {address} {domain} {slots} {leaving}");
+        let text = format!("{run} {service} {address} {domain} {slots} {leaving}");
         mix(hash(text.as_bytes()))
     };
     let sum = endpoints.iter().map(one).fold(0, u64::wrapping_add);
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -23,6 +23,8 @@
     first: Histogram,
     /// Own reads of the list of endpoints, by whether they were used.
     pub list_reads: IntCounterVec,
+    /// Entries of the list that were left out, by cause.
+    pub list_flaws: IntCounterVec,
     /// Pieces of route sets that did not come, by reason.
     pub missed_pieces: IntCounterVec,
     /// What the entry believes.
@@ -57,6 +59,11 @@
                 "Own reads of the list of endpoints, by result",
                 &["result"],
             ),
+            list_flaws: metrics.counters(
+                "dogwoodhill_direct_list_flaws_total",
+                "Entries of the list that name no endpoint to use, by cause",
+                &["cause"],
+            ),
             missed_pieces: metrics.counters(
                 "dogwoodhill_direct_missed_pieces_total",
                 "Pieces of route sets that did not come, by reason",
@@ -98,8 +105,8 @@
     pub wait: Duration,
     /// Whether it was sent as one that yields to all others.
     pub background: bool,
-    /// Endpoint it was sent to last.
-    pub endpoint: EndpointId,
+    /// Endpoint it was sent to last, with its start.
+    pub endpoint: String,
     /// Endpoints it was sent to.
     pub sends: usize,
     /// Trust in the endpoint chosen last, endpoints known, endpoints kept free
@@ -130,7 +137,7 @@
 
     /// Notes what decided where the request goes.
     pub fn placed(&mut self, placed: &Placed, sends: usize) {
-        self.endpoint.clone_from(&placed.endpoint.id);
+        self.endpoint = placed.endpoint.run().to_string();
         self.sends = sends;
         let trust = format!("{:?}", placed.trust).to_lowercase();
         self.choice = format!("{trust}/{}/{}", placed.known, placed.reserved);
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -61,7 +61,7 @@
 
 impl EndpointList for Fixed {
     fn fetch(&self) -> Fetch<'_> {
-        let listed = self.0.clone();
-        Box::pin(async move { Ok(listed) })
+        let content = self.0.clone().into();
+        Box::pin(async move { Ok(content) })
     }
 }
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -182,7 +182,7 @@
 /// Endpoints as a list has them.
 fn listed(endpoints: &[&StandIn]) -> Vec<Listed> {
     let listed = endpoints.iter().enumerate().map(|(i, endpoint)| Listed {
-        id: format!("endpoint-{i}"),
+        run: Incarnation::new(format!("endpoint-{i}"), None),
         service: "service".to_string(),
         address: endpoint.address,
         domain: "here".to_string(),
--- a/crates/direct/tests/all/limits.rs
+++ b/crates/direct/tests/all/limits.rs
@@ -9,7 +9,7 @@
 
 fn listed(count: usize) -> Vec<Listed> {
     let one = |i: usize| Listed {
-        id: format!("endpoint-{i}"),
+        run: Incarnation::new(format!("endpoint-{i}"), None),
         service: "voice".to_string(),
         address: ([127, 0, 0, 1], 1_000 + i as u16).into(),
         domain: "here".to_string(),
@@ -28,7 +28,7 @@
     }
 }
 
-fn want<'a>(prompt: &'a Prompt, lane: Lane, tried: &'a [EndpointId]) -> Want<'a> {
+fn want<'a>(prompt: &'a Prompt, lane: Lane, tried: &'a [Incarnation]) -> Want<'a> {
     Want {
         service: "voice",
         prompt,
@@ -129,12 +129,13 @@
     list[0].leaving = true;
     directory.update(list);
     let prompt = prompt(1, 100);
-    let tried = ["endpoint-1".to_string()];
+    let run = |id: &str| Incarnation::new(id, None);
+    let tried = [run("endpoint-1")];
     for _ in 0..50 {
         let chosen = place(&directory, &want(&prompt, Lane::Other, &tried));
         assert_eq!(chosen.as_deref(), Some("endpoint-2"));
     }
-    let tried = ["endpoint-1".to_string(), "endpoint-2".to_string()];
+    let tried = [run("endpoint-1"), run("endpoint-2")];
     assert_eq!(place(&directory, &want(&prompt, Lane::Other, &tried)), None);
 }
 
--- a/crates/direct/tests/all/lists.rs
+++ b/crates/direct/tests/all/lists.rs
@@ -2,16 +2,17 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{Listed, Prompt};
-use dogwoodhill_direct::directory::{Directory, Lane, Want};
+use dogwoodhill_direct::directory::{Directory, Lane, Standing, Want};
 use dogwoodhill_direct::lists::Lists;
 use dogwoodhill_wire::demand::Totals;
 use dogwoodhill_wire::list::ListRead;
 use proptest::prelude::*;
+use std::sync::Arc;
 use std::time::Instant;
 
 fn listed(id: usize, leaving: bool) -> Listed {
     Listed {
-        id: format!("i-{id}"),
+        run: Incarnation::new(format!("i-{id}"), None),
         service: "voice".to_string(),
         address: ([127, 0, 0, 1], 1_000 + id as u16).into(),
         domain: "here".to_string(),
@@ -71,7 +72,171 @@
     assert_eq!(usable(&directory), ["i-1", "i-2"], "no content, no change");
 }
 
+fn started(id: usize, born: Option<Born>) -> Listed {
+    let run = Incarnation::new(format!("i-{id}"), born);
+    Listed {
+        run,
+        ..listed(id, false)
+    }
+}
+
+/// A long prompt of which 6,300 tokens are a beginning that others share.
+fn chapter() -> Prompt {
+    Prompt {
+        shared: Some(7),
+        shared_tokens: 6_300,
+        tokens: 9_190,
+        output: 80,
+    }
+}
+
+fn want<'a>(prompt: &'a Prompt, tried: &'a [Incarnation]) -> Want<'a> {
+    Want {
+        service: "voice",
+        prompt,
+        lane: Lane::Other,
+        background: false,
+        mixed: false,
+        tried,
+    }
+}
+
+/// Name and start of the endpoint that a request is sent to.
+fn placed(directory: &Directory, want: &Want<'_>) -> Option<String> {
+    let placed = directory.place(want)?;
+    Some(placed.endpoint.run().to_string())
+}
+
+/// An endpoint has read a beginning and starts again under its name: the beginning is
+/// as good as unread there, what still waits at the earlier run burdens nobody, and
+/// the run that is over gets nothing, however late news of it come.
+#[test]
+fn update_restarted_endpoint_begins_anew() {
+    let directory = Directory::new("here".to_string());
+    directory.update(vec![started(1, Some(50))]);
+    let prompt = chapter();
+    let before = Arc::clone(&directory.all()[0]);
+    let running = before.enter(&prompt, &Standing::default());
+    let again = before.enter(&prompt, &Standing::default());
+    assert!(
+        running.unread_tokens() > again.unread_tokens(),
+        "it has been read"
+    );
+    directory.update(vec![started(1, Some(60))]);
+    let after = Arc::clone(&directory.all()[0]);
+    assert!(!Arc::ptr_eq(&before, &after));
+    assert!(before.leaving(), "the earlier run is over");
+    let anew = after.enter(&prompt, &Standing::default());
+    assert_eq!(
+        anew.unread_tokens(),
+        running.unread_tokens(),
+        "read by nobody"
+    );
+    drop((running, again));
+    directory.update(vec![started(1, Some(50))]);
+    assert!(Arc::ptr_eq(&directory.all()[0], &after), "late news");
+    assert_eq!(
+        placed(&directory, &want(&prompt, &[])).as_deref(),
+        Some("i-1@60")
+    );
+}
+
+/// It starts again right after it was seen leaving: the new run is used, and only it.
+#[test]
+fn update_restarted_after_leaving_is_used() {
+    let directory = Directory::new("here".to_string());
+    let prompt = Prompt::default();
+    let leaving = Listed {
+        leaving: true,
+        ..started(1, Some(50))
+    };
+    directory.update(vec![leaving.clone()]);
+    assert_eq!(placed(&directory, &want(&prompt, &[])), None);
+    directory.update(Vec::new());
+    directory.update(vec![started(1, Some(50))]);
+    assert_eq!(
+        placed(&directory, &want(&prompt, &[])),
+        None,
+        "off the list between"
+    );
+    directory.update(vec![started(1, Some(60)), leaving]);
+    assert_eq!(
+        placed(&directory, &want(&prompt, &[])).as_deref(),
+        Some("i-1@60")
+    );
+}
+
+/// A request that the earlier run lost may go to the later one, which is another
+/// endpoint; one that lost it without a start told may be the same.
+#[test]
+fn place_tried_run_not_its_successor() {
+    let directory = Directory::new("here".to_string());
+    directory.update(vec![started(1, Some(60))]);
+    let prompt = Prompt::default();
+    let tried = |born| [Incarnation::new("i-1", born)];
+    let earlier = tried(Some(50));
+    assert!(placed(&directory, &want(&prompt, &earlier)).is_some());
+    for born in [Some(60), None] {
+        assert_eq!(placed(&directory, &want(&prompt, &tried(born))), None);
+    }
+}
+
+/// One name twice on a list: the later start counts, and among equal ones the
+/// address that is in use.
+#[test]
+fn update_doubled_name() {
+    let directory = Directory::new("here".to_string());
+    directory.update(vec![started(1, Some(50)), started(1, Some(60))]);
+    assert_eq!(directory.all().len(), 1);
+    assert_eq!(directory.all()[0].run().to_string(), "i-1@60");
+    let address = directory.all()[0].address;
+    let elsewhere = Listed {
+        address: ([127, 0, 0, 1], 9_999).into(),
+        ..started(1, Some(60))
+    };
+    directory.update(vec![elsewhere, started(1, Some(60))]);
+    assert_eq!(directory.all().len(), 1);
+    assert_eq!(directory.all()[0].address, address);
+}
+
 proptest! {
+    /// Lists of several readers come late, twice and crossed while endpoints start
+    /// again and again: requests go to no run older than one that was known.
+    #[test]
+    fn older_run_never_gets_a_request(
+        lists in proptest::collection::vec(
+            proptest::collection::vec((0usize..3, 1u64..6, any::<bool>()), 0..6),
+            1..25,
+        ),
+    ) {
+        let directory = Directory::new("here".to_string());
+        let mut newest = [0; 3];
+        let mut left = [false; 3];
+        for list in lists {
+            for (id, born, leaving) in &list {
+                if *born > newest[*id] {
+                    (newest[*id], left[*id]) = (*born, *leaving);
+                } else if *born == newest[*id] {
+                    left[*id] |= leaving;
+                }
+            }
+            let list = list.into_iter().map(|(id, born, leaving)| Listed {
+                leaving,
+                ..started(id, Some(born))
+            });
+            directory.update(list.collect());
+            let mut tried = Vec::new();
+            let prompt = Prompt::default();
+            while let Some(placed) = directory.place(&want(&prompt, &tried)) {
+                let run = placed.endpoint.run();
+                let id: usize = run.id[2..].parse().unwrap();
+                prop_assert_eq!(run.born, Some(newest[id]));
+                prop_assert!(!left[id]);
+                tried.push(run);
+            }
+        }
+    }
+
     /// Whatever order reads come in, also in one that should be impossible: an
     /// endpoint that was once seen leaving gets nothing more under its identity, as
     /// long as it is listed.
--- a/crates/load/src/slopes/placement.rs
+++ b/crates/load/src/slopes/placement.rs
@@ -2,6 +2,7 @@
 //! of endpoints.
 
 use super::Table;
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{Listed, Prompt};
 use dogwoodhill_direct::directory::{Directory, Lane, Standing, Want};
 use hdrhistogram::Histogram;
@@ -73,7 +74,7 @@
 
 fn listed(number: usize) -> Listed {
     Listed {
-        id: format!("endpoint-{number}"),
+        run: Incarnation::new(format!("endpoint-{number}"), None),
         service: "voice".to_string(),
         address: ([127, 0, 0, 1], number as u16 + 1).into(),
         domain: format!("domain-{}", number % 4),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`lanes`]: which endpoints are kept free of long prompts;
 //! * [`packing`]: how many endpoints streams with short pauses are packed on;
 //! * [`rate`]: how fast endpoints read prompts;
+//! * [`incarnations`]: which run of each endpoint is the newest one;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
 //! * [`transfer`]: fetching a large text that several sources have;
 //! * [`urgency`]: who goes first at an endpoint;
@@ -35,6 +36,7 @@
 pub mod dispatch;
 pub mod disturbance;
 pub mod gate;
+pub mod incarnations;
 pub mod lanes;
 pub mod limit;
 pub mod pace;
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -60,6 +60,8 @@
     unreached: u32,
     rest: Duration,
     unanswered: Option<Duration>,
+    /// When it was told that the endpoint has started again since.
+    over: Option<Duration>,
 }
 
 impl Record {
@@ -114,6 +116,11 @@
         self.unreached(now);
     }
 
+    /// A later start of the endpoint was told: this run is over.
+    pub fn over(&mut self, now: Duration) {
+        self.over.get_or_insert(now);
+    }
+
     /// Share of failures, as it counts now.
     pub fn failures(&self, now: Duration) -> f64 {
         let idle = now.saturating_sub(self.judged).as_secs_f64();
@@ -131,9 +138,14 @@
     /// Whether a request that has waited there since `sent` had better be
     /// elsewhere: nothing came since for too long, or a new connection got no
     /// answer. A refused connection is no reason: an endpoint whose queue is
-    /// long refuses connections and still answers what it has taken.
+    /// long refuses connections and still answers what it has taken. A run that is
+    /// said to be over is left as soon as it is quiet as well: a crash behind a cut
+    /// closes no connection.
     pub fn deserted(&self, now: Duration, sent: Duration) -> bool {
         let waited = now.saturating_sub(sent);
+        if self.over.is_some() && self.silence(now).min(waited) >= SHORT_SILENCE {
+            return true;
+        }
         let dark = self.unanswered.is_some_and(|at| at > sent);
         dark || self.silence(now).min(waited) >= self.patience()
     }
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -210,6 +210,24 @@
     assert!(!record.deserted(ms(1_501), ms(1_000)), "it speaks again");
 }
 
+/// An endpoint crashes behind a cut, which closes no connection, and is back within a
+/// second: a prompt that waits at the earlier run is waited for by nobody any more. One
+/// that still answers is left alone, whatever a list says of it.
+#[test]
+fn deserted_run_that_is_over() {
+    let mut record = Record::default();
+    record.sent(ms(1_000));
+    record.over(ms(1_500));
+    assert!(
+        record.deserted(ms(1_500), ms(1_000)),
+        "nothing came for 500 ms"
+    );
+    assert!(!record.deserted(ms(1_500), ms(1_400)), "sent a moment ago");
+    record.heard(ms(1_550));
+    assert!(!record.deserted(ms(1_600), ms(1_000)), "it speaks");
+    assert!(record.deserted(ms(1_900), ms(1_000)));
+}
+
 /// Two endpoints of nine are slower by a third, as in the users' deployments,
 /// and one turns five times slower. The first are known after one stream of a
 /// calm hour, the last after a few events.
--- a/crates/wire/src/list.rs
+++ b/crates/wire/src/list.rs
@@ -8,8 +8,8 @@
 /// One endpoint, as the list has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
-    /// Identity; new with each start of the endpoint.
-    pub id: EndpointId,
+    /// Its name and start.
+    pub run: Incarnation,
     /// Service.
     pub service: ServiceId,
     /// Address.
