--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -261,8 +261,10 @@
             StatusCode::TOO_MANY_REQUESTS => Refusal::Full,
             _ => Refusal::Expired,
         };
-        if reason == Refusal::Misdirected {
-            endpoint.misdirected();
+        match reason {
+            Refusal::Misdirected => endpoint.misdirected(),
+            Refusal::Full => sent.rejected(),
+            Refusal::Expired => {}
         }
         keep(body, line, &said, Arc::clone(endpoint));
         return Ended::Refused(reason);
