--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -258,12 +258,9 @@
         let mut tell = tell;
         let list = tell.list.take();
         let news = inside.lists.tell(now, &tell.entry, tell.held, list);
-        let seen = std::mem::take(&mut tell.queues);
-        let waits = inside.lists.queues(now, &tell.entry, tell.held, &seen);
         Totals {
             reader: news.reader,
             list: news.newest,
-            waits,
             ..inside.demand.tell(now, tell)
         }
     })
--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -1,13 +1,11 @@
 //! The newest read of the list of endpoints, passed on from the entries that read
-//! it to all others, and the queues that entries see at its endpoints.
+//! it to all others.
 //!
 //! Nothing here is durable, and nobody waits for it: an entry that hears of no
 //! fresh read reads by itself. Two entries are asked to read for all, those first by
 //! name among the ones that lately could; so a reader that dies, freezes or is cut
 //! off from the list is replaced as soon as another one had to read by itself.
 
-use dogwoodhill_policy::queues::{Queues, Sight, encode};
-use dogwoodhill_wire::demand::QueueSight;
 use dogwoodhill_wire::list::{ListRead, Listed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -19,9 +17,6 @@
 const KEPT: Duration = Duration::from_secs(2);
 /// How long an entry counts as one that can read: three intervals of a reader.
 const READS: Duration = Duration::from_secs(3);
-/// How long worked-out waits are told to all that ask: a tenth of the interval at which
-/// an entry asks.
-const FRESH: Duration = Duration::from_millis(50);
 /// Most entries that are held: five times the size that the design is made for.
 const MOST: usize = 2_500;
 /// Most endpoints of a list that is passed on: eight times that size.
@@ -41,26 +36,14 @@
 struct Held {
     mark: u64,
     read: Instant,
-    /// Sorted by name and start.
     endpoints: Vec<Listed>,
 }
 
-/// Waits as they are told, and when they were worked out.
-#[derive(Debug)]
-struct Waits {
-    at: Duration,
-    codes: Vec<u8>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     /// Sorted by entry.
     tellers: Vec<Teller>,
     held: Option<Held>,
-    queues: Queues,
-    waits: Option<Waits>,
-    /// From which the times of the queues are measured.
-    start: Option<Instant>,
 }
 
 /// What entries told one instance of the list. Clones share it.
@@ -106,55 +89,7 @@
     }
 }
 
-impl Lists {
-    /// Takes in the queues that `entry` sees, whose list is the one with the mark `held`.
-    /// Returns the waits at the endpoints of the newest read, as all entries together see
-    /// them: a code for each, or none where nothing waits anywhere.
-    pub fn queues(
-        &self,
-        now: Instant,
-        entry: &str,
-        held: u64,
-        seen: &[QueueSight],
-    ) -> Vec<u8> {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let start = *state.start.get_or_insert(now);
-        let now = now.saturating_duration_since(start);
-        if state
-            .held
-            .as_ref()
-            .is_some_and(|newest| newest.mark == held)
-        {
-            let sights = seen.iter().map(|seen| (seen.place, sight(seen)));
-            state.queues.tell(now, entry, sights.collect());
-        }
-        state.waits(now)
-    }
-}
-
-fn sight(seen: &QueueSight) -> Sight {
-    let time = |millis: u32| Duration::from_millis(millis.into());
-    Sight {
-        work: time(seen.work),
-        oldest: time(seen.oldest),
-        learned: seen.learned.map(time),
-    }
-}
-
 impl State {
-    /// Waits as they are told; worked out once for all entries that ask within a moment.
-    fn waits(&mut self, now: Duration) -> Vec<u8> {
-        let fresh = |waits: &&Waits| now.saturating_sub(waits.at) < FRESH;
-        if let Some(waits) = self.waits.as_ref().filter(fresh) {
-            return waits.codes.clone();
-        }
-        let mut codes: Vec<u8> = self.queues.waits(now).into_iter().map(encode).collect();
-        let told = codes.iter().rposition(|code| *code > 0);
-        codes.truncate(told.map_or(0, |last| last + 1));
-        let waits = Waits { at: now, codes };
-        self.waits.insert(waits).codes.clone()
-    }
-
     fn note(&mut self, now: Instant, entry: &str, read: Option<Instant>) {
         match self
             .tellers
@@ -186,15 +121,7 @@
         }
         match (list.endpoints, &mut self.held) {
             (_, Some(held)) if held.mark == list.mark => held.read = read,
-            (Some(mut endpoints), held) if endpoints.len() <= MOST_ENDPOINTS => {
-                endpoints.sort_by(|a, b| a.run.cmp(&b.run));
-                let old = held.as_ref().map_or(&[][..], |held| &held.endpoints);
-                let before = endpoints.iter().map(|listed| {
-                    let found = old.binary_search_by(|known| known.run.cmp(&listed.run));
-                    found.ok()
-                });
-                self.queues.relist(before);
-                self.waits = None;
+            (Some(endpoints), held) if endpoints.len() <= MOST_ENDPOINTS => {
                 *held = Some(Held {
                     mark: list.mark,
                     read,
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -1,5 +1,5 @@
-//! Agreeing with the other entries on what comes for each service, on what the list of
-//! endpoints says, and on how long prompts wait at each of them.
+//! Agreeing with the other entries on what comes for each service, and on what the
+//! list of endpoints says.
 //!
 //! Twice a second an entry tells one control instance what came, and is told
 //! the sums over all entries and the newest read of the list. An entry that has
@@ -70,7 +70,6 @@
         services: shared.directory.demanded(),
         held,
         list,
-        queues: shared.lists.queues(),
     };
     let mut told: Vec<SocketAddr> = follower.control().told.clone();
     told.sort_unstable();
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -12,7 +12,6 @@
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
-use dogwoodhill_policy::queues::Sight;
 use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_policy::trust::{Record, Trust};
 use dogwoodhill_policy::wait::Waits;
@@ -102,8 +101,8 @@
 
     /// Time until a prompt sent now would begin to be read.
     fn wait(&self, now: Duration, rate: ReadRate, background: bool) -> Duration {
-        let reading = |tokens| self.reading(rate, tokens);
-        self.waits.wait(now, background, reading)
+        let own = self.reading(rate, self.waits.ahead(background));
+        own.max(self.waits.predicted(now))
     }
 
     fn reading(&self, rate: ReadRate, tokens: f64) -> Duration {
@@ -269,22 +268,6 @@
         view.loaded = now;
     }
 
-    /// What this entry sees of its queue, for the others; `None` where it sees none.
-    pub(crate) fn sight(&self) -> Option<Sight> {
-        let now = self.start.elapsed();
-        let rate = self.rate();
-        let mut view = self.view();
-        let slowness = view.slowness;
-        let reading = |tokens| rate.reading(tokens).mul_f64(slowness);
-        view.waits.sight(now, reading)
-    }
-
-    /// Control told how long prompts wait there, as all entries together see it.
-    pub(crate) fn queue_told(&self, wait: Duration) {
-        let now = self.start.elapsed();
-        self.view().waits.told(now, wait);
-    }
-
     /// How far it is trusted now.
     pub fn trust(&self) -> Trust {
         let now = self.start.elapsed();
@@ -456,24 +439,13 @@
         };
         let reading = view.reading(rate, self.tokens) + STEP;
         let waited = took.saturating_sub(reading);
-        if self.tokens > 0.0 {
-            view.waits.learn(now, waited);
-        }
+        view.waits.learn(now, waited);
         self.standing.waited(now, waited);
         let ratio = took.as_secs_f64() / self.expected.as_secs_f64();
         let slowness = view.slowness * (1.0 + (ratio.min(10.0) - 1.0) * NEWEST);
         view.slowness = slowness.clamp(SLOWNESS.0, SLOWNESS.1);
     }
 
-    /// The endpoint rejected it, for want of room.
-    pub fn rejected(&self) {
-        if self.tokens == 0.0 {
-            return;
-        }
-        let now = self.endpoint.start.elapsed();
-        self.endpoint.view().waits.rejected(now);
-    }
-
     /// Nothing more is waited for.
     pub fn ended(&mut self) {
         if !std::mem::take(&mut self.waits) {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -261,10 +261,8 @@
             StatusCode::TOO_MANY_REQUESTS => Refusal::Full,
             _ => Refusal::Expired,
         };
-        match reason {
-            Refusal::Misdirected => endpoint.misdirected(),
-            Refusal::Full => sent.rejected(),
-            Refusal::Expired => {}
+        if reason == Refusal::Misdirected {
+            endpoint.misdirected();
         }
         keep(body, line, &said, Arc::clone(endpoint));
         return Ended::Refused(reason);
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -2,14 +2,13 @@
 //! of other entries.
 
 use crate::dialect::Listed;
-use crate::directory::{Directory, Endpoint};
+use crate::directory::Directory;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{hash, mix};
-use dogwoodhill_policy::queues;
 use dogwoodhill_policy::reads::Reads;
-use dogwoodhill_wire::demand::{QueueSight, Totals};
+use dogwoodhill_wire::demand::Totals;
 use dogwoodhill_wire::list::ListRead;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
 
@@ -27,8 +26,6 @@
     reads: Reads,
     /// Mark of the content in use.
     mark: u64,
-    /// Its endpoints, sorted by name and start; `None` for those that are not used.
-    places: Vec<Option<Arc<Endpoint>>>,
     /// This entry's own newest read.
     own: Option<Own>,
     /// Mark of the content that control has.
@@ -59,7 +56,8 @@
         let mut state = self.state();
         let mark = mark(&endpoints);
         if state.reads.take(asked.duration_since(self.start)) {
-            state.put(directory, mark, endpoints.clone());
+            state.mark = mark;
+            directory.update(endpoints.clone());
         }
         state.own = Some(Own {
             asked,
@@ -79,40 +77,22 @@
             return;
         };
         state.control = Some(list.mark);
-        let waits = std::mem::take(&mut totals.waits);
         let read = asked.duration_since(self.start).checked_sub(list.age);
         // A read from before this entry's start is no news: it reads by itself.
         let Some(read) = read else { return };
         if state.mark == list.mark {
             state.reads.take(read);
-            state.hear(&waits);
             return;
         }
         let Some(endpoints) = list.endpoints else {
             return;
         };
         if state.reads.take(read) {
-            state.put(directory, list.mark, endpoints);
-            state.hear(&waits);
+            state.mark = list.mark;
+            directory.update(endpoints);
         }
     }
 
-    /// The queues that this entry sees, by place in the list that it has.
-    pub fn queues(&self) -> Vec<QueueSight> {
-        let state = self.state();
-        let places = (0..).zip(&state.places);
-        let seen = places.filter_map(|(place, endpoint)| {
-            let sight = endpoint.as_ref()?.sight()?;
-            Some(QueueSight {
-                place,
-                work: millis(sight.work),
-                oldest: millis(sight.oldest),
-                learned: sight.learned.map(millis),
-            })
-        });
-        seen.collect()
-    }
-
     /// What this entry tells control: the mark of the content that it has, and its
     /// own newest read, without the content that control has.
     pub fn told(&self) -> (u64, Option<ListRead>) {
@@ -141,32 +121,6 @@
     }
 }
 
-impl State {
-    /// Puts a list in use.
-    fn put(&mut self, directory: &Directory, mark: u64, endpoints: Vec<Listed>) {
-        let mut runs: Vec<Incarnation> =
-            endpoints.iter().map(|listed| listed.run.clone()).collect();
-        runs.sort_unstable();
-        self.mark = mark;
-        directory.update(endpoints);
-        self.places = runs.iter().map(|run| directory.running(run)).collect();
-    }
-
-    /// Takes in how long prompts wait, by place; nothing waits where nothing is told.
-    fn hear(&self, waits: &[u8]) {
-        let waits = waits.iter().copied().chain(std::iter::repeat(0));
-        for (endpoint, code) in self.places.iter().zip(waits) {
-            if let Some(endpoint) = endpoint {
-                endpoint.queue_told(queues::decode(code));
-            }
-        }
-    }
-}
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// The same for the same endpoints in any order; never 0.
 fn mark(endpoints: &[Listed]) -> u64 {
     let one = |listed: &Listed| {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,7 +18,6 @@
 //! * [`disturbance`]: whether streams with short pauses are kept apart at all;
 //! * [`lanes`]: which endpoints are kept free of long prompts;
 //! * [`packing`]: how many endpoints streams with short pauses are packed on;
-//! * [`queues`]: how long prompts wait at each endpoint, as all entries see it;
 //! * [`rate`]: how fast endpoints read prompts;
 //! * [`incarnations`]: which run of each endpoint is the newest one;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
@@ -44,7 +43,6 @@
 pub mod packing;
 pub mod place;
 pub mod queue;
-pub mod queues;
 pub mod quota;
 pub mod rate;
 pub mod reads;
--- a/crates/policy/src/wait.rs
+++ b/crates/policy/src/wait.rs
@@ -7,7 +7,6 @@
 //! Beginnings that many requests share make some queues several times as long
 //! as others.
 
-use crate::queues::Sight;
 use std::time::Duration;
 
 /// Weight of the newest wait.
@@ -16,23 +15,6 @@
 /// seconds, and an entry hears of an endpoint about once in two.
 const MEMORY: f64 = 3.0;
 
-/// How long what was told of a queue is used: three of the intervals at which it is
-/// told. Older than that, an entry knows as much by itself.
-const TOLD_KEPT: Duration = Duration::from_millis(1_600);
-/// Wait that a rejection shows at least. An endpoint that has no room for another
-/// prompt holds dozens that wait, of 30 to 200 ms of reading each; of the few seconds
-/// that this makes the lower end is taken, since who goes elsewhere is read anew there.
-const FULL_WAIT: Duration = Duration::from_secs(2);
-
-/// What all entries together see of a queue, as it was told.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    at: Duration,
-    wait: Duration,
-    /// Own tokens that were sent in front since.
-    since: f64,
-}
-
 /// What one entry knows of the queue at one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Waits {
@@ -43,9 +25,6 @@
     /// Wait of those in front that were read lately.
     learned: f64,
     at: Duration,
-    told: Option<Told>,
-    /// The newest wait, until it is told to the other entries.
-    news: Option<Duration>,
 }
 
 impl Waits {
@@ -55,9 +34,6 @@
         if !background {
             let at = self.since.partition_point(|since| *since <= now);
             self.since.insert(at, now);
-            if let Some(told) = &mut self.told {
-                told.since += tokens;
-            }
         }
     }
 
@@ -75,55 +51,6 @@
         let before = self.learned(now);
         self.learned = before + (wait.as_secs_f64() - before) * NEWEST;
         self.at = now;
-        self.news = Some(wait);
-    }
-
-    /// A prompt was rejected, for want of room.
-    pub fn rejected(&mut self, now: Duration) {
-        let wait = self.predicted(now).max(FULL_WAIT);
-        self.learn(now, wait);
-    }
-
-    /// All entries together see a wait of `wait` there.
-    pub fn told(&mut self, now: Duration, wait: Duration) {
-        self.told = Some(Told {
-            at: now,
-            wait,
-            since: 0.0,
-        });
-    }
-
-    /// What this entry sees of the queue, for the others; `None` where it sees none.
-    /// What it learned is told once.
-    pub fn sight(
-        &mut self,
-        now: Duration,
-        reading: impl Fn(f64) -> Duration,
-    ) -> Option<Sight> {
-        let learned = self.news.take();
-        let unread = self.ahead(false);
-        let seen = unread > 0.0 || learned.is_some();
-        seen.then(|| Sight {
-            work: reading(unread),
-            oldest: self.oldest(now),
-            learned,
-        })
-    }
-
-    /// Time until a prompt sent now would begin to be read; `reading` tells how long
-    /// reading tokens takes there.
-    pub fn wait(
-        &self,
-        now: Duration,
-        background: bool,
-        reading: impl Fn(f64) -> Duration,
-    ) -> Duration {
-        let fresh = |told: &Told| now.saturating_sub(told.at) < TOLD_KEPT;
-        let others = match self.told.filter(fresh) {
-            Some(told) => told.wait + reading(told.since),
-            None => self.predicted(now),
-        };
-        reading(self.ahead(background)).max(others)
     }
 
     /// Own tokens that would be read before a prompt sent now.
@@ -132,15 +59,10 @@
         if background { front + back } else { front }
     }
 
-    /// For how long the oldest of those in front waits.
-    pub fn oldest(&self, now: Duration) -> Duration {
-        let oldest = self.since.first().copied().unwrap_or(now);
-        now.saturating_sub(oldest)
-    }
-
     /// Wait of a prompt sent now, as far as it is known from others.
     pub fn predicted(&self, now: Duration) -> Duration {
-        let oldest = self.oldest(now);
+        let oldest = self.since.first().copied().unwrap_or(now);
+        let oldest = now.saturating_sub(oldest);
         oldest.max(Duration::from_secs_f64(self.learned(now)))
     }
 
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -21,22 +21,6 @@
     /// Its own newest read of the list.
     #[serde(default)]
     pub list: Option<ListRead>,
-    /// The queues that it sees, by place in the list that it has.
-    #[serde(default)]
-    pub queues: Vec<QueueSight>,
-}
-
-/// What an entry sees of the queue at one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QueueSight {
-    /// Place of the endpoint in the list, sorted by name and start.
-    pub place: u32,
-    /// Time that reading its prompts takes that are not read, in milliseconds.
-    pub work: u32,
-    /// For how long the oldest of them waits, in milliseconds.
-    pub oldest: u32,
-    /// Wait of the prompt read last, in milliseconds, if one was since it told last.
-    pub learned: Option<u32>,
 }
 
 /// Work for one service, in seconds of an endpoint's time, fading alike at all
@@ -69,8 +53,4 @@
     /// The newest read of the list.
     #[serde(default)]
     pub list: Option<ListRead>,
-    /// Predicted waits as `dogwoodhill_policy::queues` encodes them, by place in that
-    /// read; empty where nothing waits anywhere.
-    #[serde(default, with = "serde_bytes")]
-    pub waits: Vec<u8>,
 }
