Entries tell each other which endpoints are lost or fail

Cause: each entry found out by itself that an endpoint had been replaced, was silent or failed part of its requests.

Change: `policy::sightings`, pure: what entries met, by place in the list that both sides have; two entries have to have met the same, and nobody may have heard from the endpoint since. Told with the exchange that entries have with one control instance anyway, within 150 ms where an endpoint was lost. `trust::Record` goes by it while it is fresh and nothing disproves it here.

--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -258,9 +258,11 @@
         let mut tell = tell;
         let list = tell.list.take();
         let news = inside.lists.tell(now, &tell.entry, tell.held, list);
+        inside.lists.sighted(now, &tell);
         Totals {
             reader: news.reader,
             list: news.newest,
+            verdicts: inside.lists.verdicts(now),
             ..inside.demand.tell(now, tell)
         }
     })
--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -1,11 +1,14 @@
 //! The newest read of the list of endpoints, passed on from the entries that read
-//! it to all others.
+//! it to all others, and what entries met at its endpoints.
 //!
 //! Nothing here is durable, and nobody waits for it: an entry that hears of no
 //! fresh read reads by itself. Two entries are asked to read for all, those first by
 //! name among the ones that lately could; so a reader that dies, freezes or is cut
 //! off from the list is replaced as soon as another one had to read by itself.
 
+use dogwoodhill_policy::affinity::hash;
+use dogwoodhill_policy::sightings::{Kept, Place, Sight, Sightings, Verdict};
+use dogwoodhill_wire::demand::{EndpointVerdict, TellDemand, VerdictWord};
 use dogwoodhill_wire::list::{ListRead, Listed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -17,6 +20,9 @@
 const KEPT: Duration = Duration::from_secs(2);
 /// How long an entry counts as one that can read: three intervals of a reader.
 const READS: Duration = Duration::from_secs(3);
+/// How long verdicts are told to all that ask before they are worked out anew: a tenth of
+/// the interval at which an entry asks.
+const FRESH: Duration = Duration::from_millis(50);
 /// Most entries that are held: five times the size that the design is made for.
 const MOST: usize = 2_500;
 /// Most endpoints of a list that is passed on: eight times that size.
@@ -36,6 +42,7 @@
 struct Held {
     mark: u64,
     read: Instant,
+    /// Sorted by name and start.
     endpoints: Vec<Listed>,
 }
 
@@ -44,6 +51,11 @@
     /// Sorted by entry.
     tellers: Vec<Teller>,
     held: Option<Held>,
+    sightings: Sightings,
+    /// What is told of them, and when it was worked out.
+    verdicts: Option<(Duration, Vec<EndpointVerdict>)>,
+    /// From which the times of sightings are measured.
+    start: Option<Instant>,
 }
 
 /// What entries told one instance of the list. Clones share it.
@@ -89,7 +101,78 @@
     }
 }
 
+impl Lists {
+    /// Takes in what an entry met at the endpoints of the list that it has.
+    pub fn sighted(&self, now: Instant, tell: &TellDemand) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state
+            .held
+            .as_ref()
+            .is_none_or(|newest| newest.mark != tell.held)
+        {
+            // Its places are those of another list; it will tell again.
+            return;
+        }
+        let now = state.since_start(now);
+        let met = tell.sights.iter().map(|met| {
+            let sight = Sight {
+                replaced: met.replaced,
+                unreached: met.unreached,
+                heard: false,
+                answered: met.answered,
+                failed: met.failed,
+            };
+            (met.place, sight)
+        });
+        let heard = Sight {
+            heard: true,
+            ..Sight::default()
+        };
+        let heard = bits(&tell.heard).map(|place| (place, heard));
+        let entry = hash(tell.entry.as_bytes());
+        state.sightings.tell(now, entry, met.chain(heard));
+    }
+
+    /// What entries together see of the endpoints of the newest read.
+    pub fn verdicts(&self, now: Instant) -> Vec<EndpointVerdict> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = state.since_start(now);
+        if let Some((at, told)) = &state.verdicts
+            && now.saturating_sub(*at) < FRESH
+        {
+            return told.clone();
+        }
+        let verdicts = state.sightings.verdicts(now);
+        let told = verdicts
+            .into_iter()
+            .map(|(place, verdict)| EndpointVerdict {
+                place,
+                verdict: match verdict {
+                    Verdict::Failing => VerdictWord::Failing,
+                    Verdict::Silent => VerdictWord::Silent,
+                    Verdict::Replaced => VerdictWord::Replaced,
+                },
+            });
+        let told: Vec<EndpointVerdict> = told.collect();
+        state.verdicts = Some((now, told.clone()));
+        told
+    }
+}
+
+/// Places of the bits that are set.
+fn bits(bytes: &[u8]) -> impl Iterator<Item = Place> {
+    (0..).zip(bytes).flat_map(|(at, byte)| {
+        let set = (0..8).filter(move |bit| byte & (1 << bit) != 0);
+        set.map(move |bit| at * 8 + bit)
+    })
+}
+
 impl State {
+    fn since_start(&mut self, now: Instant) -> Duration {
+        let start = *self.start.get_or_insert(now);
+        now.saturating_duration_since(start)
+    }
+
     fn note(&mut self, now: Instant, entry: &str, read: Option<Instant>) {
         match self
             .tellers
@@ -121,7 +204,18 @@
         }
         match (list.endpoints, &mut self.held) {
             (_, Some(held)) if held.mark == list.mark => held.read = read,
-            (Some(endpoints), held) if endpoints.len() <= MOST_ENDPOINTS => {
+            (Some(mut endpoints), held) if endpoints.len() <= MOST_ENDPOINTS => {
+                endpoints.sort_by(|a, b| a.run.cmp(&b.run));
+                let old = held.as_ref().map_or(&[][..], |held| &held.endpoints);
+                let kept = endpoints.iter().map(|listed| {
+                    let found = old.binary_search_by(|known| known.run.cmp(&listed.run));
+                    Kept {
+                        before: found.ok(),
+                        service: hash(listed.service.as_bytes()),
+                    }
+                });
+                self.sightings.relist(kept);
+                self.verdicts = None;
                 *held = Some(Held {
                     mark: list.mark,
                     read,
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -3,6 +3,7 @@
 use dogwoodhill_control::lists::Lists;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::{Reads, STALE};
+use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, TellDemand, VerdictWord};
 use dogwoodhill_wire::list::{ListRead, Listed};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -164,3 +165,70 @@
     assert!(mean(32, 40) <= 33.0 / 2.0, "{counts:?}");
     assert!(mean(44, 60) <= 2.0, "{counts:?}");
 }
+
+/// What entry `name` met, whose list has the mark `held`.
+fn met(name: &str, held: u64, sights: Vec<EndpointSight>, heard: Vec<u8>) -> TellDemand {
+    TellDemand {
+        entry: name.to_string(),
+        held,
+        sights,
+        heard,
+        ..TellDemand::default()
+    }
+}
+
+fn lost(place: u32) -> Vec<EndpointSight> {
+    vec![EndpointSight {
+        place,
+        unreached: true,
+        ..EndpointSight::default()
+    }]
+}
+
+/// Two entries lost an endpoint: all are told, until a third one hears from it.
+#[test]
+fn sighted_lost_by_two_told_to_all() {
+    let lists = Lists::default();
+    let now = Instant::now() + ms(60_000);
+    lists.tell(now, "a", 7, read(7, ms(40), Some(12)));
+    lists.sighted(now, &met("a", 7, lost(9), Vec::new()));
+    assert_eq!(lists.verdicts(now), []);
+    lists.sighted(now + ms(100), &met("b", 7, lost(9), Vec::new()));
+    let silent = EndpointVerdict {
+        place: 9,
+        verdict: VerdictWord::Silent,
+    };
+    assert_eq!(lists.verdicts(now + ms(200)), [silent]);
+    let heard = vec![0, 0b10];
+    lists.sighted(now + ms(300), &met("c", 7, Vec::new(), heard));
+    assert_eq!(lists.verdicts(now + ms(400)), []);
+}
+
+/// Places of another list mean other endpoints: they count for nothing. Where the list
+/// changes, what was met follows its endpoint to its new place.
+#[test]
+fn sighted_places_are_those_of_one_list() {
+    let lists = Lists::default();
+    let now = Instant::now() + ms(60_000);
+    lists.tell(now, "a", 7, read(7, ms(40), Some(3)));
+    for entry in ["a", "b"] {
+        lists.sighted(now, &met(entry, 6, lost(2), vec![0xff; 999]));
+    }
+    assert_eq!(lists.verdicts(now), []);
+    for entry in ["a", "b"] {
+        lists.sighted(now + ms(100), &met(entry, 7, lost(2), Vec::new()));
+    }
+    let mut longer = read(8, ms(40), Some(3)).expect("a read");
+    let earlier = Listed {
+        run: Incarnation::new("a-first", None),
+        ..endpoints(1).remove(0)
+    };
+    longer.endpoints.as_mut().expect("content").push(earlier);
+    lists.tell(now + ms(200), "a", 7, Some(longer));
+    let places: Vec<u32> = lists
+        .verdicts(now + ms(200))
+        .iter()
+        .map(|told| told.place)
+        .collect();
+    assert_eq!(places, [3]);
+}
--- a/crates/core/src/incarnation.rs
+++ b/crates/core/src/incarnation.rs
@@ -18,8 +18,10 @@
 /// clock.
 pub type Born = u64;
 
-/// One run of an endpoint's process.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+/// One run of an endpoint's process; ordered by name, then start.
+#[derive(
+    Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Incarnation {
     /// Name of the endpoint.
     pub id: EndpointId,
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -1,9 +1,9 @@
-//! Agreeing with the other entries on what comes for each service, and on what the
-//! list of endpoints says.
+//! Agreeing with the other entries on what comes for each service, on what the list of
+//! endpoints says, and on which of them are lost or fail.
 //!
 //! Twice a second an entry tells one control instance what came, and is told
 //! the sums over all entries and the newest read of the list. An entry that has
-//! read the list tells at once. All entries ask the same instance as long as it
+//! read the list tells at once, and one that has lost an endpoint soon. All entries ask the same instance as long as it
 //! answers: the first of those that they were told of, by address.
 
 use crate::follow::Follower;
@@ -21,6 +21,10 @@
 /// Interval at which an entry tells. A burst is known everywhere within two of
 /// them.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// How soon an entry tells that it has lost an endpoint. What it loses within that time
+/// is told together: where thirty are lost at once, each entry tells six times a second
+/// instead of for each of them.
+const SOON: Duration = Duration::from_millis(150);
 /// Spread of the interval, so that entries do not tell in step.
 const SPREAD: std::ops::Range<f64> = 0.8..1.2;
 /// Longest wait for the sums.
@@ -36,6 +40,7 @@
         tokio::select! {
             () = sleep(INTERVAL.mul_f64(spread)) => {}
             () = shared.lists.news.notified() => {}
+            () = shared.lists.met.notified() => sleep(SOON).await,
         }
         let answered = ask(&follower, &shared).await;
         if answered.is_ok() != agreed {
@@ -65,11 +70,14 @@
 
 async fn ask(follower: &Follower, shared: &Shared) -> Result<Totals, Unheard> {
     let (held, list) = shared.lists.told();
+    let (sights, heard) = shared.lists.sights();
     let tell = TellDemand {
         entry: follower.name.clone(),
         services: shared.directory.demanded(),
         held,
         list,
+        sights,
+        heard,
     };
     let mut told: Vec<SocketAddr> = follower.control().told.clone();
     told.sort_unstable();
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -169,6 +169,13 @@
         Arc::clone(&self.snapshot.load().all)
     }
 
+    /// The endpoint that runs as `run`, if it is listed.
+    pub fn running(&self, run: &Incarnation) -> Option<Arc<Endpoint>> {
+        let snapshot = self.snapshot.load();
+        let known = find(&snapshot.all, &run.id)?;
+        known.runs_as(run).then(|| Arc::clone(known))
+    }
+
     /// Chooses an endpoint. Sound ones go before failing ones, and those before
     /// silent ones; among equally trusted ones those of the request's lane go
     /// before the others.
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -13,6 +13,7 @@
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
 use dogwoodhill_policy::rate::ReadRate;
+use dogwoodhill_policy::sightings::{Sight, Verdict};
 use dogwoodhill_policy::trust::{Record, Trust};
 use dogwoodhill_policy::wait::Waits;
 use std::net::SocketAddr;
@@ -177,14 +178,20 @@
         self.leaving.load(Ordering::Acquire) || self.gone.load(Ordering::Acquire)
     }
 
-    /// Something else answered at its address.
-    pub fn misdirected(&self) {
+    /// Something else answers at its address.
+    fn replaced(&self) {
         if !self.gone.swap(true, Ordering::AcqRel) {
             log_change("endpoint-replaced", &self.run(), &self.service);
             self.pool.clear();
         }
     }
 
+    /// Another run answered a request that was meant for it.
+    pub fn misdirected(&self) {
+        self.view().record.replaced();
+        self.replaced();
+    }
+
     /// Counts a request in until the guard is dropped.
     pub fn enter(self: &Arc<Self>, prompt: &Prompt, standing: &Standing) -> Sent {
         let now = self.start.elapsed();
@@ -268,6 +275,21 @@
         view.loaded = now;
     }
 
+    /// What this entry met there since it told the others last, if anything.
+    pub(crate) fn sight(&self) -> Option<Sight> {
+        let now = self.start.elapsed();
+        self.view().record.sight(now)
+    }
+
+    /// All entries together see this of it, or nothing of note.
+    pub(crate) fn told(&self, verdict: Option<Verdict>) {
+        if verdict == Some(Verdict::Replaced) {
+            self.replaced();
+        }
+        let now = self.start.elapsed();
+        self.view().record.told(now, verdict);
+    }
+
     /// How far it is trusted now.
     pub fn trust(&self) -> Trust {
         let now = self.start.elapsed();
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -407,7 +407,9 @@
         }
     }
 
+    /// Notes that a send led to no answer, for the log and for the other entries.
     fn log_send(&self, endpoint: &Endpoint, result: &str) {
+        self.shared.lists.met.notify_one();
         Event::new("send-failed")
             .field("request", &self.ask.id)
             .field("service", &self.service)
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -2,13 +2,14 @@
 //! of other entries.
 
 use crate::dialect::Listed;
-use crate::directory::Directory;
+use crate::directory::{Directory, Endpoint};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{hash, mix};
 use dogwoodhill_policy::reads::Reads;
-use dogwoodhill_wire::demand::Totals;
+use dogwoodhill_policy::sightings::Verdict;
+use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals, VerdictWord};
 use dogwoodhill_wire::list::ListRead;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
 
@@ -19,6 +20,8 @@
     state: Mutex<State>,
     /// Told when this entry has read something new.
     pub news: Notify,
+    /// Told when this entry has lost an endpoint.
+    pub met: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -26,6 +29,8 @@
     reads: Reads,
     /// Mark of the content in use.
     mark: u64,
+    /// Its endpoints, sorted by name and start; `None` for those that are not used.
+    places: Vec<Option<Arc<Endpoint>>>,
     /// This entry's own newest read.
     own: Option<Own>,
     /// Mark of the content that control has.
@@ -46,6 +51,7 @@
             start: Instant::now(),
             state: Mutex::default(),
             news: Notify::new(),
+            met: Notify::new(),
         }
     }
 }
@@ -56,8 +62,7 @@
         let mut state = self.state();
         let mark = mark(&endpoints);
         if state.reads.take(asked.duration_since(self.start)) {
-            state.mark = mark;
-            directory.update(endpoints.clone());
+            state.put(directory, mark, endpoints.clone());
         }
         state.own = Some(Own {
             asked,
@@ -82,17 +87,45 @@
         let Some(read) = read else { return };
         if state.mark == list.mark {
             state.reads.take(read);
+            state.hear(&totals.verdicts);
             return;
         }
         let Some(endpoints) = list.endpoints else {
             return;
         };
         if state.reads.take(read) {
-            state.mark = list.mark;
-            directory.update(endpoints);
+            state.put(directory, list.mark, endpoints);
+            state.hear(&totals.verdicts);
         }
     }
 
+    /// What this entry met at endpoints since it was asked last: news by place in the
+    /// list that it has, and the places that it heard from lately, a bit each.
+    pub fn sights(&self) -> (Vec<EndpointSight>, Vec<u8>) {
+        let state = self.state();
+        let mut sights = Vec::new();
+        let mut heard = vec![0; state.places.len().div_ceil(8)];
+        for (place, endpoint) in state.places.iter().enumerate() {
+            let Some(sight) = endpoint.as_ref().and_then(|endpoint| endpoint.sight())
+            else {
+                continue;
+            };
+            if sight.heard {
+                heard[place / 8] |= 1 << (place % 8);
+            }
+            if sight.replaced || sight.unreached || sight.answered > 0 {
+                sights.push(EndpointSight {
+                    place: place as u32,
+                    replaced: sight.replaced,
+                    unreached: sight.unreached,
+                    answered: sight.answered,
+                    failed: sight.failed,
+                });
+            }
+        }
+        (sights, heard)
+    }
+
     /// What this entry tells control: the mark of the content that it has, and its
     /// own newest read, without the content that control has.
     pub fn told(&self) -> (u64, Option<ListRead>) {
@@ -121,6 +154,37 @@
     }
 }
 
+impl State {
+    /// Puts a list in use.
+    fn put(&mut self, directory: &Directory, mark: u64, endpoints: Vec<Listed>) {
+        let runs = endpoints.iter().map(|listed| listed.run.clone());
+        let mut runs: Vec<Incarnation> = runs.collect();
+        runs.sort_unstable();
+        self.mark = mark;
+        directory.update(endpoints);
+        self.places = runs.iter().map(|run| directory.running(run)).collect();
+    }
+
+    /// Takes in what all entries see, by place; of the others nothing of note holds.
+    fn hear(&self, verdicts: &[EndpointVerdict]) {
+        let mut told = vec![None; self.places.len()];
+        for verdict in verdicts {
+            if let Some(place) = told.get_mut(verdict.place as usize) {
+                *place = Some(match verdict.verdict {
+                    VerdictWord::Failing => Verdict::Failing,
+                    VerdictWord::Silent => Verdict::Silent,
+                    VerdictWord::Replaced => Verdict::Replaced,
+                });
+            }
+        }
+        for (endpoint, verdict) in self.places.iter().zip(told) {
+            if let Some(endpoint) = endpoint {
+                endpoint.told(verdict);
+            }
+        }
+    }
+}
+
 /// The same for the same endpoints in any order; never 0.
 fn mark(endpoints: &[Listed]) -> u64 {
     let one = |listed: &Listed| {
--- a/crates/direct/tests/all/lists.rs
+++ b/crates/direct/tests/all/lists.rs
@@ -4,7 +4,8 @@
 use dogwoodhill_direct::dialect::{Listed, Prompt};
 use dogwoodhill_direct::directory::{Directory, Lane, Standing, Want};
 use dogwoodhill_direct::lists::Lists;
-use dogwoodhill_wire::demand::Totals;
+use dogwoodhill_policy::trust::Trust;
+use dogwoodhill_wire::demand::{EndpointVerdict, Totals, VerdictWord};
 use dogwoodhill_wire::list::ListRead;
 use proptest::prelude::*;
 use std::sync::Arc;
@@ -199,6 +200,57 @@
     assert_eq!(directory.all()[0].address, address);
 }
 
+/// What is told of endpoints goes by their places in the list that both sides have,
+/// whatever order it came in.
+#[test]
+fn told_verdicts_go_by_place() {
+    let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
+    let list = vec![listed(3, false), listed(1, false), listed(2, false)];
+    lists.read(&directory, Instant::now(), list);
+    let (held, _) = lists.told();
+    let verdict = |place, verdict| EndpointVerdict { place, verdict };
+    let mut totals = news(held, Duration::ZERO, None);
+    totals.verdicts = vec![
+        verdict(0, VerdictWord::Replaced),
+        verdict(1, VerdictWord::Silent),
+        verdict(7, VerdictWord::Silent),
+    ];
+    lists.heard(&directory, Instant::now(), &mut totals);
+    assert_eq!(
+        usable(&directory),
+        ["i-2", "i-3"],
+        "the first one was replaced"
+    );
+    let all = directory.all();
+    let trust: Vec<Trust> = all.iter().map(|endpoint| endpoint.trust()).collect();
+    assert_eq!(trust[1..], [Trust::Silent, Trust::Sound]);
+    let mut totals = news(held, Duration::ZERO, None);
+    lists.heard(&directory, Instant::now(), &mut totals);
+    assert_eq!(all[1].trust(), Trust::Sound, "nothing is told any more");
+    assert_eq!(usable(&directory), ["i-2", "i-3"], "replaced for good");
+}
+
+/// What an entry met is told by place, once; from whom it heard, as long as it did so
+/// lately.
+#[test]
+fn sights_told_by_place() {
+    let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
+    let list = (1..=9).map(|id| listed(id, false)).collect();
+    lists.read(&directory, Instant::now(), list);
+    let all = directory.all();
+    all[8].heard();
+    all[2].unreached();
+    all[4].misdirected();
+    let (sights, heard) = lists.sights();
+    let met: Vec<_> = sights
+        .iter()
+        .map(|met| (met.place, met.unreached, met.replaced))
+        .collect();
+    assert_eq!(met, [(2, true, false), (4, false, true)]);
+    assert_eq!(heard, [0, 1]);
+    assert_eq!(lists.sights().0, []);
+}
+
 proptest! {
     /// Lists of several readers come late, twice and crossed while endpoints start
     /// again and again: requests go to no run older than one that was known.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`rate`]: how fast endpoints read prompts;
 //! * [`incarnations`]: which run of each endpoint is the newest one;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
+//! * [`sightings`]: what all entries together see of each endpoint;
 //! * [`transfer`]: fetching a large text that several sources have;
 //! * [`urgency`]: who goes first at an endpoint;
 //! * [`trust`]: which endpoints an entry may use after what came back lately;
@@ -46,6 +47,7 @@
 pub mod quota;
 pub mod rate;
 pub mod reads;
+pub mod sightings;
 pub mod subset;
 pub mod transfer;
 pub mod trust;
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -2,9 +2,11 @@
 //!
 //! Endpoints die without a word, answer part of their requests with failures
 //! while they call themselves healthy, or stop answering on all connections at
-//! once. An entry learns that only from its own requests: what counts here is
-//! what came back lately, and for how long nothing did.
+//! once. An entry learns that from its own requests: what came back lately, and for how
+//! long nothing did. Beside that it goes by what all entries together see
+//! ([`crate::sightings`]), as long as that is fresh and nothing here disproves it.
 
+use crate::sightings::{LATELY, Sight, Verdict};
 use std::time::Duration;
 
 /// Weight of the newest outcome in the share of failures: about the last ten
@@ -32,6 +34,9 @@
 const FIRST_REST: Duration = Duration::from_millis(300);
 /// Longest such time: what comes back is used again within seconds.
 const LONGEST_REST: Duration = Duration::from_secs(3);
+/// How long what was told of an endpoint is used: three of the intervals at which it is
+/// told.
+const TOLD_KEPT: Duration = Duration::from_millis(1_600);
 /// Time constant with which failures are forgotten where no request comes.
 const FORGET: f64 = 3.0;
 
@@ -62,6 +67,10 @@
     unanswered: Option<Duration>,
     /// When it was told that the endpoint has started again since.
     over: Option<Duration>,
+    /// What all entries together see, as it was told last.
+    told: Option<(Duration, Verdict)>,
+    /// What this entry met since it told the others last.
+    news: Sight,
 }
 
 impl Record {
@@ -101,6 +110,8 @@
         let newest = if failed { 1.0 } else { 0.0 };
         self.failures = before + (newest - before) * NEWEST;
         self.judged = now;
+        self.news.answered += 1;
+        self.news.failed += u32::from(failed);
     }
 
     /// No connection could be made, or nothing came for too long.
@@ -108,6 +119,7 @@
         let doubled = FIRST_REST * 2u32.pow(self.unreached.min(8));
         self.rest = now + doubled.min(LONGEST_REST);
         self.unreached += 1;
+        self.news.unreached = true;
     }
 
     /// A new connection got no answer at all, not even a refusal.
@@ -116,6 +128,33 @@
         self.unreached(now);
     }
 
+    /// Another run answered at its address.
+    pub fn replaced(&mut self) {
+        self.news.replaced = true;
+    }
+
+    /// What this entry met since it told the others last, if anything.
+    pub fn sight(&mut self, now: Duration) -> Option<Sight> {
+        let news = std::mem::take(&mut self.news);
+        let heard = self.heard > Duration::ZERO;
+        let heard = heard && now.saturating_sub(self.heard) < LATELY;
+        let sight = Sight { heard, ..news };
+        (sight != Sight::default()).then_some(sight)
+    }
+
+    /// All entries together see this of it, or nothing of note.
+    pub fn told(&mut self, now: Duration, verdict: Option<Verdict>) {
+        self.told = verdict.map(|verdict| (now, verdict));
+    }
+
+    /// What was told of it, unless that is old or has been proved wrong here.
+    fn verdict(&self, now: Duration) -> Option<Verdict> {
+        let (at, verdict) = self.told?;
+        let old = now.saturating_sub(at) >= TOLD_KEPT;
+        let disproved = verdict == Verdict::Silent && self.heard > at;
+        (!old && !disproved).then_some(verdict)
+    }
+
     /// A later start of the endpoint was told: this run is over.
     pub fn over(&mut self, now: Duration) {
         self.over.get_or_insert(now);
@@ -140,10 +179,11 @@
     /// answer. A refused connection is no reason: an endpoint whose queue is
     /// long refuses connections and still answers what it has taken. A run that is
     /// said to be over is left as soon as it is quiet as well: a crash behind a cut
-    /// closes no connection.
+    /// closes no connection. So is one that others have lost.
     pub fn deserted(&self, now: Duration, sent: Duration) -> bool {
         let waited = now.saturating_sub(sent);
-        if self.over.is_some() && self.silence(now).min(waited) >= SHORT_SILENCE {
+        let lost = self.over.is_some() || self.verdict(now) == Some(Verdict::Silent);
+        if lost && self.silence(now).min(waited) >= SHORT_SILENCE {
             return true;
         }
         let dark = self.unanswered.is_some_and(|at| at > sent);
@@ -165,9 +205,11 @@
         // After its rest one request tries it; the others follow when something
         // came back.
         let tried = self.unreached > 0 && self.waiting > 0;
-        if now < self.rest || tried || self.silence(now) >= self.patience() {
+        let told = self.verdict(now);
+        let silent = now < self.rest || tried || self.silence(now) >= self.patience();
+        if silent || told == Some(Verdict::Silent) {
             Trust::Silent
-        } else if self.failures(now) >= FAILING {
+        } else if told == Some(Verdict::Failing) || self.failures(now) >= FAILING {
             Trust::Failing
         } else {
             Trust::Sound
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -21,6 +21,48 @@
     /// Its own newest read of the list.
     #[serde(default)]
     pub list: Option<ListRead>,
+    /// What it met at endpoints since it told last, by place in the list that it has.
+    #[serde(default)]
+    pub sights: Vec<EndpointSight>,
+    /// Places in that list of the endpoints that it heard from lately, a bit each: the
+    /// lowest bit of the first byte is the first place.
+    #[serde(default, with = "serde_bytes")]
+    pub heard: Vec<u8>,
+}
+
+/// What an entry met at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointSight {
+    /// Place of the endpoint in the list, sorted by name and start.
+    pub place: u32,
+    /// Whether another run answered at its address.
+    pub replaced: bool,
+    /// Whether it could not be reached, or said nothing for too long.
+    pub unreached: bool,
+    /// Answers, failures among them.
+    pub answered: u32,
+    /// Failures.
+    pub failed: u32,
+}
+
+/// What all entries together see of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointVerdict {
+    /// Place of the endpoint in the list, sorted by name and start.
+    pub place: u32,
+    /// What holds of it.
+    pub verdict: VerdictWord,
+}
+
+/// What holds of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VerdictWord {
+    /// It fails more of its requests than others.
+    Failing,
+    /// Nothing comes from it or reaches it.
+    Silent,
+    /// Another run answers at its address.
+    Replaced,
 }
 
 /// Work for one service, in seconds of an endpoint's time, fading alike at all
@@ -53,4 +95,7 @@
     /// The newest read of the list.
     #[serde(default)]
     pub list: Option<ListRead>,
+    /// What entries together see of the endpoints of that read; the others are sound.
+    #[serde(default)]
+    pub verdicts: Vec<EndpointVerdict>,
 }
