An answer that is ready goes before every reason to leave

Cause: `Job::send` and `Relay::follow` waited with a `select!` that takes either side. At the check every 250 ms, an answer that became ready in that instant was dropped half of the time, its work lost, and an idempotent request sent again.

Change: `first::answer_first`, which both use; a stream's ready event also goes before its time-out. Test: both sides ready, a hundred times; with the old `select!` it passes by chance once in 2^100.

--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -9,6 +9,7 @@
 use crate::dialect::{Ask, EventId, Tell};
 use crate::directory::{Endpoint, Lane, Standing, Want};
 use crate::exchange::{self, Answer, Asked, Ended, Loss, Outbound, Whole};
+use crate::first::{First, answer_first};
 use crate::request::{Shared, soon};
 use crate::stats::Record;
 use crate::stream::{CHECK, PARTS, Pauses, Piece, Relay, Source};
@@ -312,9 +313,10 @@
         };
         let dialect = self.shared.endpoints.as_ref();
         let exchange = exchange::send(endpoint, dialect, &self.outbound, &tell, asked);
-        let ended = tokio::select! {
-            ended = exchange => ended,
-            () = self.better_elsewhere(endpoint, begun) => {
+        let leave = self.better_elsewhere(endpoint, begun);
+        let ended = match answer_first(exchange, leave).await {
+            First::Answer(ended) => ended,
+            First::Leave(()) => {
                 self.paid = true;
                 Ended::Lost(Loss::Timeout)
             }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod directory;
 pub mod events;
 pub mod exchange;
+pub mod first;
 pub mod follow;
 pub mod job;
 pub mod listing;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -11,6 +11,7 @@
 use crate::directory::Endpoint;
 use crate::events::{Events, Splitter};
 use crate::exchange::{Answer, Loss};
+use crate::first::{First, answer_first};
 use crate::job::{Job, Next};
 use crate::stats::Record;
 use dogwoodhill_core::prelude::*;
@@ -185,31 +186,28 @@
             let Some(source) = self.source.as_mut() else {
                 return Over::Broken;
             };
-            tokio::select! {
-                piece = source.next() => match piece {
-                    Piece::Events(events) => {
-                        if let Some(over) = self.pass_on(events).await {
-                            return over;
-                        }
-                    }
-                    Piece::End => return Over::Complete,
-                    Piece::Broken(loss) => {
-                        if let Some(over) = self.go_on(loss).await {
-                            return over;
-                        }
-                    }
-                },
+            let look = answer_first(source.next(), sleep(CHECK));
+            let next = tokio::select! {
+                biased;
                 () = self.parts.closed() => return Over::CallerGone,
+                next = look => next,
                 () = sleep_until(until) => return Over::TimedOut,
-                () = sleep(CHECK) => {
+            };
+            let over = match next {
+                First::Answer(Piece::Events(events)) => self.pass_on(events).await,
+                First::Answer(Piece::End) => return Over::Complete,
+                First::Answer(Piece::Broken(loss)) => self.go_on(loss).await,
+                First::Leave(()) => {
                     let since_last = self.pauses.last.elapsed();
-                    let deserted = source.endpoint().deserted(since_last);
-                    if deserted
-                        && let Some(over) = self.go_on(Loss::Timeout).await
-                    {
-                        return over;
+                    if source.endpoint().deserted(since_last) {
+                        self.go_on(Loss::Timeout).await
+                    } else {
+                        None
                     }
                 }
+            };
+            if let Some(over) = over {
+                return over;
             }
         }
     }
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod entry;
 mod events;
+mod first;
 mod follow;
 mod limits;
 mod lists;
