An entry that starts takes the list from control

Without control an entry has no routes to serve by either, so its own read buys nothing.

Change: an entry that knows of no read waits for what others have read, asks every 100 ms, and reads by itself after 0.5 to 1.5 s; a reader reads as soon as it is appointed. Reads up to 2 s old when it started count, as they do at entries that run.

--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -4,7 +4,8 @@
 //! Twice a second an entry tells one control instance what came, and is told
 //! the sums over all entries and the newest read of the list. An entry that has
 //! read the list tells at once, and one that has lost an endpoint soon. All entries ask the same instance as long as it
-//! answers: the first of those that they were told of, by address.
+//! answers: the first of those that they were told of, by address, or of those in their
+//! settings until they are told.
 
 use crate::follow::Follower;
 use crate::request::Shared;
@@ -21,6 +22,9 @@
 /// Interval at which an entry tells. A burst is known everywhere within two of
 /// them.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// The same until an entry that starts knows of the list. It has nothing to serve with
+/// until then, and a hundred of them may start at once.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 /// How soon an entry tells that it has lost an endpoint. What it loses within that time
 /// is told together: where thirty are lost at once, each entry tells six times a second
 /// instead of for each of them.
@@ -37,8 +41,10 @@
     let mut agreed = false;
     loop {
         let spread = rand::rng().random_range(SPREAD);
+        let started = shared.lists.known();
+        let interval = if started { INTERVAL } else { FIRST_INTERVAL };
         tokio::select! {
-            () = sleep(INTERVAL.mul_f64(spread)) => {}
+            () = sleep(interval.mul_f64(spread)) => {}
             () = shared.lists.news.notified() => {}
             () = shared.lists.met.notified() => sleep(SOON).await,
         }
@@ -68,6 +74,18 @@
     Failed(CallError),
 }
 
+/// Control instances as far as they were told of, else those of the settings: after all
+/// processes were killed they answer here before there is a leader to tell of others.
+fn instances(follower: &Follower) -> Vec<SocketAddr> {
+    let control = follower.control();
+    let known = if control.told.is_empty() {
+        &control.seeds
+    } else {
+        &control.told
+    };
+    known.clone()
+}
+
 async fn ask(follower: &Follower, shared: &Shared) -> Result<Totals, Unheard> {
     let (held, list) = shared.lists.told();
     let (sights, heard) = shared.lists.sights();
@@ -79,7 +97,7 @@
         sights,
         heard,
     };
-    let mut told: Vec<SocketAddr> = follower.control().told.clone();
+    let mut told = instances(follower);
     told.sort_unstable();
     let mut reason = Unheard::Unknown;
     for address in told.into_iter().take(TRIES) {
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -33,7 +33,10 @@
     loop {
         let due = shared.lists.due(interval, rand::rng().random());
         if due > Duration::ZERO && failures == 0 {
-            sleep(due).await;
+            tokio::select! {
+                () = sleep(due) => {}
+                () = shared.lists.appointed.notified() => {}
+            }
             if !shared.lists.due(interval, 0.0).is_zero() {
                 continue;
             }
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -5,7 +5,7 @@
 use crate::directory::{Directory, Endpoint};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{hash, mix};
-use dogwoodhill_policy::reads::Reads;
+use dogwoodhill_policy::reads::{Reads, STALE};
 use dogwoodhill_policy::sightings::Verdict;
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals, VerdictWord};
 use dogwoodhill_wire::list::ListRead;
@@ -16,12 +16,15 @@
 /// The reads an entry knows of.
 #[derive(Debug)]
 pub struct Lists {
-    start: Instant,
+    /// From which the times of reads are measured: [`STALE`] before the entry's start.
+    base: Instant,
     state: Mutex<State>,
     /// Told when this entry has read something new.
     pub news: Notify,
     /// Told when this entry has lost an endpoint.
     pub met: Notify,
+    /// Told when this entry begins to read for the others.
+    pub appointed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -48,8 +51,11 @@
 impl Default for Lists {
     fn default() -> Self {
         Self {
-            start: Instant::now(),
+            base: Instant::now()
+                .checked_sub(STALE)
+                .unwrap_or_else(Instant::now),
             state: Mutex::default(),
+            appointed: Notify::new(),
             news: Notify::new(),
             met: Notify::new(),
         }
@@ -61,7 +67,7 @@
     pub fn read(&self, directory: &Directory, asked: Instant, endpoints: Vec<Listed>) {
         let mut state = self.state();
         let mark = mark(&endpoints);
-        if state.reads.take(asked.duration_since(self.start)) {
+        if state.reads.take(asked.duration_since(self.base)) {
             state.put(directory, mark, endpoints.clone());
         }
         state.own = Some(Own {
@@ -76,14 +82,17 @@
     /// Control answered a question that was sent at `asked`.
     pub fn heard(&self, directory: &Directory, asked: Instant, totals: &mut Totals) {
         let mut state = self.state();
+        if totals.reader && !state.reads.reader() {
+            self.appointed.notify_one();
+        }
         state.reads.appoint(totals.reader);
         let Some(list) = totals.list.take() else {
             state.control = None;
             return;
         };
         state.control = Some(list.mark);
-        let read = asked.duration_since(self.start).checked_sub(list.age);
-        // A read from before this entry's start is no news: it reads by itself.
+        let read = asked.duration_since(self.base).checked_sub(list.age);
+        // One that was stale when this entry started is of no use to it.
         let Some(read) = read else { return };
         if state.mark == list.mark {
             state.reads.take(read);
@@ -140,10 +149,15 @@
 
     /// How long until this entry reads by itself, if nothing is heard until then.
     pub fn due(&self, interval: Duration, spread: f64) -> Duration {
-        let now = self.start.elapsed();
+        let now = self.base.elapsed();
         self.state().reads.due(now, interval, spread)
     }
 
+    /// Whether any read of the list is known.
+    pub fn known(&self) -> bool {
+        self.state().reads.known()
+    }
+
     /// Whether this entry reads for the others.
     pub fn reader(&self) -> bool {
         self.state().reads.reader()
--- a/crates/direct/tests/all/lists.rs
+++ b/crates/direct/tests/all/lists.rs
@@ -200,6 +200,20 @@
     assert_eq!(directory.all()[0].address, address);
 }
 
+/// An entry that starts again takes what others read shortly before, and nothing that
+/// was stale when it started.
+#[test]
+fn heard_read_from_before_the_start() {
+    for (age, expected) in [(1_900, vec!["i-1"]), (3_600_000, vec![])] {
+        let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
+        let list = Some(vec![listed(1, false)]);
+        let mut totals = news(5, Duration::from_millis(age), list);
+        lists.heard(&directory, Instant::now(), &mut totals);
+        assert_eq!(usable(&directory), expected, "{age}");
+        assert_eq!(lists.known(), !expected.is_empty());
+    }
+}
+
 /// What is told of endpoints goes by their places in the list that both sides have,
 /// whatever order it came in.
 #[test]
--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -7,6 +7,11 @@
 //! reads by itself, whatever the reason: the readers died or froze, the list
 //! doesn't answer them, control can't be reached.
 //!
+//! An entry that starts waits for what others have read, since without control it has no
+//! routes to serve by either. On a day on which a hundred entries start again one by
+//! one, each of which read five pages of a list, half of all calls of the list were
+//! theirs; after a loss of power all of them would read in the same moment.
+//!
 //! Invariant: only a read that was asked for later than the one in use replaces
 //! it. Reads of others are dated by their age when the question for them was
 //! sent, so they never look newer than they are.
@@ -48,8 +53,13 @@
     }
 }
 
-/// The reads of the list that one entry knows of. Times are measured from the
-/// entry's start.
+/// How long an entry that starts waits for what others have read, at least. Control
+/// answers within some 50 ms of its own start, and a reader that starts with it needs
+/// another 100 to read five pages; routes take longer, as they need a leader.
+const FIRST_WAIT: Duration = Duration::from_millis(500);
+
+/// The reads of the list that one entry knows of. Times are measured from a moment
+/// [`STALE`] before the entry's start: older reads are of no use to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reads {
     newest: Option<Duration>,
@@ -57,6 +67,11 @@
 }
 
 impl Reads {
+    /// Whether any read is known.
+    pub fn known(&self) -> bool {
+        self.newest.is_some()
+    }
+
     /// A read came that was asked for at `read`. Returns whether it replaces the
     /// one in use.
     pub fn take(&mut self, read: Duration) -> bool {
@@ -78,19 +93,23 @@
     }
 
     /// How long after `now` the entry reads next, if nothing more is heard: a
-    /// reader `interval` after the read in use, the others when that is stale.
+    /// reader `interval` after the read in use, the others when that is stale. One that
+    /// knows of no read waits for a moment after its start, unless it is a reader.
     /// `spread`, of 0 to 1, keeps entries that all hear nothing from reading at the
-    /// same moment: by up to a quarter of the time.
+    /// same moment: by up to a quarter of the time, and twice the time at a start.
     pub fn due(&self, now: Duration, interval: Duration, spread: f64) -> Duration {
+        let spread = spread.clamp(0.0, 1.0);
         let Some(newest) = self.newest else {
-            return Duration::ZERO;
+            let wait = FIRST_WAIT.mul_f64(1.0 + 2.0 * spread);
+            let wait = if self.reader { Duration::ZERO } else { wait };
+            return (STALE + wait).saturating_sub(now);
         };
         let after = if self.reader {
             interval
         } else {
             STALE.max(interval)
         };
-        let at = newest + after.mul_f64(1.0 + 0.25 * spread.clamp(0.0, 1.0));
+        let at = newest + after.mul_f64(1.0 + 0.25 * spread);
         at.saturating_sub(now)
     }
 }
