What changed of the list goes round in place of the whole

Cause: at each change control told every entry the whole list.

Nothing is taken whose mark isn't the one that was told, and a list that names less than half of the endpoints in use is doubted when it is heard, as it was when it was read. An entry without a list waits 1.5 s for its first answer, and as long as control says that others read.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -9,7 +9,7 @@
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::sightings::{Kept, Place, Sight, Sightings, Verdict};
 use dogwoodhill_wire::demand::{EndpointVerdict, TellDemand, VerdictWord};
-use dogwoodhill_wire::list::{ListRead, Listed};
+use dogwoodhill_wire::list::{Contents, ListRead};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -37,20 +37,14 @@
     read: Option<Instant>,
 }
 
-/// The newest read.
-#[derive(Debug)]
-struct Held {
-    mark: u64,
-    read: Instant,
-    /// Sorted by name and start.
-    endpoints: Vec<Listed>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     /// Sorted by entry.
     tellers: Vec<Teller>,
-    held: Option<Held>,
+    /// The newest list that was read, and earlier ones.
+    contents: Contents,
+    /// When it was read.
+    read: Option<Instant>,
     sightings: Sightings,
     /// What is told of them, and when it was worked out.
     verdicts: Option<(Duration, Vec<EndpointVerdict>)>,
@@ -88,15 +82,12 @@
         let read = list.as_ref().and_then(|list| now.checked_sub(list.age));
         state.note(now, entry, read);
         if let (Some(list), Some(read)) = (list, read) {
-            state.take(list, read);
+            state.take(&list, read);
         }
+        let age = state.read.map(|read| now.duration_since(read));
         ListNews {
             reader: state.reads(now, entry),
-            newest: state.held.as_ref().map(|newest| ListRead {
-                mark: newest.mark,
-                age: now.duration_since(newest.read),
-                endpoints: (newest.mark != held).then(|| newest.endpoints.clone()),
-            }),
+            newest: age.map(|age| state.contents.told(held, age)),
         }
     }
 }
@@ -105,11 +96,7 @@
     /// Takes in what an entry met at the endpoints of the list that it has.
     pub fn sighted(&self, now: Instant, tell: &TellDemand) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if state
-            .held
-            .as_ref()
-            .is_none_or(|newest| newest.mark != tell.held)
-        {
+        if state.read.is_none() || state.contents.newest().mark != tell.held {
             // Its places are those of another list; it will tell again.
             return;
         }
@@ -198,32 +185,32 @@
 
     /// Takes a read that is newer than the one held. One without content counts
     /// where the content is the one held.
-    fn take(&mut self, list: ListRead, read: Instant) {
-        if self.held.as_ref().is_some_and(|held| held.read >= read) {
+    fn take(&mut self, list: &ListRead, read: Instant) {
+        if self.read.is_some_and(|held| held >= read) {
             return;
         }
-        match (list.endpoints, &mut self.held) {
-            (_, Some(held)) if held.mark == list.mark => held.read = read,
-            (Some(mut endpoints), held) if endpoints.len() <= MOST_ENDPOINTS => {
-                endpoints.sort_by(|a, b| a.run.cmp(&b.run));
-                let old = held.as_ref().map_or(&[][..], |held| &held.endpoints);
-                let kept = endpoints.iter().map(|listed| {
-                    let found = old.binary_search_by(|known| known.run.cmp(&listed.run));
-                    Kept {
-                        before: found.ok(),
-                        service: hash(listed.service.as_bytes()),
-                    }
-                });
-                self.sightings.relist(kept);
-                self.verdicts = None;
-                *held = Some(Held {
-                    mark: list.mark,
-                    read,
-                    endpoints,
-                });
-            }
-            _ => {}
+        if self.read.is_some() && self.contents.newest().mark == list.mark {
+            self.read = Some(read);
+            return;
         }
+        let Some(content) = self.contents.heard(list) else {
+            return;
+        };
+        if content.endpoints.len() > MOST_ENDPOINTS {
+            return;
+        }
+        let old = &self.contents.newest().endpoints;
+        let kept = content.endpoints.iter().map(|listed| {
+            let found = old.binary_search_by(|known| known.run.cmp(&listed.run));
+            Kept {
+                before: found.ok(),
+                service: hash(listed.service.as_bytes()),
+            }
+        });
+        self.sightings.relist(kept);
+        self.verdicts = None;
+        self.contents.put(content);
+        self.read = Some(read);
     }
 
     /// Whether `entry` is among those that read.
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -4,7 +4,10 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::{Reads, STALE};
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, TellDemand, VerdictWord};
-use dogwoodhill_wire::list::{ListRead, Listed};
+use dogwoodhill_wire::list::{
+    Content, ListChanges, ListRead, Listed, Mark, PackedList, mark,
+};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -24,11 +27,18 @@
     (0..count).map(one).collect()
 }
 
-fn read(mark: u64, age: Duration, count: Option<usize>) -> Option<ListRead> {
+/// The mark of the list of `count` endpoints.
+fn named(count: usize) -> Mark {
+    mark(&endpoints(count))
+}
+
+/// A read of `count` endpoints, told with its content or without.
+fn read(count: usize, age: Duration, content: bool) -> Option<ListRead> {
     Some(ListRead {
-        mark,
+        mark: named(count),
         age,
-        endpoints: count.map(endpoints),
+        whole: content.then(|| Arc::new(PackedList::of(&endpoints(count)))),
+        changes: None,
     })
 }
 
@@ -37,12 +47,17 @@
 fn tell_newest_read_passed_on() {
     let lists = Lists::default();
     let now = Instant::now() + ms(60_000);
-    lists.tell(now, "a", 7, read(7, ms(40), Some(3)));
+    let held = named(3);
+    lists.tell(now, "a", held, read(3, ms(40), true));
     let news = lists.tell(now + ms(500), "b", 0, None).newest.expect("one");
-    assert_eq!((news.mark, news.age), (7, ms(540)));
-    assert_eq!(news.endpoints.expect("b has none").len(), 3);
-    let news = lists.tell(now + ms(900), "b", 7, None).newest.expect("one");
-    assert_eq!((news.age, news.endpoints), (ms(940), None));
+    assert_eq!((news.mark, news.age), (held, ms(540)));
+    let whole = news.whole.expect("b has none").read();
+    assert_eq!(whole.expect("it is whole").len(), 3);
+    let news = lists
+        .tell(now + ms(900), "b", held, None)
+        .newest
+        .expect("one");
+    assert_eq!((news.age, news.whole), (ms(940), None));
 }
 
 /// Reads that cross change nothing; one of the same content makes it fresh, also
@@ -51,12 +66,17 @@
 fn tell_older_read_changes_nothing() {
     let lists = Lists::default();
     let now = Instant::now() + ms(60_000);
-    lists.tell(now, "a", 7, read(7, ms(40), Some(3)));
-    let news = lists.tell(now, "b", 8, read(8, ms(300), Some(9)));
-    assert_eq!(news.newest.expect("one").mark, 7);
-    let news = lists.tell(now + ms(400), "b", 9, read(9, ms(10), None));
-    assert_eq!(news.newest.expect("one").mark, 7, "nobody told its content");
-    let news = lists.tell(now + ms(500), "b", 7, read(7, ms(20), None));
+    let held = named(3);
+    lists.tell(now, "a", held, read(3, ms(40), true));
+    let news = lists.tell(now, "b", named(9), read(9, ms(300), true));
+    assert_eq!(news.newest.expect("one").mark, held);
+    let news = lists.tell(now + ms(400), "b", named(4), read(4, ms(10), false));
+    assert_eq!(
+        news.newest.expect("one").mark,
+        held,
+        "nobody told its content"
+    );
+    let news = lists.tell(now + ms(500), "b", held, read(3, ms(20), false));
     assert_eq!(news.newest.expect("one").age, ms(20));
 }
 
@@ -66,10 +86,10 @@
 fn tell_readers_replaced() {
     let lists = Lists::default();
     let start = Instant::now() + ms(60_000);
-    let mut mark = 0;
+    let mut count = 0;
     let mut told = |lists: &Lists, at: u64, entry: &str, reads: bool| {
-        mark += 1;
-        let list = reads.then(|| read(mark, ms(5), Some(1))).flatten();
+        count += 1;
+        let list = reads.then(|| read(count, ms(5), true)).flatten();
         lists.tell(start + ms(at), entry, 0, list).reader
     };
     for entry in ["a", "b", "c"] {
@@ -96,8 +116,9 @@
 #[derive(Clone, Copy, Default)]
 struct Entry {
     reads: Reads,
-    mark: u64,
-    own: Option<(u64, u64)>,
+    mark: Mark,
+    count: usize,
+    own: Option<(u64, usize)>,
     next: u64,
     tells: u64,
 }
@@ -123,9 +144,10 @@
                 let due = entry.reads.due(ms(now), interval, spread);
                 if due.is_zero() {
                     counts[(now / 1_000) as usize] += 1;
-                    entry.mark = 1 + now / 7_000;
+                    entry.count = 2 + now as usize / 7_000;
                     entry.reads.take(ms(now));
-                    entry.own = Some((now, entry.mark));
+                    entry.own = Some((now, entry.count));
+                    entry.mark = named(entry.count);
                     entry.tells = now;
                 }
                 entry.next = now + (due.as_millis() as u64).max(1);
@@ -136,11 +158,8 @@
                 if away {
                     continue;
                 }
-                let own = entry.own.map(|(at, mark)| ListRead {
-                    mark,
-                    age: ms(now - at),
-                    endpoints: Some(endpoints(2)),
-                });
+                let own = entry.own;
+                let own = own.and_then(|(at, count)| read(count, ms(now - at), true));
                 let name = format!("entry-{name:02}");
                 let news = lists.tell(start + ms(now), &name, entry.mark, own);
                 entry.reads.appoint(news.reader);
@@ -190,17 +209,18 @@
 fn sighted_lost_by_two_told_to_all() {
     let lists = Lists::default();
     let now = Instant::now() + ms(60_000);
-    lists.tell(now, "a", 7, read(7, ms(40), Some(12)));
-    lists.sighted(now, &met("a", 7, lost(9), Vec::new()));
+    let held = named(12);
+    lists.tell(now, "a", held, read(12, ms(40), true));
+    lists.sighted(now, &met("a", held, lost(9), Vec::new()));
     assert_eq!(lists.verdicts(now), []);
-    lists.sighted(now + ms(100), &met("b", 7, lost(9), Vec::new()));
+    lists.sighted(now + ms(100), &met("b", held, lost(9), Vec::new()));
     let silent = EndpointVerdict {
         place: 9,
         verdict: VerdictWord::Silent,
     };
     assert_eq!(lists.verdicts(now + ms(200)), [silent]);
     let heard = vec![0, 0b10];
-    lists.sighted(now + ms(300), &met("c", 7, Vec::new(), heard));
+    lists.sighted(now + ms(300), &met("c", held, Vec::new(), heard));
     assert_eq!(lists.verdicts(now + ms(400)), []);
 }
 
@@ -210,21 +230,32 @@
 fn sighted_places_are_those_of_one_list() {
     let lists = Lists::default();
     let now = Instant::now() + ms(60_000);
-    lists.tell(now, "a", 7, read(7, ms(40), Some(3)));
+    let held = named(3);
+    lists.tell(now, "a", held, read(3, ms(40), true));
     for entry in ["a", "b"] {
         lists.sighted(now, &met(entry, 6, lost(2), vec![0xff; 999]));
     }
     assert_eq!(lists.verdicts(now), []);
     for entry in ["a", "b"] {
-        lists.sighted(now + ms(100), &met(entry, 7, lost(2), Vec::new()));
+        lists.sighted(now + ms(100), &met(entry, held, lost(2), Vec::new()));
     }
-    let mut longer = read(8, ms(40), Some(3)).expect("a read");
-    let earlier = Listed {
+    let mut longer = endpoints(3);
+    longer.push(Listed {
         run: Incarnation::new("a-first", None),
         ..endpoints(1).remove(0)
+    });
+    let changes = ListChanges::between(
+        held,
+        &endpoints(3),
+        &Content::new(longer.clone()).endpoints,
+    );
+    let longer = ListRead {
+        mark: mark(&longer),
+        age: ms(40),
+        whole: None,
+        changes: Some(Arc::new(changes)),
     };
-    longer.endpoints.as_mut().expect("content").push(earlier);
-    lists.tell(now + ms(200), "a", 7, Some(longer));
+    lists.tell(now + ms(200), "a", held, Some(longer));
     let places: Vec<u32> = lists
         .verdicts(now + ms(200))
         .iter()
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -33,6 +33,10 @@
 const SPREAD: std::ops::Range<f64> = 0.8..1.2;
 /// Longest wait for the sums.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// The same while the entry has no list: it is told the whole then, which takes a second
+/// where hundreds of entries start at once and ask one instance on 100 Mbit/s. Giving up
+/// sooner would ask for the same again while it is under way.
+const FIRST_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Instances that are asked at one time before the next interval.
 const TRIES: usize = 2;
 
@@ -99,12 +103,17 @@
     };
     let mut told = instances(follower);
     told.sort_unstable();
+    let patience = if shared.lists.known() {
+        PATIENCE
+    } else {
+        FIRST_PATIENCE
+    };
     let mut reason = Unheard::Unknown;
     for address in told.into_iter().take(TRIES) {
         let asked = Instant::now();
         let call = follower.caller.call(address, DEMAND_PATH, &tell);
         let answered: Result<Result<Totals, CallError>, _> =
-            timeout(PATIENCE, call).await;
+            timeout(patience, call).await;
         reason = match answered {
             Ok(Ok(mut totals)) => {
                 shared.lists.heard(&shared.directory, asked, &mut totals);
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -4,11 +4,10 @@
 use crate::dialect::Listed;
 use crate::directory::{Directory, Endpoint};
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::affinity::{hash, mix};
-use dogwoodhill_policy::reads::{Reads, STALE};
+use dogwoodhill_policy::reads::{Doubt, Reads, STALE};
 use dogwoodhill_policy::sightings::Verdict;
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals, VerdictWord};
-use dogwoodhill_wire::list::ListRead;
+use dogwoodhill_wire::list::{Content, Contents, ListRead, Mark};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -30,22 +29,25 @@
 #[derive(Debug, Default)]
 struct State {
     reads: Reads,
-    /// Mark of the content in use.
-    mark: u64,
-    /// Its endpoints, sorted by name and start; `None` for those that are not used.
+    doubt: Doubt,
+    /// The list in use, and earlier ones.
+    contents: Contents,
+    /// Endpoints of the list in use, sorted by name and start; `None` for those that are
+    /// not used.
     places: Vec<Option<Arc<Endpoint>>>,
     /// This entry's own newest read.
     own: Option<Own>,
     /// Mark of the content that control has.
-    control: Option<u64>,
+    control: Option<Mark>,
+    /// Whether what control told could not be taken in; the whole list is asked for then.
+    lost: bool,
 }
 
 /// An own read.
 #[derive(Debug)]
 struct Own {
     asked: Instant,
-    mark: u64,
-    endpoints: Vec<Listed>,
+    mark: Mark,
 }
 
 impl Default for Lists {
@@ -66,15 +68,12 @@
     /// This entry read the list, which it asked for at `asked`.
     pub fn read(&self, directory: &Directory, asked: Instant, endpoints: Vec<Listed>) {
         let mut state = self.state();
-        let mark = mark(&endpoints);
+        let content = Content::new(endpoints);
+        let mark = content.mark;
         if state.reads.take(asked.duration_since(self.base)) {
-            state.put(directory, mark, endpoints.clone());
+            state.put(directory, content);
         }
-        state.own = Some(Own {
-            asked,
-            mark,
-            endpoints,
-        });
+        state.own = Some(Own { asked, mark });
         drop(state);
         self.news.notify_one();
     }
@@ -87,23 +86,33 @@
         }
         state.reads.appoint(totals.reader);
         let Some(list) = totals.list.take() else {
+            let now = self.base.elapsed();
             state.control = None;
+            state.reads.awaited(now);
             return;
         };
         state.control = Some(list.mark);
         let read = asked.duration_since(self.base).checked_sub(list.age);
         // One that was stale when this entry started is of no use to it.
         let Some(read) = read else { return };
-        if state.mark == list.mark {
+        if state.contents.newest().mark == list.mark {
             state.reads.take(read);
             state.hear(&totals.verdicts);
             return;
         }
-        let Some(endpoints) = list.endpoints else {
+        let Some(content) = state.contents.heard(&list) else {
+            if !std::mem::replace(&mut state.lost, true) {
+                Event::new("list-changes-unusable")
+                    .field("told", format!("{:016x}", list.mark))
+                    .warn();
+            }
             return;
         };
-        if state.reads.take(read) {
-            state.put(directory, list.mark, endpoints);
+        let before = state.contents.newest().endpoints.len();
+        let now = self.base.elapsed();
+        let after = content.endpoints.len();
+        if state.doubt.believes(now, before, after) && state.reads.take(read) {
+            state.put(directory, content);
             state.hear(&totals.verdicts);
         }
     }
@@ -138,13 +147,29 @@
     /// What this entry tells control: the mark of the content that it has, and its
     /// own newest read, without the content that control has.
     pub fn told(&self) -> (u64, Option<ListRead>) {
-        let state = self.state();
-        let read = state.own.as_ref().map(|own| ListRead {
-            mark: own.mark,
-            age: own.asked.elapsed(),
-            endpoints: (state.control != Some(own.mark)).then(|| own.endpoints.clone()),
+        let mut state = self.state();
+        let State {
+            contents,
+            own,
+            control,
+            lost,
+            ..
+        } = &mut *state;
+        let mark = contents.newest().mark;
+        let read = own.as_ref().map(|own| {
+            let age = own.asked.elapsed();
+            // A read that is not the one in use has no news: another one was later.
+            let known = if own.mark == mark {
+                control.unwrap_or_default()
+            } else {
+                mark
+            };
+            ListRead {
+                mark: own.mark,
+                ..contents.told(known, age)
+            }
         });
-        (state.mark, read)
+        (if *lost { 0 } else { mark }, read)
     }
 
     /// How long until this entry reads by itself, if nothing is heard until then.
@@ -170,13 +195,13 @@
 
 impl State {
     /// Puts a list in use.
-    fn put(&mut self, directory: &Directory, mark: u64, endpoints: Vec<Listed>) {
-        let runs = endpoints.iter().map(|listed| listed.run.clone());
-        let mut runs: Vec<Incarnation> = runs.collect();
-        runs.sort_unstable();
-        self.mark = mark;
-        directory.update(endpoints);
-        self.places = runs.iter().map(|run| directory.running(run)).collect();
+    fn put(&mut self, directory: &Directory, content: Content) {
+        directory.update(Vec::clone(&content.endpoints));
+        let listed = content.endpoints.iter();
+        let places = listed.map(|listed| directory.running(&listed.run));
+        self.places = places.collect();
+        self.contents.put(content);
+        self.lost = false;
     }
 
     /// Takes in what all entries see, by place; of the others nothing of note holds.
@@ -198,21 +223,3 @@
         }
     }
 }
-
-/// The same for the same endpoints in any order; never 0.
-fn mark(endpoints: &[Listed]) -> u64 {
-    let one = |listed: &Listed| {
-        let Listed {
-            run,
-            service,
-            address,
-            domain,
-            slots,
-            leaving,
-        } = listed;
-        let text = format!("{run} {service} {address} {domain} {slots} {leaving}");
-        mix(hash(text.as_bytes()))
-    };
-    let sum = endpoints.iter().map(one).fold(0, u64::wrapping_add);
-    sum.max(1)
-}
--- a/crates/direct/tests/all/lists.rs
+++ b/crates/direct/tests/all/lists.rs
@@ -6,7 +6,7 @@
 use dogwoodhill_direct::lists::Lists;
 use dogwoodhill_policy::trust::Trust;
 use dogwoodhill_wire::demand::{EndpointVerdict, Totals, VerdictWord};
-use dogwoodhill_wire::list::ListRead;
+use dogwoodhill_wire::list::{Content, ListChanges, ListRead, Mark, PackedList};
 use proptest::prelude::*;
 use std::sync::Arc;
 use std::time::Instant;
@@ -22,12 +22,15 @@
     }
 }
 
-fn news(mark: u64, age: Duration, endpoints: Option<Vec<Listed>>) -> Totals {
+/// What control tells of a list: its content, or that it is the one of `mark`.
+fn news(mark: Mark, age: Duration, endpoints: Option<Vec<Listed>>) -> Totals {
+    let content = endpoints.map(Content::new);
     Totals {
         list: Some(ListRead {
-            mark,
+            mark: content.as_ref().map_or(mark, |content| content.mark),
             age,
-            endpoints,
+            whole: content.map(|content| Arc::new(PackedList::of(&content.endpoints))),
+            changes: None,
         }),
         ..Totals::default()
     }
@@ -47,11 +50,12 @@
     let (held, told) = lists.told();
     let told = told.expect("it read");
     assert_eq!(told.mark, held);
-    assert_eq!(told.endpoints.expect("control has nothing").len(), 1);
+    let whole = told.whole.expect("control has nothing").read();
+    assert_eq!(whole.expect("it is whole").len(), 1);
     let mut totals = news(held, Duration::ZERO, None);
     lists.heard(&directory, Instant::now(), &mut totals);
     let (_, told) = lists.told();
-    assert_eq!(told.expect("it read").endpoints, None);
+    assert_eq!(told.expect("it read").whole, None);
 }
 
 /// What others read counts where it is newer than what the entry knows, and a
@@ -73,6 +77,53 @@
     assert_eq!(usable(&directory), ["i-1", "i-2"], "no content, no change");
 }
 
+/// What changed is taken in by who has the list that it changed from; another one asks
+/// for the whole, and goes on with the list that it has until that comes.
+#[test]
+fn heard_changes_of_the_list_in_use() {
+    let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
+    let first = Content::new((1..=4).map(|id| listed(id, false)).collect());
+    let all: Vec<Listed> = [1, 2, 4, 5].map(|id| listed(id, id == 2)).to_vec();
+    let second = Content::new(all);
+    let changes = |from| {
+        let changes = ListChanges::between(from, &first.endpoints, &second.endpoints);
+        Totals {
+            list: Some(ListRead {
+                mark: second.mark,
+                age: Duration::ZERO,
+                whole: None,
+                changes: Some(Arc::new(changes)),
+            }),
+            ..Totals::default()
+        }
+    };
+    let mut totals = news(0, Duration::ZERO, Some(Vec::clone(&first.endpoints)));
+    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, Instant::now(), &mut changes(first.mark + 1));
+    assert_eq!(usable(&directory), ["i-1", "i-2", "i-3", "i-4"]);
+    assert_eq!(lists.told().0, 0, "it asks for the whole");
+    lists.heard(&directory, Instant::now(), &mut changes(first.mark));
+    assert_eq!(usable(&directory), ["i-1", "i-4", "i-5"]);
+    assert_eq!(lists.told().0, second.mark);
+}
+
+/// A list without endpoints, one that names far fewer, and one whose mark is not its
+/// own: the last good one stays in use.
+#[test]
+fn heard_list_cut_short_changes_nothing() {
+    let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
+    let list: Vec<Listed> = (1..=8).map(|id| listed(id, false)).collect();
+    lists.read(&directory, Instant::now(), list.clone());
+    let mut spoiled = news(0, Duration::ZERO, Some(list[..7].to_vec()));
+    spoiled.list.as_mut().expect("told").mark += 1;
+    lists.heard(&directory, Instant::now(), &mut spoiled);
+    for few in [0, 1, 3] {
+        let mut totals = news(0, Duration::ZERO, Some(list[..few].to_vec()));
+        lists.heard(&directory, Instant::now(), &mut totals);
+        assert_eq!(usable(&directory).len(), 8, "{few}");
+    }
+}
+
 fn started(id: usize, born: Option<Born>) -> Listed {
     let run = Incarnation::new(format!("i-{id}"), born);
     Listed {
--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -58,12 +58,18 @@
 /// another 100 to read five pages; routes take longer, as they need a leader.
 const FIRST_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest such wait where control answers, and others are to read: two readers may die
+/// one after the other, and be replaced, before those who wait read by themselves.
+const LONGEST_FIRST_WAIT: Duration = Duration::from_millis(2_500);
+
 /// The reads of the list that one entry knows of. Times are measured from a moment
 /// [`STALE`] before the entry's start: older reads are of no use to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reads {
     newest: Option<Duration>,
     reader: bool,
+    /// When control said last that others read, and that none has yet.
+    awaited: Duration,
 }
 
 impl Reads {
@@ -82,6 +88,11 @@
         newer
     }
 
+    /// Control answered at `now` that it knows of no read yet.
+    pub fn awaited(&mut self, now: Duration) {
+        self.awaited = now;
+    }
+
     /// Whether this entry reads for the others.
     pub fn appoint(&mut self, reader: bool) {
         self.reader = reader;
@@ -94,15 +105,19 @@
 
     /// How long after `now` the entry reads next, if nothing more is heard: a
     /// reader `interval` after the read in use, the others when that is stale. One that
-    /// knows of no read waits for a moment after its start, unless it is a reader.
+    /// knows of no read waits for a moment after its start, and as long as control says
+    /// that others read, unless it is a reader.
     /// `spread`, of 0 to 1, keeps entries that all hear nothing from reading at the
     /// same moment: by up to a quarter of the time, and twice the time at a start.
     pub fn due(&self, now: Duration, interval: Duration, spread: f64) -> Duration {
         let spread = spread.clamp(0.0, 1.0);
         let Some(newest) = self.newest else {
+            if self.reader {
+                return Duration::ZERO;
+            }
+            let from = self.awaited.clamp(STALE, STALE + LONGEST_FIRST_WAIT);
             let wait = FIRST_WAIT.mul_f64(1.0 + 2.0 * spread);
-            let wait = if self.reader { Duration::ZERO } else { wait };
-            return (STALE + wait).saturating_sub(now);
+            return (from + wait).saturating_sub(now);
         };
         let after = if self.reader {
             interval
--- a/crates/policy/tests/reads.rs
+++ b/crates/policy/tests/reads.rs
@@ -23,6 +23,16 @@
     assert_eq!(reads.due(STALE, INTERVAL, 1.0), ms(0));
 }
 
+/// Control answers, and has appointed others: an entry waits for them, but not for ever.
+#[test]
+fn due_waits_while_others_are_to_read() {
+    let mut reads = Reads::default();
+    reads.awaited(STALE + ms(400));
+    assert_eq!(reads.due(STALE + ms(500), INTERVAL, 0.0), ms(400));
+    reads.awaited(STALE + ms(60_000));
+    assert_eq!(reads.due(STALE, INTERVAL, 1.0), ms(4_000));
+}
+
 /// All power is lost: 450 entries start in the same moment, control knows of no read, and
 /// appoints two readers, whose read of 24 pages is told within 0.3 s. No other entry reads,
 /// where all of them would have made 10,800 calls at once. Where control stays away
