Lists of thousands: a bound for each page, whole ones in turn, callers wait

Traced on a site of our own with 300 entries and 3,000 endpoints (a trial, processor not charged): routes are there after 0.35 s, the list after 0.9 to 1.7, of which reading 60 pages takes 0.8; who comes in between is refused at once.

Change besides: a request waits for an entry's first list as it does for its first routes, 0.7 s or a quarter of its time at most. Control logs what entries together see of an endpoint.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -6,12 +6,12 @@
 //! name among the ones that lately could; so a reader that dies, freezes or is cut
 //! off from the list is replaced as soon as another one had to read by itself.
 
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::sightings::{Kept, Place, Sight, Sightings, Verdict};
 use dogwoodhill_wire::demand::{EndpointVerdict, TellDemand, VerdictWord};
-use dogwoodhill_wire::list::{Contents, ListRead};
+use dogwoodhill_wire::list::{Contents, ListRead, Listed, Mark};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Entries that are asked to read. One may be lost at any moment.
@@ -23,6 +23,14 @@
 /// How long verdicts are told to all that ask before they are worked out anew: a tenth of
 /// the interval at which an entry asks.
 const FRESH: Duration = Duration::from_millis(50);
+/// Bytes of whole lists that are told a second, and at once. A control instance has a
+/// link of 100 Mbit/s; hundreds of entries that start together and were all told at once
+/// would share it, so that none of them has its list before it gives up and asks again.
+/// One after the other, each has it within some 100 ms of its turn.
+const WHOLE_BYTES: f64 = 10_000_000.0;
+/// See [`WHOLE_BYTES`]: what the link carries within the interval at which entries without
+/// a list ask.
+const WHOLE_BURST: f64 = 1_000_000.0;
 /// Most entries that are held: five times the size that the design is made for.
 const MOST: usize = 2_500;
 /// Most endpoints of a list that is passed on: eight times that size.
@@ -37,6 +45,28 @@
     read: Option<Instant>,
 }
 
+/// Bytes of whole lists that may be told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Allowance {
+    /// Bytes told lately that count still; they fade by [`WHOLE_BYTES`] a second.
+    told: f64,
+    at: Duration,
+}
+
+impl Allowance {
+    /// Whether `bytes` may be told at `now`; one list always may, however large it is.
+    fn take(&mut self, now: Duration, bytes: usize) -> bool {
+        let faded = now.saturating_sub(self.at).as_secs_f64() * WHOLE_BYTES;
+        self.told = (self.told - faded).max(0.0);
+        self.at = now;
+        let allowed = self.told < WHOLE_BURST;
+        if allowed {
+            self.told += bytes as f64;
+        }
+        allowed
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Sorted by entry.
@@ -45,6 +75,7 @@
     contents: Contents,
     /// When it was read.
     read: Option<Instant>,
+    whole: Allowance,
     sightings: Sightings,
     /// What is told of them, and when it was worked out.
     verdicts: Option<(Duration, Vec<EndpointVerdict>)>,
@@ -84,11 +115,9 @@
         if let (Some(list), Some(read)) = (list, read) {
             state.take(&list, read);
         }
-        let age = state.read.map(|read| now.duration_since(read));
-        ListNews {
-            reader: state.reads(now, entry),
-            newest: age.map(|age| state.contents.told(held, age)),
-        }
+        let reader = state.reads(now, entry);
+        let newest = state.newest(now, held);
+        ListNews { reader, newest }
     }
 }
 
@@ -141,11 +170,34 @@
                 },
             });
         let told: Vec<EndpointVerdict> = told.collect();
-        state.verdicts = Some((now, told.clone()));
+        let before = state.verdicts.replace((now, told.clone()));
+        let before = before.map_or_else(Vec::new, |(_, before)| before);
+        let endpoints = &state.contents.newest().endpoints;
+        for new in told.iter().filter(|new| !before.contains(new)) {
+            log_verdict(endpoints, new.place, &format!("{:?}", new.verdict));
+        }
+        let place = |verdict: &EndpointVerdict| verdict.place;
+        for old in before {
+            if told.binary_search_by_key(&old.place, place).is_err() {
+                log_verdict(endpoints, old.place, "sound");
+            }
+        }
         told
     }
 }
 
+/// Logs what entries together see of an endpoint, where that has changed.
+fn log_verdict(endpoints: &[Listed], place: Place, verdict: &str) {
+    let Some(listed) = endpoints.get(place as usize) else {
+        return;
+    };
+    Event::new("endpoint-verdict")
+        .field("endpoint", &listed.run)
+        .field("service", &listed.service)
+        .field("verdict", verdict.to_lowercase())
+        .info();
+}
+
 /// Places of the bits that are set.
 fn bits(bytes: &[u8]) -> impl Iterator<Item = Place> {
     (0..).zip(bytes).flat_map(|(at, byte)| {
@@ -155,6 +207,16 @@
 }
 
 impl State {
+    /// The newest read for an entry that has the list of `held`; `None` also where it has to
+    /// wait for its turn.
+    fn newest(&mut self, now: Instant, held: Mark) -> Option<ListRead> {
+        let age = now.duration_since(self.read?);
+        let news = self.contents.told(held, age);
+        let since = self.since_start(now);
+        let bytes = news.whole.as_ref().map_or(0, |whole| whole.size());
+        (bytes == 0 || self.whole.take(since, bytes)).then_some(news)
+    }
+
     fn since_start(&mut self, now: Instant) -> Duration {
         let start = *self.start.get_or_insert(now);
         now.saturating_duration_since(start)
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -263,3 +263,29 @@
         .collect();
     assert_eq!(places, [3]);
 }
+
+/// After all were killed 450 entries ask for a list of 3,000 endpoints every 100 ms, over
+/// one link of 100 Mbit/s. Each interval no more is told than the link carries in it, so
+/// that whoever is told has the list before it gives up; and all have it within two
+/// seconds. Told all at once it would be 20 MB under way at the same time.
+#[test]
+fn tell_hundreds_that_start_in_turn() {
+    let lists = Lists::default();
+    let start = Instant::now() + ms(60_000);
+    lists.tell(start, "reader", named(3_000), read(3_000, ms(0), true));
+    let mut waiting: Vec<usize> = (0..450).collect();
+    let mut intervals = 0;
+    while !waiting.is_empty() {
+        let now = start + ms(100) * intervals;
+        let mut bytes = 0;
+        waiting.retain(|entry| {
+            let told = lists.tell(now, &format!("entry-{entry}"), 0, None).newest;
+            let whole = told.and_then(|told| told.whole);
+            bytes += whole.as_ref().map_or(0, |whole| whole.size());
+            whole.is_none()
+        });
+        assert!(bytes <= 1_100_000, "{bytes} in one interval");
+        intervals += 1;
+        assert!(intervals <= 20, "{} still wait", waiting.len());
+    }
+}
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -169,41 +169,61 @@
     Slots,
 }
 
-/// The list, as far as it can be read.
+/// The list or a page of it, as far as it can be read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListContent {
     /// Endpoints.
     pub endpoints: Vec<Listed>,
     /// Why entries were left out, and how many of them.
     pub flaws: Vec<(Flaw, usize)>,
+    /// Names the page that follows; `None` on the last one.
+    pub next: Option<PageToken>,
 }
 
+/// Names a page of the list, in the words of whoever keeps it.
+pub type PageToken = String;
+
 impl ListContent {
     /// Adds an entry, or what is wrong with it.
     pub fn add(&mut self, entry: Result<Listed, Flaw>) {
         match entry {
             Ok(listed) => self.endpoints.push(listed),
-            Err(flaw) => match self.flaws.iter_mut().find(|item| item.0 == flaw) {
-                Some((_, count)) => *count += 1,
-                None => self.flaws.push((flaw, 1)),
-            },
+            Err(flaw) => self.left_out(flaw, 1),
+        }
+    }
+
+    /// Adds the page that follows.
+    pub fn append(&mut self, page: Self) {
+        self.endpoints.extend(page.endpoints);
+        for (flaw, count) in page.flaws {
+            self.left_out(flaw, count);
+        }
+        self.next = page.next;
+    }
+
+    fn left_out(&mut self, flaw: Flaw, more: usize) {
+        match self.flaws.iter_mut().find(|item| item.0 == flaw) {
+            Some((_, count)) => *count += more,
+            None => self.flaws.push((flaw, more)),
         }
     }
 }
 
 impl From<Vec<Listed>> for ListContent {
     fn from(endpoints: Vec<Listed>) -> Self {
-        let flaws = Vec::new();
-        Self { endpoints, flaws }
+        Self {
+            endpoints,
+            ..Self::default()
+        }
     }
 }
 
-/// A list being fetched.
+/// A page of the list being fetched.
 pub type Fetch<'a> =
     Pin<Box<dyn Future<Output = Result<ListContent, ListError>> + Send + 'a>>;
 
 /// Source of endpoints.
 pub trait EndpointList: Send + Sync + Debug {
-    /// Reads the whole list as it is now.
-    fn fetch(&self) -> Fetch<'_>;
+    /// Reads the page that `token` names, or the first one.
+    fn fetch(&self, token: Option<PageToken>) -> Fetch<'_>;
 }
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -137,7 +137,9 @@
                     Arc::clone(known)
                 }
                 None => {
-                    log_change("endpoint-listed", run, &listed.service);
+                    if !old.is_empty() {
+                        log_change("endpoint-listed", run, &listed.service);
+                    }
                     let rate = self.shared_rate(&listed.service);
                     let run = run.clone();
                     let listed = Listed { run, ..listed };
@@ -149,6 +151,12 @@
         });
         let endpoints: Vec<Arc<Endpoint>> = endpoints.collect();
         drop(runs);
+        if old.is_empty() {
+            // A start: thousands of lines would hold the first requests up.
+            Event::new("endpoints-listed")
+                .field("endpoints", endpoints.len())
+                .info();
+        }
         let stays = |known: &Arc<Endpoint>| {
             find(&endpoints, &known.id).is_some_and(|other| Arc::ptr_eq(known, other))
         };
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -13,8 +13,14 @@
 use std::time::Instant;
 use tokio::time::{sleep, timeout};
 
-/// Longest wait for the list.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a page of the list: one that is opened again after its first packet
+/// was lost comes after a second. A bound for all pages together would make a list that
+/// has grown unreadable: 60 pages take a small instance that has just started two
+/// seconds.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pages that are read at most: eight times the size that the design is made for, in pages
+/// of fifty.
+const MAX_PAGES: usize = 200;
 /// Pause after a failed read, at first.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -108,12 +114,32 @@
     }
 }
 
-async fn fetch(list: &dyn EndpointList) -> Result<ListContent, ListError> {
-    let fetched = timeout(FETCH_TIMEOUT, list.fetch()).await;
-    fetched.unwrap_or_else(|_| {
-        let problem = "no answer in time".to_string();
-        Err(ListError::Unreachable { problem })
-    })
+/// Reads the whole list, page by page.
+///
+/// # Errors
+///
+/// [`ListError`] where any page is missing or can't be read: a part of a list would look
+/// as if the other endpoints were gone.
+pub async fn fetch(list: &dyn EndpointList) -> Result<ListContent, ListError> {
+    let mut read = ListContent::default();
+    for _ in 0..MAX_PAGES {
+        let token = read.next.take();
+        let page = timeout(PAGE_TIMEOUT, list.fetch(token.clone())).await;
+        let page = page.unwrap_or_else(|_| {
+            let problem = "no answer in time".to_string();
+            Err(ListError::Unreachable { problem })
+        })?;
+        read.append(page);
+        if read.next.is_none() {
+            return Ok(read);
+        }
+        if read.next == token {
+            let problem = "a page names itself as the next one".to_string();
+            return Err(ListError::Content { problem });
+        }
+    }
+    let problem = format!("it has more than {MAX_PAGES} pages");
+    Err(ListError::Content { problem })
 }
 
 fn note(shared: &Shared) {
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -8,6 +8,7 @@
 use dogwoodhill_policy::sightings::Verdict;
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals, VerdictWord};
 use dogwoodhill_wire::list::{Content, Contents, ListRead, Mark};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -24,6 +25,8 @@
     pub met: Notify,
     /// Told when this entry begins to read for the others.
     pub appointed: Notify,
+    /// Told when there is a list in use.
+    listed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +61,7 @@
                 .unwrap_or_else(Instant::now),
             state: Mutex::default(),
             appointed: Notify::new(),
+            listed: Notify::new(),
             news: Notify::new(),
             met: Notify::new(),
         }
@@ -65,6 +69,17 @@
 }
 
 impl Lists {
+    /// Waits until any endpoint is known.
+    pub async fn first(&self, directory: &Directory) {
+        while directory.all().is_empty() {
+            let mut listed = pin!(self.listed.notified());
+            listed.as_mut().enable();
+            if directory.all().is_empty() {
+                listed.await;
+            }
+        }
+    }
+
     /// This entry read the list, which it asked for at `asked`.
     pub fn read(&self, directory: &Directory, asked: Instant, endpoints: Vec<Listed>) {
         let mut state = self.state();
@@ -75,6 +90,7 @@
         }
         state.own = Some(Own { asked, mark });
         drop(state);
+        self.listed.notify_waiters();
         self.news.notify_one();
     }
 
@@ -114,6 +130,7 @@
         if state.doubt.believes(now, before, after) && state.reads.take(read) {
             state.put(directory, content);
             state.hear(&totals.verdicts);
+            self.listed.notify_waiters();
         }
     }
 
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -34,8 +34,9 @@
 /// starts, a full endpoint, one that leaves. In milliseconds; spread so that
 /// those refused together do not return together.
 const SOON_MS: std::ops::Range<u64> = 120..400;
-/// Longest wait of a request for an entry's first route set. After all processes
-/// were killed there is a leader after 0.3 to 0.65 s.
+/// Longest wait of a request for an entry's first route set and list of endpoints. After
+/// all processes were killed there is a leader after 0.3 to 0.65 s, and a list of some
+/// hundred endpoints after 0.2.
 const ROUTES_WAIT: Duration = Duration::from_millis(700);
 /// Part of its caller's time that the wait may take: one in so many.
 const ROUTES_SHARE: u32 = 4;
@@ -130,14 +131,18 @@
         before.is_none_or(|before| before.version() < table.version())
     }
 
-    /// The route set in force; an entry that has none yet waits for a moment.
+    /// The route set in force. An entry that starts waits for a moment for its first one,
+    /// and for its first list of endpoints.
     async fn routes_soon(&self, patience: Option<Duration>) -> Option<Arc<RouteTable>> {
-        if let Some(table) = self.routes.load_full() {
-            return Some(table);
-        }
         let share = patience.unwrap_or(Duration::MAX) / ROUTES_SHARE;
         let end = Instant::now() + share.min(ROUTES_WAIT);
-        timeout_at(end, self.newer_routes(None)).await.ok()
+        let table = match self.routes.load_full() {
+            Some(table) => Some(table),
+            None => timeout_at(end, self.newer_routes(None)).await.ok(),
+        };
+        // What has no endpoints after that is refused where one is chosen.
+        let _ = timeout_at(end, self.lists.first(&self.directory)).await;
+        table
     }
 
     /// Waits for a route set newer than `held`.
--- a/crates/direct/tests/all/callers.rs
+++ b/crates/direct/tests/all/callers.rs
@@ -60,6 +60,21 @@
     assert_eq!(got.status, 200);
 }
 
+/// After all were killed an entry has routes before it has a list of thousands of
+/// endpoints: who comes in between waits for it, and is not told to come back.
+#[tokio::test]
+async fn entry_without_endpoints_waits_for_them() {
+    let endpoint = StandIn::start(Vec::new()).await;
+    let entry = Entry::before(&[]).await;
+    let call = entry.call("GET /safe/", "", "");
+    let list = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        entry.read_list(&[&endpoint]);
+    };
+    let (got, ()) = tokio::join!(call, list);
+    assert_eq!(got.status, 200);
+}
+
 /// Who waits for routes goes on with the first set that is newer than what there was.
 #[tokio::test]
 async fn newer_routes_end_a_wait() {
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -2,8 +2,8 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{
-    Ask, CallerDialect, EndpointDialect, EndpointList, Fetch, Listed, Malformed, Said,
-    Tell,
+    Ask, CallerDialect, EndpointDialect, EndpointList, Fetch, Listed, Malformed,
+    PageToken, Said, Tell,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 
@@ -60,7 +60,7 @@
 pub(crate) struct Fixed(pub(crate) Vec<Listed>);
 
 impl EndpointList for Fixed {
-    fn fetch(&self) -> Fetch<'_> {
+    fn fetch(&self, _: Option<PageToken>) -> Fetch<'_> {
         let content = self.0.clone().into();
         Box::pin(async move { Ok(content) })
     }
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -13,6 +13,7 @@
 use dogwoodhill_route::set::JsonFormat;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -160,6 +161,12 @@
         self.shared.directory.update(listed(endpoints));
     }
 
+    /// The entry reads a list of these endpoints.
+    pub(crate) fn read_list(&self, endpoints: &[&StandIn]) {
+        let lists = &self.shared.lists;
+        lists.read(&self.shared.directory, Instant::now(), listed(endpoints));
+    }
+
     /// Sends `METHOD path` with further header lines, and reads until the
     /// entry closes.
     pub(crate) async fn call(&self, line: &str, headers: &str, body: &str) -> Got {
--- a/crates/wire/src/list.rs
+++ b/crates/wire/src/list.rs
@@ -96,6 +96,11 @@
         Self(pack(&rmp_serde::to_vec(endpoints).expect("lists encode")))
     }
 
+    /// Bytes that it takes on its way.
+    pub fn size(&self) -> usize {
+        self.0.len()
+    }
+
     /// The list, if it can be read.
     pub fn read(&self) -> Option<Vec<Listed>> {
         rmp_serde::from_slice(&unpack(&self.0).ok()?).ok()
