One entry's failures convince nobody; names and steps a newcomer can follow

`Directory::update` in steps; conversions of verdicts stand once; `Age` for news of a run, since `Standing` is a request's.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -8,8 +8,8 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
-use dogwoodhill_policy::sightings::{Kept, Place, Sight, Sightings, Verdict};
-use dogwoodhill_wire::demand::{EndpointVerdict, TellDemand, VerdictWord};
+use dogwoodhill_policy::sightings::{Kept, Place, Sight, Sightings};
+use dogwoodhill_wire::demand::{EndpointVerdict, TellDemand};
 use dogwoodhill_wire::list::{Contents, ListRead, Listed, Mark};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::Instant;
@@ -23,12 +23,12 @@
 /// How long verdicts are told to all that ask before they are worked out anew: a tenth of
 /// the interval at which an entry asks.
 const FRESH: Duration = Duration::from_millis(50);
-/// Bytes of whole lists that are told a second, and at once. A control instance has a
+/// Bytes of whole lists that are told in a second. A control instance has a
 /// link of 100 Mbit/s; hundreds of entries that start together and were all told at once
 /// would share it, so that none of them has its list before it gives up and asks again.
 /// One after the other, each has it within some 100 ms of its turn.
 const WHOLE_BYTES: f64 = 10_000_000.0;
-/// See [`WHOLE_BYTES`]: what the link carries within the interval at which entries without
+/// Bytes of whole lists that are told at the same moment: what the link carries within the interval at which entries without
 /// a list ask.
 const WHOLE_BURST: f64 = 1_000_000.0;
 /// Most entries that are held: five times the size that the design is made for.
@@ -119,9 +119,7 @@
         let newest = state.newest(now, held);
         ListNews { reader, newest }
     }
-}
 
-impl Lists {
     /// Takes in what an entry met at the endpoints of the list that it has.
     pub fn sighted(&self, now: Instant, tell: &TellDemand) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -163,11 +161,7 @@
             .into_iter()
             .map(|(place, verdict)| EndpointVerdict {
                 place,
-                verdict: match verdict {
-                    Verdict::Failing => VerdictWord::Failing,
-                    Verdict::Silent => VerdictWord::Silent,
-                    Verdict::Replaced => VerdictWord::Replaced,
-                },
+                verdict: verdict.into(),
             });
         let told: Vec<EndpointVerdict> = told.collect();
         let before = state.verdicts.replace((now, told.clone()));
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -1,11 +1,11 @@
 //! Agreeing with the other entries on what comes for each service, on what the list of
 //! endpoints says, and on which of them are lost or fail.
 //!
-//! Twice a second an entry tells one control instance what came, and is told
-//! the sums over all entries and the newest read of the list. An entry that has
-//! read the list tells at once, and one that has lost an endpoint soon. All entries ask the same instance as long as it
-//! answers: the first of those that they were told of, by address, or of those in their
-//! settings until they are told.
+//! Twice a second an entry tells one control instance what came and what it met, and is
+//! told the sums over all entries, the newest read of the list, and what all of them see
+//! of its endpoints. An entry that has read the list tells at once, and one that has lost
+//! an endpoint soon. All entries ask the same instance as long as it answers: the first
+//! by address of those that they were told of, or of those in their settings until then.
 
 use crate::follow::Follower;
 use crate::request::Shared;
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -17,7 +17,7 @@
 use demand::Demand;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
-use dogwoodhill_policy::incarnations::{self, Incarnations};
+use dogwoodhill_policy::incarnations::{Age, Incarnations};
 use dogwoodhill_policy::pace;
 use dogwoodhill_policy::packing;
 use dogwoodhill_policy::trust::Trust;
@@ -102,21 +102,43 @@
     /// started again is another endpoint. Of several entries with one name the one
     /// with the latest start counts, and among equal ones the one in use, or the
     /// first.
-    pub fn update(&self, mut listed: Vec<Listed>) {
-        let now = self.start.elapsed();
+    pub fn update(&self, listed: Vec<Listed>) {
         let snapshot = self.snapshot.load();
         let old = &snapshot.all;
+        let endpoints = self.arrange(old, listed);
+        if old.is_empty() {
+            // A start: thousands of lines would hold the first requests up.
+            Event::new("endpoints-listed")
+                .field("endpoints", endpoints.len())
+                .info();
+        }
+        for known in old.iter() {
+            let now = find(&endpoints, &known.id);
+            if !now.is_some_and(|now| Arc::ptr_eq(known, now)) {
+                retire(known, now);
+            }
+        }
+        self.snapshot.store(Arc::new(Snapshot::new(endpoints)));
+    }
+
+    /// The endpoints that a list names, sorted by name: those of `old` that stay, and new
+    /// ones.
+    fn arrange(
+        &self,
+        old: &[Arc<Endpoint>],
+        mut listed: Vec<Listed>,
+    ) -> Vec<Arc<Endpoint>> {
+        let now = self.start.elapsed();
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         for listed in &listed {
-            let standing = runs.told(now, &listed.run, listed.leaving);
-            if standing == incarnations::Standing::Older {
+            if runs.told(now, &listed.run, listed.leaving) == Age::Older {
                 log_change("endpoint-outdated", &listed.run, &listed.service);
             }
         }
         runs.forget(now);
         let in_use = |listed: &Listed| {
             let known = find(old, &listed.run.id);
-            known.is_some_and(|known| known.is(listed))
+            known.is_some_and(|known| known.is_listed_as(listed))
         };
         listed.sort_by_cached_key(|listed| {
             let id = listed.run.id.clone();
@@ -130,46 +152,30 @@
                 // The list lags behind the run that is in use.
                 return known.cloned();
             }
-            let known = known.filter(|known| known.is(&listed));
-            let endpoint = match known {
-                Some(known) => {
-                    known.named(run.born);
-                    Arc::clone(known)
-                }
-                None => {
-                    if !old.is_empty() {
-                        log_change("endpoint-listed", run, &listed.service);
-                    }
-                    let rate = self.shared_rate(&listed.service);
-                    let run = run.clone();
-                    let listed = Listed { run, ..listed };
-                    Arc::new(Endpoint::new(listed, self.start, rate))
-                }
+            let stays = known.filter(|known| known.is_listed_as(&listed));
+            let endpoint = match stays {
+                Some(known) => Arc::clone(known),
+                None => self.begin(old, run, listed),
             };
+            endpoint.learn_start(run.born);
             endpoint.mark(leaving);
             Some(endpoint)
         });
-        let endpoints: Vec<Arc<Endpoint>> = endpoints.collect();
-        drop(runs);
-        if old.is_empty() {
-            // A start: thousands of lines would hold the first requests up.
-            Event::new("endpoints-listed")
-                .field("endpoints", endpoints.len())
-                .info();
-        }
-        let stays = |known: &Arc<Endpoint>| {
-            find(&endpoints, &known.id).is_some_and(|other| Arc::ptr_eq(known, other))
-        };
-        for gone in old.iter().filter(|known| !stays(known)) {
-            gone.mark(true);
-            let successor = find(&endpoints, &gone.id);
-            if successor.is_some_and(|next| !next.runs_as(&gone.run())) {
-                gone.over();
-            }
-            gone.pool.clear();
-            log_change("endpoint-gone", &gone.run(), &gone.service);
+        endpoints.collect()
+    }
+
+    /// An endpoint of which nothing is believed yet.
+    fn begin(
+        &self,
+        old: &[Arc<Endpoint>],
+        run: &Incarnation,
+        listed: Listed,
+    ) -> Arc<Endpoint> {
+        if !old.is_empty() {
+            log_change("endpoint-listed", run, &listed.service);
         }
-        self.snapshot.store(Arc::new(Snapshot::new(endpoints)));
+        let rate = self.shared_rate(&listed.service);
+        Arc::new(Endpoint::new(listed, self.start, rate))
     }
 
     /// All endpoints.
@@ -342,6 +348,16 @@
     found.ok().map(|at| &all[at])
 }
 
+/// Ends the use of an endpoint, whose name `successor` has now.
+fn retire(known: &Endpoint, successor: Option<&Arc<Endpoint>>) {
+    known.mark(true);
+    known.pool.clear();
+    if successor.is_some_and(|next| !next.runs_as(&known.run())) {
+        known.mark_over();
+    }
+    log_change("endpoint-gone", &known.run(), &known.service);
+}
+
 fn log_change(event: &str, run: &Incarnation, service: &str) {
     Event::new(event)
         .field("endpoint", run)
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -160,14 +160,14 @@
     }
 
     /// Whether `listed` means this run of this endpoint.
-    pub(super) fn is(&self, listed: &Listed) -> bool {
+    pub(super) fn is_listed_as(&self, listed: &Listed) -> bool {
         self.runs_as(&listed.run)
             && self.address == listed.address
             && self.service == listed.service
     }
 
     /// Takes in when it started.
-    pub(super) fn named(&self, born: Option<Born>) {
+    pub(super) fn learn_start(&self, born: Option<Born>) {
         if let Some(born) = born {
             self.born.get_or_init(|| born);
         }
@@ -255,7 +255,7 @@
     }
 
     /// It has started again since, as another endpoint.
-    pub(super) fn over(&self) {
+    pub(super) fn mark_over(&self) {
         let now = self.start.elapsed();
         self.view().record.over(now);
     }
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -6,7 +6,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::{Doubt, Reads, STALE};
 use dogwoodhill_policy::sightings::Verdict;
-use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals, VerdictWord};
+use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals};
 use dogwoodhill_wire::list::{Content, Contents, ListRead, Mark};
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -70,7 +70,7 @@
 
 impl Lists {
     /// Waits until any endpoint is known.
-    pub async fn first(&self, directory: &Directory) {
+    pub async fn first_list(&self, directory: &Directory) {
         while directory.all().is_empty() {
             let mut listed = pin!(self.listed.notified());
             listed.as_mut().enable();
@@ -226,11 +226,7 @@
         let mut told = vec![None; self.places.len()];
         for verdict in verdicts {
             if let Some(place) = told.get_mut(verdict.place as usize) {
-                *place = Some(match verdict.verdict {
-                    VerdictWord::Failing => Verdict::Failing,
-                    VerdictWord::Silent => Verdict::Silent,
-                    VerdictWord::Replaced => Verdict::Replaced,
-                });
+                *place = Some(Verdict::from(verdict.verdict));
             }
         }
         for (endpoint, verdict) in self.places.iter().zip(told) {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -141,7 +141,7 @@
             None => timeout_at(end, self.newer_routes(None)).await.ok(),
         };
         // What has no endpoints after that is refused where one is chosen.
-        let _ = timeout_at(end, self.lists.first(&self.directory)).await;
+        let _ = timeout_at(end, self.lists.first_list(&self.directory)).await;
         table
     }
 
--- a/crates/policy/src/sightings.rs
+++ b/crates/policy/src/sightings.rs
@@ -40,8 +40,8 @@
 /// alike nothing is gained by leaving one for another, and its prompts would be read
 /// anew there.
 const ABOVE_ALL: f64 = 2.0;
-/// Failures from which an entry's word counts alone: they are weighed together, and one
-/// entry may not make up more than this of them.
+/// Most failures that count of one tell of an entry: one that fails by itself must not
+/// outweigh all others.
 const MOST_FAILED: f64 = 4.0;
 
 /// A place in the list of endpoints that teller and listener have.
@@ -95,6 +95,7 @@
 struct Seen {
     replaced: Reports,
     unreached: Reports,
+    failing: Reports,
     heard: Option<Duration>,
     /// Answers and failures lately, fading.
     answered: f64,
@@ -116,6 +117,9 @@
         if sight.answered > 0 {
             let fade = self.fade(now);
             let failed = f64::from(sight.failed.min(sight.answered)).min(MOST_FAILED);
+            if failed > 0.0 {
+                self.failing.add(now, entry);
+            }
             self.answered = self.answered * fade + f64::from(sight.answered);
             self.failed = self.failed * fade + failed;
             self.at = now;
@@ -138,13 +142,18 @@
         let fresh = |at: &Duration| now.saturating_sub(*at) < KEPT;
         let replaced = self.replaced.confirmed().filter(unheard);
         let silent = self.unreached.confirmed().filter(unheard).filter(fresh);
+        let failing = self.failing.confirmed();
+        let lately = |at: Duration| now.saturating_sub(at).as_secs_f64() < MEMORY;
         let (answered, failed) = self.answers(now);
-        let from = FAILING.max(others * ABOVE_ALL);
+        let share = FAILING.max(others * ABOVE_ALL);
+        let failing = failing.is_some_and(lately)
+            && answered >= ENOUGH
+            && failed >= answered * share;
         if replaced.is_some() {
             Some(Verdict::Replaced)
         } else if silent.is_some() {
             Some(Verdict::Silent)
-        } else if answered >= ENOUGH && failed >= answered * from {
+        } else if failing {
             Some(Verdict::Failing)
         } else {
             None
--- a/crates/policy/tests/incarnations.rs
+++ b/crates/policy/tests/incarnations.rs
@@ -1,7 +1,7 @@
 //! Which run of an endpoint counts, whatever order news of it come in.
 
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::incarnations::{Incarnations, Standing};
+use dogwoodhill_policy::incarnations::{Age, Incarnations};
 use proptest::prelude::*;
 
 const fn ms(millis: u64) -> Duration {
@@ -22,10 +22,10 @@
 #[test]
 fn told_later_start_replaces() {
     let mut runs = Incarnations::default();
-    assert_eq!(runs.told(ms(0), &run(1, Some(50)), true), Standing::Newer);
-    assert_eq!(runs.told(ms(1), &run(1, Some(60)), false), Standing::Newer);
+    assert_eq!(runs.told(ms(0), &run(1, Some(50)), true), Age::Newer);
+    assert_eq!(runs.told(ms(1), &run(1, Some(60)), false), Age::Newer);
     assert_eq!(newest(&runs, 1), (Some(60), false), "it has not left");
-    assert_eq!(runs.told(ms(2), &run(1, Some(50)), true), Standing::Older);
+    assert_eq!(runs.told(ms(2), &run(1, Some(50)), true), Age::Older);
     assert_eq!(newest(&runs, 1), (Some(60), false));
 }
 
@@ -34,10 +34,7 @@
 fn told_leaving_stays_leaving() {
     let mut runs = Incarnations::default();
     runs.told(ms(0), &run(1, Some(50)), true);
-    assert_eq!(
-        runs.told(ms(1), &run(1, Some(50)), false),
-        Standing::Current
-    );
+    assert_eq!(runs.told(ms(1), &run(1, Some(50)), false), Age::Current);
     assert_eq!(newest(&runs, 1), (Some(50), true));
 }
 
@@ -48,14 +45,11 @@
 fn told_without_start_says_nothing() {
     let mut runs = Incarnations::default();
     runs.told(ms(0), &run(1, None), true);
-    assert_eq!(
-        runs.told(ms(1), &run(1, Some(50)), false),
-        Standing::Current
-    );
+    assert_eq!(runs.told(ms(1), &run(1, Some(50)), false), Age::Current);
     assert_eq!(newest(&runs, 1), (Some(50), true));
-    assert_eq!(runs.told(ms(2), &run(1, None), false), Standing::Current);
+    assert_eq!(runs.told(ms(2), &run(1, None), false), Age::Current);
     assert_eq!(newest(&runs, 1), (Some(50), true));
-    assert_eq!(runs.told(ms(3), &run(1, Some(51)), false), Standing::Newer);
+    assert_eq!(runs.told(ms(3), &run(1, Some(51)), false), Age::Newer);
 }
 
 /// A list that lags for an hour does not bring an earlier run back; a run without a
@@ -70,7 +64,7 @@
     runs.forget(ms(3_599_000));
     assert_eq!(runs.newest("i-2"), None);
     let older = runs.told(ms(3_599_001), &run(1, Some(49)), false);
-    assert_eq!(older, Standing::Older);
+    assert_eq!(older, Age::Older);
     runs.forget(ms(3_601_000));
     assert!(runs.is_empty());
 }
@@ -104,25 +98,25 @@
         let mut starts: [Option<Option<Born>>; 3] = [None; 3];
         let mut left = [false; 3];
         for (at, (id, born, leaving)) in news.into_iter().enumerate() {
-            let standing = runs.told(ms(at as u64), &run(id, born), leaving);
+            let age = runs.told(ms(at as u64), &run(id, born), leaving);
             let known = starts[id];
             let expected = match (known, born) {
-                (None, _) => Standing::Newer,
-                (Some(Some(known)), Some(born)) if born > known => Standing::Newer,
-                (Some(Some(known)), Some(born)) if born < known => Standing::Older,
-                _ => Standing::Current,
+                (None, _) => Age::Newer,
+                (Some(Some(known)), Some(born)) if born > known => Age::Newer,
+                (Some(Some(known)), Some(born)) if born < known => Age::Older,
+                _ => Age::Current,
             };
-            prop_assert_eq!(standing, expected);
-            match standing {
-                Standing::Newer => {
+            prop_assert_eq!(age, expected);
+            match age {
+                Age::Newer => {
                     starts[id] = Some(born);
                     left[id] = leaving;
                 }
-                Standing::Current => {
+                Age::Current => {
                     starts[id] = Some(known.flatten().or(born));
                     left[id] |= leaving;
                 }
-                Standing::Older => {}
+                Age::Older => {}
             }
             runs.forget(ms(at as u64));
             if born.is_some() {
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -3,6 +3,7 @@
 
 use crate::list::ListRead;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::sightings::Verdict;
 use serde::{Deserialize, Serialize};
 
 /// Path of [`TellDemand`].
@@ -65,6 +66,26 @@
     Replaced,
 }
 
+impl From<Verdict> for VerdictWord {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::Failing => Self::Failing,
+            Verdict::Silent => Self::Silent,
+            Verdict::Replaced => Self::Replaced,
+        }
+    }
+}
+
+impl From<VerdictWord> for Verdict {
+    fn from(word: VerdictWord) -> Self {
+        match word {
+            VerdictWord::Failing => Self::Failing,
+            VerdictWord::Silent => Self::Silent,
+            VerdictWord::Replaced => Self::Replaced,
+        }
+    }
+}
+
 /// Work for one service, in seconds of an endpoint's time, fading alike at all
 /// entries, and the pauses of its streams.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
