Slow reads of the list start no storm of reads

Cause, from the log of a trial with 300 entries and 3,000 endpoints: a read of sixty pages takes 0.8 s, is 2 s old before the next one is heard, and counts as stale. So all entries read, the list refuses most of their calls and those of the readers, and an entry once refused tried on for ever, whatever it heard meanwhile.

Change: a reader tells how long its read took, and the read counts as stale that much later, at most 1.5 s; an entry that was refused backs off to 4 s and stops as soon as others' reads are heard (`policy::reads::pause`).

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -28,8 +28,8 @@
 /// would share it, so that none of them has its list before it gives up and asks again.
 /// One after the other, each has it within some 100 ms of its turn.
 const WHOLE_BYTES: f64 = 10_000_000.0;
-/// Bytes of whole lists that are told at the same moment: what the link carries within the interval at which entries without
-/// a list ask.
+/// Bytes of whole lists that are told at the same moment: what the link carries within the
+/// interval at which entries without a list ask.
 const WHOLE_BURST: f64 = 1_000_000.0;
 /// Most entries that are held: five times the size that the design is made for.
 const MOST: usize = 2_500;
@@ -73,8 +73,8 @@
     tellers: Vec<Teller>,
     /// The newest list that was read, and earlier ones.
     contents: Contents,
-    /// When it was read.
-    read: Option<Instant>,
+    /// When it was read, and how long that took.
+    read: Option<(Instant, Duration)>,
     whole: Allowance,
     sightings: Sightings,
     /// What is told of them, and when it was worked out.
@@ -105,7 +105,7 @@
         &self,
         now: Instant,
         entry: &str,
-        held: u64,
+        held: Mark,
         list: Option<ListRead>,
     ) -> ListNews {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -204,8 +204,8 @@
     /// The newest read for an entry that has the list of `held`; `None` also where it has to
     /// wait for its turn.
     fn newest(&mut self, now: Instant, held: Mark) -> Option<ListRead> {
-        let age = now.duration_since(self.read?);
-        let news = self.contents.told(held, age);
+        let (read, took) = self.read?;
+        let news = self.contents.told(held, now.duration_since(read), took);
         let since = self.since_start(now);
         let bytes = news.whole.as_ref().map_or(0, |whole| whole.size());
         (bytes == 0 || self.whole.take(since, bytes)).then_some(news)
@@ -242,11 +242,12 @@
     /// Takes a read that is newer than the one held. One without content counts
     /// where the content is the one held.
     fn take(&mut self, list: &ListRead, read: Instant) {
-        if self.read.is_some_and(|held| held >= read) {
+        if self.read.is_some_and(|(held, _)| held >= read) {
             return;
         }
+        let read = Some((read, list.took));
         if self.read.is_some() && self.contents.newest().mark == list.mark {
-            self.read = Some(read);
+            self.read = read;
             return;
         }
         let Some(content) = self.contents.heard(list) else {
@@ -266,7 +267,7 @@
         self.sightings.relist(kept);
         self.verdicts = None;
         self.contents.put(content);
-        self.read = Some(read);
+        self.read = read;
     }
 
     /// Whether `entry` is among those that read.
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -7,7 +7,7 @@
 use crate::dialect::{EndpointList, Flaw, ListContent, ListError};
 use crate::request::Shared;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::reads::Doubt;
+use dogwoodhill_policy::reads::{Doubt, pause};
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Instant;
@@ -21,8 +21,6 @@
 /// Pages that are read at most: eight times the size that the design is made for, in pages
 /// of fifty.
 const MAX_PAGES: usize = 200;
-/// Pause after a failed read, at first.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
 /// Reads the list when it is this entry's turn, for ever; `interval` is that of
 /// entries that read for the others.
@@ -38,7 +36,11 @@
     let started = Instant::now();
     loop {
         let due = shared.lists.due(interval, rand::rng().random());
-        if due > Duration::ZERO && failures == 0 {
+        if due > Duration::ZERO {
+            // What others read in the meantime ends its own tries.
+            if std::mem::take(&mut failures) > 0 {
+                Event::new("list-regained").field("by", "others").info();
+            }
             tokio::select! {
                 () = sleep(due) => {}
                 () = shared.lists.appointed.notified() => {}
@@ -64,29 +66,33 @@
                 Err(doubtful)
             }
         });
-        let pause = match listed {
+        let rest = match listed {
             Ok(listed) => {
                 if failures > 0 {
                     Event::new("list-regained")
+                        .field("by", "itself")
                         .field("failures", failures)
                         .info();
                 }
                 failures = 0;
                 shared.stats.list_reads.with_label_values(&["used"]).inc();
-                shared.lists.read(&shared.directory, asked, listed);
+                let took = asked.elapsed();
+                shared.lists.read(&shared.directory, asked, took, listed);
                 note(&shared);
                 continue;
             }
             Err(error) => {
                 if failures == 0 {
-                    Event::new("list-lost").field("reason", error).warn();
+                    Event::new("list-lost").field("reason", &error).warn();
                 }
                 failures += 1;
                 shared.stats.list_reads.with_label_values(&["failed"]).inc();
-                interval.min(FIRST_PAUSE * failures)
+                let busy = matches!(error, ListError::Busy);
+                let spread = rand::rng().random();
+                pause(failures, busy, reader, interval, spread)
             }
         };
-        sleep(pause).await;
+        sleep(rest).await;
     }
 }
 
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -50,6 +50,7 @@
 #[derive(Debug)]
 struct Own {
     asked: Instant,
+    took: Duration,
     mark: Mark,
 }
 
@@ -80,15 +81,21 @@
         }
     }
 
-    /// This entry read the list, which it asked for at `asked`.
-    pub fn read(&self, directory: &Directory, asked: Instant, endpoints: Vec<Listed>) {
+    /// This entry read the list, which it asked for at `asked` and had after `took`.
+    pub fn read(
+        &self,
+        directory: &Directory,
+        asked: Instant,
+        took: Duration,
+        endpoints: Vec<Listed>,
+    ) {
         let mut state = self.state();
         let content = Content::new(endpoints);
         let mark = content.mark;
-        if state.reads.take(asked.duration_since(self.base)) {
+        if state.reads.take(asked.duration_since(self.base), took) {
             state.put(directory, content);
         }
-        state.own = Some(Own { asked, mark });
+        state.own = Some(Own { asked, took, mark });
         drop(state);
         self.listed.notify_waiters();
         self.news.notify_one();
@@ -112,7 +119,7 @@
         // One that was stale when this entry started is of no use to it.
         let Some(read) = read else { return };
         if state.contents.newest().mark == list.mark {
-            state.reads.take(read);
+            state.reads.take(read, list.took);
             state.hear(&totals.verdicts);
             return;
         }
@@ -127,7 +134,7 @@
         let before = state.contents.newest().endpoints.len();
         let now = self.base.elapsed();
         let after = content.endpoints.len();
-        if state.doubt.believes(now, before, after) && state.reads.take(read) {
+        if state.doubt.believes(now, before, after) && state.reads.take(read, list.took) {
             state.put(directory, content);
             state.hear(&totals.verdicts);
             self.listed.notify_waiters();
@@ -163,7 +170,7 @@
 
     /// What this entry tells control: the mark of the content that it has, and its
     /// own newest read, without the content that control has.
-    pub fn told(&self) -> (u64, Option<ListRead>) {
+    pub fn told(&self) -> (Mark, Option<ListRead>) {
         let mut state = self.state();
         let State {
             contents,
@@ -183,7 +190,7 @@
             };
             ListRead {
                 mark: own.mark,
-                ..contents.told(known, age)
+                ..contents.told(known, age, own.took)
             }
         });
         (if *lost { 0 } else { mark }, read)
--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -12,6 +12,14 @@
 //! one, each of which read five pages of a list, half of all calls of the list were
 //! theirs; after a loss of power all of them would read in the same moment.
 //!
+//! A read of sixty pages takes a small instance a second. Whoever hears of reads can't
+//! tell from their age alone whether the readers are gone or only slow, so readers tell
+//! how long they took, and a read counts as stale that much later. Otherwise hundreds of
+//! entries take to reading at once, the list refuses most of their calls and those of
+//! the readers as well, and it goes on for as long as all of them try. For the same reason
+//! an entry that was refused tries less and less, and stops once it hears of a read
+//! ([`pause`]).
+//!
 //! Invariant: only a read that was asked for later than the one in use replaces
 //! it. Reads of others are dated by their age when the question for them was
 //! sent, so they never look newer than they are.
@@ -27,6 +35,35 @@
 /// that leaves must get nothing new.
 const DOUBT: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a read is waited for beyond [`STALE`], whatever a reader says:
+/// with it an endpoint that leaves is known within a few seconds still.
+const LONGEST_READ: Duration = Duration::from_millis(1_500);
+/// Pause after a failed read, at first.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause of an entry that does not read for the others and was refused for too
+/// many calls. Hundreds of them then make some tens of calls a second together.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// How long an entry pauses after `failures` reads that failed, the last one refused for
+/// too many calls if `busy`. `spread`, of 0 to 1, keeps those that were refused together
+/// from coming back together.
+pub fn pause(
+    failures: u32,
+    busy: bool,
+    reader: bool,
+    interval: Duration,
+    spread: f64,
+) -> Duration {
+    let usual = interval.min(FIRST_PAUSE * failures);
+    if !busy || reader {
+        return usual;
+    }
+    let doubled = FIRST_PAUSE * 2u32.pow(failures.min(8));
+    doubled
+        .min(LONGEST_PAUSE)
+        .mul_f64(0.5 + spread.clamp(0.0, 1.0))
+}
+
 /// Lists that may be cut short or empty by a fault of whoever keeps them.
 ///
 /// A list that names less than half of the endpoints in use is not believed at
@@ -67,6 +104,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reads {
     newest: Option<Duration>,
+    /// How long the newest took.
+    took: Duration,
     reader: bool,
     /// When control said last that others read, and that none has yet.
     awaited: Duration,
@@ -78,12 +117,13 @@
         self.newest.is_some()
     }
 
-    /// A read came that was asked for at `read`. Returns whether it replaces the
-    /// one in use.
-    pub fn take(&mut self, read: Duration) -> bool {
+    /// A read came that was asked for at `read` and took `took`. Returns whether it
+    /// replaces the one in use.
+    pub fn take(&mut self, read: Duration, took: Duration) -> bool {
         let newer = self.newest.is_none_or(|newest| read > newest);
         if newer {
             self.newest = Some(read);
+            self.took = took.min(LONGEST_READ);
         }
         newer
     }
@@ -120,9 +160,9 @@
             return (from + wait).saturating_sub(now);
         };
         let after = if self.reader {
-            interval
+            interval.max(self.took)
         } else {
-            STALE.max(interval)
+            STALE.max(interval) + self.took
         };
         let at = newest + after.mul_f64(1.0 + 0.25 * spread);
         at.saturating_sub(now)
--- a/crates/wire/src/list.rs
+++ b/crates/wire/src/list.rs
@@ -74,6 +74,9 @@
     pub mark: Mark,
     /// How long ago it was asked for.
     pub age: Duration,
+    /// How long the read took.
+    #[serde(default)]
+    pub took: Duration,
     /// The whole list; left out where the receiver has this content.
     pub whole: Option<Arc<PackedList>>,
     /// What changed since a list that the receiver has, in place of the whole.
@@ -234,13 +237,14 @@
         }
     }
 
-    /// The newest list, read `age` ago, for a receiver that has the list of `held`. What
-    /// changed is worked out once for all that have the same list.
-    pub fn told(&mut self, held: Mark, age: Duration) -> ListRead {
+    /// The newest list, read `age` ago within `took`, for a receiver that has the list of
+    /// `held`. What changed is worked out once for all that have the same list.
+    pub fn told(&mut self, held: Mark, age: Duration, took: Duration) -> ListRead {
         let Content { mark, endpoints } = self.newest.clone();
         let mut read = ListRead {
             mark,
             age,
+            took,
             whole: None,
             changes: None,
         };
