--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -236,9 +236,12 @@
     let held = named(3);
     lists.tell(now, "a", held, read(3, ms(40), true));
     for entry in ["a", "b"] {
-        lists.sighted(now, &met(entry, 6, lost(2), vec![0xff; 999]));
+        lists.sighted(now, &met(entry, 6, lost(2), Vec::new()));
     }
     assert_eq!(lists.verdicts(now), []);
+    let beyond = met("c", held, lost(99), vec![0xff; 999]);
+    lists.sighted(now, &beyond);
+    assert_eq!(lists.verdicts(now), [], "places that the list doesn't have");
     for entry in ["a", "b"] {
         lists.sighted(now + ms(100), &met(entry, held, lost(2), Vec::new()));
     }
--- a/crates/policy/tests/incarnations.rs
+++ b/crates/policy/tests/incarnations.rs
@@ -84,6 +84,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// News of several runs of several endpoints, lost, doubled, late and crossed: the
     /// newest start that was told is the one known, a run seen leaving stays so, and
     /// what does not count is called older.
