Silent only after half a second, and timeouts are no failures to tell

Engines with long queues refuse connections, which two entries met between two tells of those that heard from them; and requests without an answer in time were told as failures, which under overload happen everywhere.

Change: nobody may have heard from a silent endpoint for half a second; only answers and broken connections are told.

--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -232,6 +232,12 @@
         self.view().record.judged(now, failed);
     }
 
+    /// A request got no answer in time; `failed`: for too long.
+    pub fn timed_out(&self, failed: bool) {
+        let now = self.start.elapsed();
+        self.view().record.timed_out(now, failed);
+    }
+
     /// It can't be reached, or said nothing for too long.
     pub fn unreached(&self) {
         let now = self.start.elapsed();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -168,8 +168,12 @@
             endpoint.unreached();
             Ended::Unsent
         }
+        Attempt::Lost(Loss::Timeout) => {
+            endpoint.timed_out(false);
+            Ended::Lost(Loss::Timeout)
+        }
         Attempt::Lost(loss) => {
-            endpoint.judged(loss != Loss::Timeout);
+            endpoint.judged(true);
             Ended::Lost(loss)
         }
     }
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -322,7 +322,7 @@
             }
         };
         if matches!(ended, Ended::Lost(Loss::Timeout)) {
-            endpoint.judged(true);
+            endpoint.timed_out(true);
         }
         ended
     }
--- a/crates/policy/src/sightings.rs
+++ b/crates/policy/src/sightings.rs
@@ -27,6 +27,11 @@
 /// entry told: so much of what was sent before a crash can still contradict it. Streams
 /// that work pause for less.
 pub const LATELY: Duration = Duration::from_millis(250);
+/// For how long nobody may have heard from an endpoint that counts as silent: the interval
+/// at which each entry tells whom it heard. An engine with a long queue refuses
+/// connections while its streams go on; without this, two entries that are refused in the
+/// same moment took it from all others for a tenth of a second, again and again.
+const QUIET: Duration = Duration::from_millis(500);
 /// Time constant with which answers are forgotten. Longer than that of a single entry's
 /// record: with those of all there are enough to tell a share within a second.
 const MEMORY: f64 = 3.0;
@@ -141,7 +146,11 @@
         let unheard = |at: &Duration| self.heard.is_none_or(|heard| heard < *at);
         let fresh = |at: &Duration| now.saturating_sub(*at) < KEPT;
         let replaced = self.replaced.confirmed().filter(unheard);
+        let quiet = self
+            .heard
+            .is_none_or(|heard| now.saturating_sub(heard) >= QUIET);
         let silent = self.unreached.confirmed().filter(unheard).filter(fresh);
+        let silent = silent.filter(|_| quiet);
         let failing = self.failing.confirmed();
         let lately = |at: Duration| now.saturating_sub(at).as_secs_f64() < MEMORY;
         let (answered, failed) = self.answers(now);
--- a/crates/policy/src/trust.rs
+++ b/crates/policy/src/trust.rs
@@ -104,14 +104,26 @@
         self.unanswered = None;
     }
 
-    /// A request ended with an answer (`failed`: a failure of the endpoint).
+    /// A request ended with an answer (`failed`: a failure of the endpoint), or its
+    /// connection broke.
     pub fn judged(&mut self, now: Duration, failed: bool) {
+        self.weigh(now, failed);
+        self.news.answered += 1;
+        self.news.failed += u32::from(failed);
+    }
+
+    /// A request got no answer in time. That says something of the wait at the endpoint,
+    /// and is weighed here (`failed`: as a failure), but it is no failure to tell others:
+    /// under overload it happens everywhere.
+    pub fn timed_out(&mut self, now: Duration, failed: bool) {
+        self.weigh(now, failed);
+    }
+
+    fn weigh(&mut self, now: Duration, failed: bool) {
         let before = self.failures(now);
         let newest = if failed { 1.0 } else { 0.0 };
         self.failures = before + (newest - before) * NEWEST;
         self.judged = now;
-        self.news.answered += 1;
-        self.news.failed += u32::from(failed);
     }
 
     /// No connection could be made, or nothing came for too long.
