--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -274,11 +274,11 @@
                 }
                 Ended::Refused(reason) => {
                     self.sends += 1;
-                    self.log_send(&endpoint, &reason.to_string());
+                    self.note_failed(&endpoint, &reason.to_string());
                 }
                 Ended::Unsent => {
                     unsent += 1;
-                    self.log_send(&endpoint, "unreachable");
+                    self.note_failed(&endpoint, "unreachable");
                     if unsent >= MAX_UNSENT {
                         return Next::Refuse(self.exhausted());
                     }
@@ -286,7 +286,7 @@
                 Ended::Lost(loss) => {
                     self.sends += 1;
                     self.may_have_run = true;
-                    self.log_send(&endpoint, &loss.to_string());
+                    self.note_failed(&endpoint, &loss.to_string());
                     if !self.idempotent() {
                         return Next::Refuse(lost(loss));
                     }
@@ -410,7 +410,7 @@
     }
 
     /// Notes that a send led to no answer, for the log and for the other entries.
-    fn log_send(&self, endpoint: &Endpoint, result: &str) {
+    fn note_failed(&self, endpoint: &Endpoint, result: &str) {
         self.shared.lists.met.notify_one();
         Event::new("send-failed")
             .field("request", &self.ask.id)
--- a/crates/direct/tests/all/follow.rs
+++ b/crates/direct/tests/all/follow.rs
@@ -243,32 +243,25 @@
     }
 }
 
+/// A set of 400 KB passes a link of `rate` bytes a second once, and is in force then.
+async fn sent_once(rate: f64) {
+    let scene = Scene::with_rate(rate).await;
+    let held = set(2, 400_000);
+    let cost = scene.cost(&held).await;
+    let size = held.source.len();
+    assert!(cost <= size + BESIDE, "{cost} bytes for a set of {size}");
+}
+
 /// A set that takes longer to pass the link than instances differ in when they tell
 /// of it passes it once: the link is not filled by the same text seven times.
 #[tokio::test(flavor = "multi_thread")]
 async fn set_on_a_slow_link_sent_once() {
-    let scene = Scene::with_rate(700_000.0).await;
-    let held = set(2, 400_000);
-    let cost = scene.cost(&held).await;
-    let most = held.source.len() + BESIDE;
-    assert!(
-        cost <= most,
-        "{cost} bytes for a set of {}",
-        held.source.len()
-    );
+    sent_once(700_000.0).await;
 }
 
 /// A set that passes the link for longer than any poll waits is in force in the end,
 /// and nothing of it passes twice.
 #[tokio::test(flavor = "multi_thread")]
 async fn set_longer_on_its_way_than_a_poll_arrives() {
-    let scene = Scene::with_rate(50_000.0).await;
-    let held = set(2, 400_000);
-    let cost = scene.cost(&held).await;
-    let most = held.source.len() + BESIDE;
-    assert!(
-        cost <= most,
-        "{cost} bytes for a set of {}",
-        held.source.len()
-    );
+    sent_once(50_000.0).await;
 }
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -7,7 +7,6 @@
 use dogwoodhill_policy::lanes::{Lanes, Shares, Strain};
 use dogwoodhill_policy::pace::{Pace, slow_from};
 use dogwoodhill_policy::packing::{Packing, used};
-use dogwoodhill_policy::trust::{Record, Trust};
 use dogwoodhill_policy::wait::Waits;
 use proptest::prelude::*;
 use std::collections::VecDeque;
@@ -180,54 +179,6 @@
     assert!(all < 0.25, "{all}");
 }
 
-/// A burst: an endpoint whose queue is long refuses new connections and goes on
-/// with what it has taken. Requests that wait there stay.
-#[test]
-fn deserted_refused_connection_is_no_reason() {
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    record.unreached(ms(1_100));
-    assert_eq!(record.trust(ms(1_200)), Trust::Silent, "no new requests");
-    assert!(!record.deserted(ms(1_200), ms(1_000)));
-}
-
-/// An endpoint is cut off without a word: whoever waits there finds out by the
-/// next connection that nobody answers, and new requests by their own silence.
-#[test]
-fn deserted_dark_endpoint_is_left() {
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    record.begun(ms(100));
-    record.heard(ms(1_100));
-    assert!(!record.deserted(ms(1_900), ms(1_000)));
-    assert!(record.deserted(ms(2_000), ms(1_000)), "900 ms of silence");
-    assert!(!record.deserted(ms(2_000), ms(1_950)), "sent a moment ago");
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    record.unanswered(ms(1_400));
-    assert!(record.deserted(ms(1_401), ms(1_000)));
-    record.heard(ms(1_500));
-    assert!(!record.deserted(ms(1_501), ms(1_000)), "it speaks again");
-}
-
-/// An endpoint crashes behind a cut, which closes no connection, and is back within a
-/// second: a prompt that waits at the earlier run is waited for by nobody any more. One
-/// that still answers is left alone, whatever a list says of it.
-#[test]
-fn deserted_run_that_is_over() {
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    record.over(ms(1_500));
-    assert!(
-        record.deserted(ms(1_500), ms(1_000)),
-        "nothing came for 500 ms"
-    );
-    assert!(!record.deserted(ms(1_500), ms(1_400)), "sent a moment ago");
-    record.heard(ms(1_550));
-    assert!(!record.deserted(ms(1_600), ms(1_000)), "it speaks");
-    assert!(record.deserted(ms(1_900), ms(1_000)));
-}
-
 /// Two endpoints of nine are slower by a third, as in the users' deployments,
 /// and one turns five times slower. The first are known after one stream of a
 /// calm hour, the last after a few events.
@@ -306,86 +257,6 @@
     assert_eq!((waits.ahead(false), waits.ahead(true)), (0.0, 9_000.0));
 }
 
-/// An endpoint lies dark for some seconds while every entry gets ten requests a
-/// second: after its rest one request tries it, and the others don't follow
-/// before something came back.
-#[test]
-fn trust_rested_endpoint_gets_one_trial() {
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    record.unanswered(ms(1_400));
-    record.ended(false);
-    assert_eq!(record.trust(ms(1_500)), Trust::Silent, "it rests");
-    assert_eq!(record.trust(ms(1_701)), Trust::Sound, "one may try it");
-    record.sent(ms(1_701));
-    assert_eq!(record.trust(ms(1_702)), Trust::Silent, "the others wait");
-    record.heard(ms(1_760));
-    assert_eq!(record.trust(ms(1_761)), Trust::Sound, "it is back");
-}
-
-#[test]
-fn trust_silent_endpoint_left_and_tried_again() {
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    record.begun(ms(100));
-    record.heard(ms(1_100));
-    assert_eq!(
-        record.trust(ms(1_900)),
-        Trust::Sound,
-        "a pause is no silence"
-    );
-    assert_eq!(record.trust(ms(2_100)), Trust::Silent);
-    record.unreached(ms(2_100));
-    record.ended(true);
-    assert_eq!(record.trust(ms(2_200)), Trust::Silent, "it is left alone");
-    assert_eq!(record.trust(ms(2_500)), Trust::Sound, "and tried again");
-}
-
-/// Under load an endpoint lets requests wait for a few seconds.
-#[test]
-fn trust_queueing_endpoint_is_no_silent_one() {
-    let mut record = Record::default();
-    record.sent(ms(1_000));
-    assert_eq!(record.trust(ms(4_900)), Trust::Sound);
-    assert_eq!(record.trust(ms(5_100)), Trust::Silent);
-}
-
-/// A plain service answers in 15 ms; one of its endpoints goes dark with
-/// requests under way, whose callers wait a second. Others are spared soon.
-#[test]
-fn trust_plain_endpoint_dark_found_soon() {
-    let mut record = Record::default();
-    for i in 0..50 {
-        record.sent(ms(i * 20));
-        record.begun(ms(15));
-        record.heard(ms(i * 20 + 15));
-        record.ended(true);
-    }
-    record.sent(ms(2_000));
-    assert_eq!(record.trust(ms(2_200)), Trust::Sound, "a slow answer");
-    assert_eq!(record.trust(ms(2_260)), Trust::Silent);
-}
-
-/// One endpoint fails half of its requests while it calls itself healthy.
-#[test]
-fn trust_failing_endpoint_found_and_forgiven() {
-    let mut record = Record::default();
-    for i in 0..20 {
-        record.judged(ms(i * 10), i % 2 == 0);
-    }
-    assert_eq!(record.trust(ms(200)), Trust::Failing);
-    assert_eq!(
-        record.trust(ms(10_000)),
-        Trust::Sound,
-        "without news it is tried"
-    );
-    let mut usual = Record::default();
-    for i in 0..100 {
-        usual.judged(ms(i * 10), i % 7 == 0);
-    }
-    assert_eq!(usual.trust(ms(1_000)), Trust::Sound, "14% are usual");
-}
-
 proptest! {
     /// Whatever the order, no more is spent than the cap and the share of the
     /// requests, over any stretch of time.
