Logs and a metric say how old the list was that a choice was made from

To tell apart, for a request at an endpoint that is leaving, whether its entry had no news (list_ms above the bound, list-taken late), had old ones dated as new (list-told and list-taken of one mark with ages that do not add up), or chose in time and was late afterwards (list_ms small, and the endpoint shown as leaving in no list-taken before it). Requests read an atomic, so none waits for a list that is being put in use. No change of logic.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -113,7 +113,7 @@
         let read = list.as_ref().and_then(|list| now.checked_sub(list.age));
         state.note(now, entry, read);
         if let (Some(list), Some(read)) = (list, read) {
-            state.take(&list, read);
+            state.take(&list, read, entry);
         }
         let reader = state.reads(now, entry);
         let newest = state.newest(now, held);
@@ -241,7 +241,7 @@
 
     /// Takes a read that is newer than the one held. One without content counts
     /// where the content is the one held.
-    fn take(&mut self, list: &ListRead, read: Instant) {
+    fn take(&mut self, list: &ListRead, read: Instant, entry: &str) {
         if self.read.is_some_and(|(held, _)| held >= read) {
             return;
         }
@@ -256,6 +256,13 @@
         if content.endpoints.len() > MOST_ENDPOINTS {
             return;
         }
+        Event::new("list-told")
+            .field("mark", format!("{:016x}", list.mark))
+            .field("entry", entry)
+            .field("endpoints", content.endpoints.len())
+            .field("age_ms", list.age.as_millis())
+            .field("took_ms", list.took.as_millis())
+            .info();
         let old = &self.contents.newest().endpoints;
         let kept = content.endpoints.iter().map(|listed| {
             let found = old.binary_search_by(|known| known.run.cmp(&listed.run));
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -262,8 +262,9 @@
             };
             let endpoint = Arc::clone(&placed.endpoint);
             let sends = self.sends + 1;
+            let list_age = self.shared.lists.age();
             if let Some(record) = self.record.as_mut() {
-                record.placed(&placed, sends);
+                record.placed(&placed, sends, list_age);
             }
             self.tried.push(endpoint.run());
             match self.send(&endpoint).await {
@@ -418,6 +419,7 @@
             .field("endpoint", endpoint.run())
             .field("result", result)
             .field("sends", self.sends)
+            .field("list_ms", self.record.as_ref().map_or(-1, Record::list_ms))
             .warn();
     }
 
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -9,6 +9,7 @@
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals};
 use dogwoodhill_wire::list::{Content, Contents, ListRead, Mark};
 use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -19,6 +20,9 @@
     /// From which the times of reads are measured: [`STALE`] before the entry's start.
     base: Instant,
     state: Mutex<State>,
+    /// When the read in use was asked for, in microseconds since `base`; 0 without one.
+    /// Requests look at it without waiting for a list that is being put in use.
+    newest: AtomicU64,
     /// Told when this entry has read something new.
     pub news: Notify,
     /// Told when this entry has lost an endpoint.
@@ -61,6 +65,7 @@
                 .checked_sub(STALE)
                 .unwrap_or_else(Instant::now),
             state: Mutex::default(),
+            newest: AtomicU64::new(0),
             appointed: Notify::new(),
             listed: Notify::new(),
             news: Notify::new(),
@@ -93,9 +98,11 @@
         let content = Content::new(endpoints);
         let mark = content.mark;
         if state.reads.take(asked.duration_since(self.base), took) {
+            log_taken(&state, &content, "itself", asked.elapsed(), took);
             state.put(directory, content);
         }
         state.own = Some(Own { asked, took, mark });
+        self.publish(&state);
         drop(state);
         self.listed.notify_waiters();
         self.news.notify_one();
@@ -120,6 +127,7 @@
         let Some(read) = read else { return };
         if state.contents.newest().mark == list.mark {
             state.reads.take(read, list.took);
+            self.publish(&state);
             state.hear(&totals.verdicts);
             return;
         }
@@ -135,7 +143,15 @@
         let now = self.base.elapsed();
         let after = content.endpoints.len();
         if state.doubt.believes(now, before, after) && state.reads.take(read, list.took) {
+            log_taken(
+                &state,
+                &content,
+                "others",
+                now.saturating_sub(read),
+                list.took,
+            );
             state.put(directory, content);
+            self.publish(&state);
             state.hear(&totals.verdicts);
             self.listed.notify_waiters();
         }
@@ -202,6 +218,17 @@
         self.state().reads.due(now, interval, spread)
     }
 
+    /// Age of the list in use: how long ago the read that it comes from was asked for, as
+    /// far as this entry can tell. `None` without one.
+    pub fn age(&self) -> Option<Duration> {
+        let newest = self.newest.load(Ordering::Relaxed);
+        let age = self
+            .base
+            .elapsed()
+            .saturating_sub(Duration::from_micros(newest));
+        (newest > 0).then_some(age)
+    }
+
     /// Whether any read of the list is known.
     pub fn known(&self) -> bool {
         self.state().reads.known()
@@ -212,11 +239,34 @@
         self.state().reads.reader()
     }
 
+    /// Tells requests which read is in use.
+    fn publish(&self, state: &State) {
+        let newest = state.reads.newest().unwrap_or_default();
+        let micros = newest.as_micros() as u64;
+        self.newest.store(micros, Ordering::Relaxed);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Logs a list that is put in use, where it is another one than before: what was
+/// believed when, and how old it was then.
+fn log_taken(state: &State, content: &Content, by: &str, age: Duration, took: Duration) {
+    let before = state.contents.newest().mark;
+    if before != content.mark {
+        Event::new("list-taken")
+            .field("mark", format!("{:016x}", content.mark))
+            .field("before", format!("{before:016x}"))
+            .field("by", by)
+            .field("endpoints", content.endpoints.len())
+            .field("age_ms", age.as_millis())
+            .field("took_ms", took.as_millis())
+            .info();
+    }
+}
+
 impl State {
     /// Puts a list in use.
     fn put(&mut self, directory: &Directory, content: Content) {
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -29,6 +29,8 @@
     pub missed_pieces: IntCounterVec,
     /// What the entry believes.
     pub beliefs: IntGaugeVec,
+    /// Age of the list in use when an endpoint was chosen.
+    list_age: Histogram,
 }
 
 impl Stats {
@@ -74,6 +76,10 @@
                 "Version of the route set, endpoints known and leaving, control instances",
                 &["what"],
             ),
+            list_age: metrics.seconds(
+                "dogwoodhill_direct_list_age_seconds",
+                "Age of the list of endpoints in use when an endpoint was chosen",
+            ),
         }
     }
 
@@ -112,6 +118,8 @@
     /// Trust in the endpoint chosen last, endpoints known, endpoints kept free
     /// of long prompts.
     choice: String,
+    /// Age of the list that the choice was made from.
+    list_age: Option<Duration>,
 }
 
 impl Record {
@@ -132,17 +140,28 @@
             endpoint: String::from("-"),
             sends: 0,
             choice: String::from("-"),
+            list_age: None,
         }
     }
 
     /// Notes what decided where the request goes.
-    pub fn placed(&mut self, placed: &Placed, sends: usize) {
+    pub fn placed(&mut self, placed: &Placed, sends: usize, list_age: Option<Duration>) {
         self.endpoint = placed.endpoint.run().to_string();
         self.sends = sends;
+        self.list_age = list_age;
+        if let Some(age) = list_age {
+            self.stats.list_age.observe(age.as_secs_f64());
+        }
         let trust = format!("{:?}", placed.trust).to_lowercase();
         self.choice = format!("{trust}/{}/{}", placed.known, placed.reserved);
     }
 
+    /// Age of the list that the last choice was made from, in milliseconds; -1 before
+    /// any choice.
+    pub fn list_ms(&self) -> i64 {
+        self.list_age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
     /// Counters.
     pub fn stats(&self) -> &Stats {
         &self.stats
@@ -204,6 +223,7 @@
             .field("routes_version", self.version)
             .field("endpoint", &self.endpoint)
             .field("choice", &self.choice)
+            .field("list_ms", self.list_ms())
             .field("wait_ms", self.wait.as_millis())
             .field("background", self.background)
             .field("sends", self.sends)
--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -117,6 +117,11 @@
         self.newest.is_some()
     }
 
+    /// When the read in use was asked for.
+    pub fn newest(&self) -> Option<Duration> {
+        self.newest
+    }
+
     /// A read came that was asked for at `read` and took `took`. Returns whether it
     /// replaces the one in use.
     pub fn take(&mut self, read: Duration, took: Duration) -> bool {
