Test of a request that was given up while its bytes were on their way, failing

Seen: requests at endpoints that had been leaving for seconds. This test brings one way about: what an entry has written and given up is delivered all the same, later.

--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -14,3 +14,4 @@
 mod logged;
 mod outcomes;
 mod streams;
+mod withdrawn;
