Entries read the list by themselves early enough for the bound, which settings name

Cause: the age at which an entry reads by itself, the time of its read and a connection had no sum. With a read of half a second and the longest delay they made 4.03 s, with a second 5.2 s, where deployments name 3 or 4 s; the bound itself stood nowhere. Ruled out: reading sooner always: where reads take a second, news are up to 2.9 s old while all is well, and entries that read before that keep each other's calls from being answered (load_slow_reads_start_no_storm). Change: leaving_within (default 4 s, the platform's own where it is told). An entry reads at an age that leaves time for the read and a connection, though never before the usual age. list_every gives way by default, and is refused where it is too long.

--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -94,7 +94,7 @@
             routes: ArcSwapOption::empty(),
             routes_changed: Notify::new(),
             directory: Directory::new(settings.domain.clone()),
-            lists: Lists::default(),
+            lists: Lists::new(settings.leaving_within),
             callers: dialects.callers,
             endpoints: dialects.endpoints,
             stats: Stats::new(&metrics),
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -4,7 +4,7 @@
 use crate::dialect::Listed;
 use crate::directory::{Directory, Endpoint};
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::reads::{Doubt, Reads, STALE};
+use dogwoodhill_policy::reads::{CONNECT_TIMEOUT, Doubt, LEAVING_WITHIN, Reads, STALE};
 use dogwoodhill_policy::sightings::Verdict;
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals};
 use dogwoodhill_wire::list::{Content, Contents, ListRead, Mark};
@@ -14,6 +14,11 @@
 use std::time::Instant;
 use tokio::sync::Notify;
 
+/// Longest wait of requests for a list after the one in use was found to be too old to
+/// choose from: an entry that stood still for seconds has read one by then. Where the list
+/// stays away, callers wait no longer, and the last one is used.
+const NEWS_WAIT: Duration = Duration::from_millis(100);
+
 /// The reads an entry knows of.
 #[derive(Debug)]
 pub struct Lists {
@@ -23,13 +28,17 @@
     /// When the read in use was asked for, in microseconds since `base`; 0 without one.
     /// Requests look at it without waiting for a list that is being put in use.
     newest: AtomicU64,
+    /// How long endpoints that leave may still be sent requests.
+    within: Duration,
+    /// When a request found the list in use too old, until there is a newer one.
+    found: Mutex<Option<tokio::time::Instant>>,
     /// Told when this entry has read something new.
     pub news: Notify,
     /// Told when this entry has lost an endpoint.
     pub met: Notify,
     /// Told when this entry begins to read for the others.
     pub appointed: Notify,
-    /// Told when there is a list in use.
+    /// Told when there is a list in use, and when a newer read of it is known.
     listed: Notify,
 }
 
@@ -60,21 +69,32 @@
 
 impl Default for Lists {
     fn default() -> Self {
+        Self::new(LEAVING_WITHIN)
+    }
+}
+
+impl Lists {
+    /// No list is known yet; endpoints that leave may be sent requests for `within`.
+    pub fn new(within: Duration) -> Self {
+        let state = State {
+            reads: Reads::new(within),
+            ..State::default()
+        };
         Self {
             base: Instant::now()
                 .checked_sub(STALE)
                 .unwrap_or_else(Instant::now),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             newest: AtomicU64::new(0),
+            within,
+            found: Mutex::default(),
             appointed: Notify::new(),
             listed: Notify::new(),
             news: Notify::new(),
             met: Notify::new(),
         }
     }
-}
 
-impl Lists {
     /// Waits until any endpoint is known.
     pub async fn first_list(&self, directory: &Directory) {
         while directory.all().is_empty() {
@@ -104,7 +124,6 @@
         state.own = Some(Own { asked, took, mark });
         self.publish(&state);
         drop(state);
-        self.listed.notify_waiters();
         self.news.notify_one();
     }
 
@@ -153,7 +172,6 @@
             state.put(directory, content);
             self.publish(&state);
             state.hear(&totals.verdicts);
-            self.listed.notify_waiters();
         }
     }
 
@@ -229,6 +247,38 @@
         (newest > 0).then_some(age)
     }
 
+    /// Waits for a moment where the list in use is so old that an endpoint which it shows
+    /// as ready may have been leaving for too long. The entry reads a newer one meanwhile,
+    /// as it does before the list is that old unless its process stood still.
+    pub async fn in_time(&self) {
+        if !self.overdue() {
+            return;
+        }
+        let now = tokio::time::Instant::now();
+        let found = *self.found().get_or_insert(now);
+        let newer = async {
+            while self.overdue() {
+                let mut listed = pin!(self.listed.notified());
+                listed.as_mut().enable();
+                if self.overdue() {
+                    listed.await;
+                }
+            }
+        };
+        let _ = tokio::time::timeout_at(found + NEWS_WAIT, newer).await;
+    }
+
+    /// Whether a request that is placed now may reach an endpoint that has been leaving for
+    /// too long.
+    fn overdue(&self) -> bool {
+        let age = self.age();
+        age.is_some_and(|age| age + CONNECT_TIMEOUT > self.within)
+    }
+
+    fn found(&self) -> MutexGuard<'_, Option<tokio::time::Instant>> {
+        self.found.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether any read of the list is known.
     pub fn known(&self) -> bool {
         self.state().reads.known()
@@ -244,6 +294,10 @@
         let newest = state.reads.newest().unwrap_or_default();
         let micros = newest.as_micros() as u64;
         self.newest.store(micros, Ordering::Relaxed);
+        if !self.overdue() {
+            *self.found() = None;
+        }
+        self.listed.notify_waiters();
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -7,6 +7,7 @@
 
 use crate::socket::{Owes, Socket};
 use bytes::Bytes;
+use dogwoodhill_policy::reads::CONNECT_TIMEOUT;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -17,9 +18,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-/// Longest wait for a connection. Ten times the way to the farthest endpoint,
-/// and short against the shortest target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is used again where the endpoint names no time.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Share of the endpoint's time after which a connection is not used again: a
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -3,10 +3,11 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
 use dogwoodhill_policy::budget::Allowance;
+use dogwoodhill_policy::reads::{LEAVING_WITHIN, SHORTEST_INTERVAL, longest_interval};
 use std::net::SocketAddr;
 
 const SECOND: Duration = Duration::from_secs(1);
-/// Interval at which the list of endpoints is read.
+/// Longest interval at which the list of endpoints is read unless settings name one.
 const DEFAULT_LIST: Duration = Duration::from_millis(1_000);
 /// Second sends for each request.
 const DEFAULT_SHARE: f64 = 0.2;
@@ -34,8 +35,11 @@
     pub secret: String,
     /// Address of the list of endpoints.
     pub list: SocketAddr,
-    /// Interval at which the list is read. Default 1 s: an endpoint that
-    /// leaves must get no new work after a few seconds.
+    /// How long after the list shows that an endpoint leaves it may still be sent new
+    /// requests. Default 4 s.
+    pub leaving_within: Duration,
+    /// Interval at which the list is read. Default 1 s, or less where that is too long
+    /// for `leaving_within`.
     pub list_every: Duration,
     /// Second sends that operators allow a service over all entries. Default a
     /// fifth of the requests and 40.
@@ -60,7 +64,14 @@
 }
 
 fn read(s: &mut Section<'_, '_>) -> Settings {
+    let within = s.duration(
+        "leaving_within",
+        SECOND / 10..=3_600 * SECOND,
+        Some(LEAVING_WITHIN),
+    );
+    let longest = longest_interval(within);
     let settings = Settings {
+        leaving_within: within,
         name: s.name("name"),
         domain: s.name("domain"),
         listen: s.address("listen"),
@@ -70,8 +81,8 @@
         list: s.address("list"),
         list_every: s.duration(
             "list_every",
-            SECOND / 10..=60 * SECOND,
-            Some(DEFAULT_LIST),
+            SHORTEST_INTERVAL..=60 * SECOND,
+            Some(DEFAULT_LIST.min(longest)),
         ),
         allowance: Allowance {
             share: s.number("second_share", 0.0..=1.0, Some(DEFAULT_SHARE)),
@@ -80,6 +91,15 @@
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
         grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
     };
+    if settings.list_every > longest {
+        let problem = "is too long for leaving_within: news would travel longer";
+        let longest = longest.as_millis();
+        s.fault(
+            "list_every",
+            problem,
+            &format!("set at most {longest}ms, or leave it out"),
+        );
+    }
     if settings.control.is_empty() {
         let remedy = "list the control instances' internal addresses";
         s.fault("control", "is empty", remedy);
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -118,6 +118,7 @@
             control,
             secret: "secret".to_string(),
             list: free,
+            leaving_within: Duration::from_secs(4),
             list_every: Duration::from_millis(50),
             allowance: Allowance {
                 share: 0.2,
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -13,5 +13,6 @@
 mod lists;
 mod logged;
 mod outcomes;
+mod settings;
 mod streams;
 mod withdrawn;
--- /dev/null
+++ b/crates/direct/tests/all/settings.rs
@@ -0,0 +1,29 @@
+//! Settings of an entry.
+
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_direct::Settings;
+
+fn parse(more: &str) -> Result<Settings, String> {
+    let text = format!(
+        r#"{{"name": "e", "domain": "d", "listen": "127.0.0.1:1", "status": "127.0.0.1:2",
+            "control": ["127.0.0.1:3"], "cluster_key": "k", "list": "127.0.0.1:4", {more}}}"#
+    );
+    Settings::parse("entry.json", &text).map_err(|faults| faults.to_string())
+}
+
+/// Readers read often enough for the bound, and an interval that is too long for it is
+/// refused with the longest that is not.
+#[test]
+fn list_every_fits_leaving_within() {
+    let settings = parse("").expect("defaults fit");
+    assert_eq!(settings.leaving_within, Duration::from_secs(4));
+    assert_eq!(settings.list_every, Duration::from_secs(1));
+    let settings = parse(r#""leaving_within": "2s""#).expect("the default gives way");
+    assert_eq!(settings.list_every, Duration::from_millis(800));
+    let refused = parse(r#""leaving_within": "2s", "list_every": "1s""#);
+    let text = refused.expect_err("news would travel too long");
+    assert!(
+        text.contains("list_every") && text.contains("800ms"),
+        "{text}"
+    );
+}
--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -20,6 +20,12 @@
 //! an entry that was refused tries less and less, and stops once it hears of a read
 //! ([`pause`]).
 //!
+//! Whatever happens to readers, control and the way of the news, no entry goes by a read
+//! for longer than endpoints that leave may still be sent requests: each reads by itself
+//! before that ([`alone_after`]). What is asked for once a list shows that an endpoint
+//! leaves says so; so a request goes to such an endpoint for at most the age at which an
+//! entry reads, the time its read takes, and the time to connect.
+//!
 //! Invariant: only a read that was asked for later than the one in use replaces
 //! it. Reads of others are dated by their age when the question for them was
 //! sent, so they never look newer than they are.
@@ -30,6 +36,52 @@
 /// little more, tell at once, and others hear within 0.6 s: 1.8 s at the worst.
 pub const STALE: Duration = Duration::from_millis(2_000);
 
+/// How long endpoints that leave may still be sent requests, where settings say nothing.
+pub const LEAVING_WITHIN: Duration = Duration::from_secs(4);
+
+/// Longest wait for a connection, and so the longest time from the choice of an endpoint
+/// to the first byte on its way there. Ten times the way to the farthest endpoint, and
+/// short against the shortest target.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Shortest interval of readers, whatever the bound: a list takes only so many calls.
+pub const SHORTEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Part by which an entry delays a read that is due, at most, so that entries which hear
+/// nothing do not read at the same moment.
+const SPREAD: f64 = 0.25;
+
+/// Longest time from a reader's read to when another entry has heard of it, beside the
+/// read itself: the interval at which an entry asks.
+const TELLING: Duration = Duration::from_millis(600);
+
+/// Oldest age that a read has where all is well, before the next one is heard of.
+pub fn usual_age(interval: Duration, took: Duration) -> Duration {
+    interval.max(took).mul_f64(1.0 + SPREAD) + took + TELLING
+}
+
+/// Longest interval of readers with which news travel in time where endpoints that leave
+/// may be sent requests for `within`; at least a tenth of a second.
+pub fn longest_interval(within: Duration) -> Duration {
+    let reading = within.saturating_sub(TELLING + CONNECT_TIMEOUT);
+    reading.div_f64(1.0 + SPREAD).max(SHORTEST_INTERVAL)
+}
+
+/// Age of a read at which an entry that is no reader reads by itself, where one takes
+/// `took` and endpoints that leave may be sent requests for `within`. Never before the
+/// usual age: entries that read while all is well keep each other's calls from being
+/// answered.
+pub fn alone_after(
+    within: Duration,
+    interval: Duration,
+    took: Duration,
+    spread: f64,
+) -> Duration {
+    let patient = (STALE.max(interval) + took).mul_f64(1.0 + SPREAD * spread);
+    let last = within.saturating_sub(CONNECT_TIMEOUT + took);
+    patient.min(last.max(usual_age(interval, took)))
+}
+
 /// How long a list stays in doubt that names far fewer endpoints than the one in
 /// use, before it is believed: shorter than the few seconds after which an endpoint
 /// that leaves must get nothing new.
@@ -101,8 +153,10 @@
 
 /// The reads of the list that one entry knows of. Times are measured from a moment
 /// [`STALE`] before the entry's start: older reads are of no use to it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Reads {
+    /// How long endpoints that leave may still be sent requests.
+    within: Duration,
     newest: Option<Duration>,
     /// How long the newest took.
     took: Duration,
@@ -111,7 +165,24 @@
     awaited: Duration,
 }
 
+impl Default for Reads {
+    fn default() -> Self {
+        Self::new(LEAVING_WITHIN)
+    }
+}
+
 impl Reads {
+    /// No read is known yet; endpoints that leave may be sent requests for `within`.
+    pub fn new(within: Duration) -> Self {
+        Self {
+            within,
+            newest: None,
+            took: Duration::ZERO,
+            reader: false,
+            awaited: Duration::ZERO,
+        }
+    }
+
     /// Whether any read is known.
     pub fn known(&self) -> bool {
         self.newest.is_some()
@@ -165,11 +236,10 @@
             return (from + wait).saturating_sub(now);
         };
         let after = if self.reader {
-            interval.max(self.took)
+            interval.max(self.took).mul_f64(1.0 + SPREAD * spread)
         } else {
-            STALE.max(interval) + self.took
+            alone_after(self.within, interval, self.took, spread)
         };
-        let at = newest + after.mul_f64(1.0 + 0.25 * spread);
-        at.saturating_sub(now)
+        (newest + after).saturating_sub(now)
     }
 }
