A choice is looked at again after a connection, and not made from a list that is too old

Cause: an entry decides on the newest list that it has, and acts up to 0.4 s later; one that stood still for seconds goes on with what it believed before. Change: an endpoint that began to leave while a connection to it was made gets no byte. A request that finds the list older than the bound allows waits for the one that is being read, for 0.1 s after that was found, and for no more where the list stays away: nobody is refused for want of news. Tests: left_while_connecting_gets_nothing, overdue_list_waits_for_the_next, overdue_list_delays_callers_once.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -36,6 +36,8 @@
     Refused(Refusal),
     /// No byte of the request went out.
     Unsent,
+    /// It began to leave while a connection to it was made; no byte went out.
+    Left,
     /// The request went out; whether it ran is not known.
     Lost(Loss),
 }
@@ -148,6 +150,9 @@
     // out; a new one is tried once.
     let tried = match tried {
         Attempt::Unsent(request) => match connect(endpoint, ask.until).await {
+            // The choice may be older than the connection took: the process may have stood
+            // still meanwhile.
+            Ok(_) if endpoint.leaving() => return Ended::Left,
             Ok(line) => attempt(line, request, ask.until).await,
             Err(reason) => {
                 match reason {
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -256,6 +256,7 @@
             if self.sends > 0 && !self.may_send_again() {
                 return Next::Refuse(self.exhausted());
             }
+            self.shared.lists.in_time().await;
             let placed = self.shared.directory.place(&self.want());
             let Some(placed) = placed else {
                 return Next::Refuse(self.exhausted());
@@ -277,6 +278,7 @@
                     self.sends += 1;
                     self.note_failed(&endpoint, &reason.to_string());
                 }
+                Ended::Left => self.note_failed(&endpoint, "leaving"),
                 Ended::Unsent => {
                     unsent += 1;
                     self.note_failed(&endpoint, "unreachable");
--- /dev/null
+++ b/crates/direct/tests/all/ages.rs
@@ -0,0 +1,140 @@
+//! What is chosen from a list that is too old, and what is checked again before it is acted
+//! on.
+
+use crate::dialect::Plain;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_direct::dialect::{Listed, Prompt, Tell};
+use dogwoodhill_direct::directory::{Directory, Standing};
+use dogwoodhill_direct::exchange::{self, Asked, Ended, Outbound};
+use dogwoodhill_direct::lists::Lists;
+use dogwoodhill_route::prelude::Rank;
+use http::{HeaderMap, Method};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::task::yield_now;
+
+/// How long endpoints that leave may be sent requests: so short that a list which is a
+/// second old is too old.
+const WITHIN: Duration = Duration::from_secs(1);
+
+fn listed(address: SocketAddr, leaving: bool) -> Listed {
+    Listed {
+        run: Incarnation::new("i-1", None),
+        service: "service".to_string(),
+        address,
+        domain: "here".to_string(),
+        slots: 8,
+        leaving,
+    }
+}
+
+fn nobody() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+/// An entry stood still for longer than an endpoint that leaves may be sent requests, and
+/// what it believes is as old. A request that it takes then waits for the list that is
+/// being read, and is not sent to an endpoint that has left meanwhile.
+#[tokio::test(start_paused = true)]
+async fn overdue_list_waits_for_the_next() {
+    let directory = Arc::new(Directory::new("here".to_string()));
+    let lists = Arc::new(Lists::new(WITHIN));
+    let before = Instant::now() - WITHIN;
+    lists.read(
+        &directory,
+        before,
+        Duration::ZERO,
+        vec![listed(nobody(), false)],
+    );
+    let chooses = tokio::spawn({
+        let (lists, directory) = (Arc::clone(&lists), Arc::clone(&directory));
+        async move {
+            lists.in_time().await;
+            directory.all()[0].leaving()
+        }
+    });
+    for _ in 0..10 {
+        yield_now().await;
+    }
+    assert!(!chooses.is_finished(), "it waits");
+    lists.read(
+        &directory,
+        Instant::now(),
+        Duration::ZERO,
+        vec![listed(nobody(), true)],
+    );
+    assert!(
+        chooses.await.expect("it goes on"),
+        "it knows that the endpoint leaves"
+    );
+}
+
+/// No list comes: callers wait for a moment once, and the last list is used.
+#[tokio::test(start_paused = true)]
+async fn overdue_list_delays_callers_once() {
+    let directory = Directory::new("here".to_string());
+    let lists = Lists::new(WITHIN);
+    let before = Instant::now() - WITHIN;
+    lists.read(
+        &directory,
+        before,
+        Duration::ZERO,
+        vec![listed(nobody(), false)],
+    );
+    let begun = tokio::time::Instant::now();
+    lists.in_time().await;
+    let waited = begun.elapsed();
+    assert!(waited >= Duration::from_millis(100));
+    lists.in_time().await;
+    assert_eq!(begun.elapsed(), waited, "the next one goes on at once");
+    assert!(!directory.all()[0].leaving());
+}
+
+/// While a connection is made, the endpoint begins to leave: no byte goes out on it.
+#[tokio::test]
+async fn left_while_connecting_gets_nothing() {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = socket.local_addr().expect("is bound");
+    let directory = Directory::new("here".to_string());
+    directory.update(vec![listed(address, false)]);
+    let chosen = Arc::clone(&directory.all()[0]);
+    directory.update(vec![listed(address, true)]);
+    let prompt = Prompt::default();
+    let outbound = Outbound {
+        method: Method::POST,
+        target: "/once/".parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body: "body".into(),
+    };
+    let tell = Tell {
+        left: Duration::from_secs(30),
+        endpoint: "i-1",
+        workspace: None,
+        rank: Rank {
+            route: 0,
+            routes: 1,
+            workspace: 0,
+            workspaces: 1,
+        },
+        background: false,
+        resume: None,
+    };
+    let asked = Asked {
+        id: "r-1",
+        prompt: &prompt,
+        standing: &Standing::default(),
+        until: tokio::time::Instant::now() + Duration::from_secs(30),
+    };
+    let ended = exchange::send(&chosen, &Plain, &outbound, &tell, asked).await;
+    assert!(matches!(ended, Ended::Left), "{ended:?}");
+    let (mut stream, _) = socket.accept().await.expect("it connected");
+    let mut bytes = Vec::new();
+    stream
+        .read_to_end(&mut bytes)
+        .await
+        .expect("it closed properly");
+    assert!(bytes.is_empty(), "{bytes:?}");
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! The direct path over sockets, against endpoints that misbehave on command,
 //! and its parts without sockets.
 
+mod ages;
 mod answers;
 mod callers;
 mod dialect;
