A read that was told late is dated as it was read

Cause: an entry tells how old its read was when it wrote, and control took that for the age at which it arrived. What lay before an instance that stood still, or went over a blocked way, looked up to as much fresher than it was; a list from before an endpoint left could replace a newer one, and entries that had not seen that kept it as fresh. The invariant of policy::reads, that reads of others never look newer than they are, did not hold. Not shown to have led to requests at leaving endpoints: entries that saw one leave never forget it while it is listed, and the next read sets the others right within 2 s. Change: control stamps its answers with its own time, entries tell the stamp back with how long they have had it, and what passed beside that, the message was under way at most. Entries and control of one deployment are exchanged together. Test: dated_with_the_time_under_way. Some 35 bytes more an exchange, twice a second.

--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -256,13 +256,14 @@
     serve(bytes, |tell: TellDemand| async move {
         let now = Instant::now();
         let mut tell = tell;
-        let list = tell.list.take();
+        let list = inside.lists.dated(now, tell.echo, tell.list.take());
         let news = inside.lists.tell(now, &tell.entry, tell.held, list);
         inside.lists.sighted(now, &tell);
         Totals {
             reader: news.reader,
             list: news.newest,
             verdicts: inside.lists.verdicts(now),
+            stamp: inside.lists.stamp(Instant::now()),
             ..inside.demand.tell(now, tell)
         }
     })
--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -9,7 +9,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::sightings::{Kept, Place, Sight, Sightings};
-use dogwoodhill_wire::demand::{EndpointVerdict, TellDemand};
+use dogwoodhill_wire::demand::{Echo, EndpointVerdict, Stamp, TellDemand};
 use dogwoodhill_wire::list::{Contents, ListRead, Listed, Mark};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::Instant;
@@ -84,11 +84,24 @@
 }
 
 /// What entries told one instance of the list. Clones share it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lists {
+    /// Names this run of the instance.
+    run: u64,
+    started: Instant,
     state: Arc<Mutex<State>>,
 }
 
+impl Default for Lists {
+    fn default() -> Self {
+        Self {
+            run: rand::random::<u64>().max(1),
+            started: Instant::now(),
+            state: Arc::default(),
+        }
+    }
+}
+
 /// What an entry is told of the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListNews {
@@ -99,6 +112,41 @@
 }
 
 impl Lists {
+    /// The time of an answer.
+    pub fn stamp(&self, now: Instant) -> Stamp {
+        Stamp {
+            run: self.run,
+            at: now.saturating_duration_since(self.started),
+        }
+    }
+
+    /// How long a message was under way at most that has this echo and arrived at `now`.
+    /// Without an echo of this run nothing is known, and nothing is assumed.
+    fn under_way(&self, now: Instant, echo: Option<Echo>) -> Duration {
+        let own = echo.filter(|echo| echo.stamp.run == self.run);
+        let passed = own.map(|echo| {
+            let since = self.stamp(now).at.saturating_sub(echo.stamp.at);
+            since.saturating_sub(echo.since)
+        });
+        passed.unwrap_or_default()
+    }
+
+    /// The read that an entry tells, with the time that it was under way added to its age.
+    /// A message that lay before an instance which stood still would look as fresh
+    /// otherwise as when it was written, and put an old list in place of a newer one.
+    pub fn dated(
+        &self,
+        now: Instant,
+        echo: Option<Echo>,
+        list: Option<ListRead>,
+    ) -> Option<ListRead> {
+        let under_way = self.under_way(now, echo);
+        list.map(|list| ListRead {
+            age: list.age.saturating_add(under_way),
+            ..list
+        })
+    }
+
     /// Takes in what `entry` read, if it did; `held` is the mark of the content that
     /// it has.
     pub fn tell(
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -3,7 +3,9 @@
 use dogwoodhill_control::lists::Lists;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::reads::{Reads, STALE};
-use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, TellDemand, VerdictWord};
+use dogwoodhill_wire::demand::{
+    Echo, EndpointSight, EndpointVerdict, Stamp, TellDemand, VerdictWord,
+};
 use dogwoodhill_wire::list::{
     Content, ListChanges, ListRead, Listed, Mark, PackedList, mark,
 };
@@ -61,6 +63,34 @@
     assert_eq!((news.age, news.whole), (ms(940), None));
 }
 
+/// An instance stands still for five seconds while an entry's word lies before it. What the
+/// entry read is dated as it was read, so a list that came in meanwhile stays; without the
+/// echo it would have looked as fresh as when it was written.
+#[test]
+fn dated_with_the_time_under_way() {
+    let lists = Lists::default();
+    let now = Instant::now() + ms(60_000);
+    let stamp = lists.stamp(now);
+    let echo = |since| Some(Echo { stamp, since });
+    let late = lists.dated(now + ms(6_000), echo(ms(1_000)), read(3, ms(40), true));
+    assert_eq!(late.as_ref().expect("told").age, ms(5_040));
+    lists.tell(now + ms(5_900), "b", 0, read(4, ms(900), true));
+    let news = lists.tell(now + ms(6_000), "a", 0, late).newest;
+    assert_eq!(news.expect("one").mark, named(4), "the newer read stays");
+    for (run, at) in [(0, stamp.at), (stamp.run.wrapping_add(1), Duration::ZERO)] {
+        let other = Some(Echo {
+            stamp: Stamp { run, at },
+            since: ms(1_000),
+        });
+        let told = lists.dated(now + ms(6_000), other, read(3, ms(40), false));
+        assert_eq!(
+            told.expect("told").age,
+            ms(40),
+            "another run's time says nothing"
+        );
+    }
+}
+
 /// Reads that cross change nothing; one of the same content makes it fresh, also
 /// without the content.
 #[test]
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -12,7 +12,7 @@
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::client::CallError;
-use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand, Totals};
+use dogwoodhill_wire::demand::{DEMAND_PATH, Echo, Stamp, TellDemand, Totals};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,6 +43,7 @@
 /// Tells and listens, for ever.
 pub async fn run(follower: Arc<Follower>, shared: Arc<Shared>) {
     let mut agreed = false;
+    let mut stamps = Stamps::default();
     loop {
         let spread = rand::rng().random_range(SPREAD);
         let started = shared.lists.known();
@@ -52,7 +53,7 @@
             () = shared.lists.news.notified() => {}
             () = shared.lists.met.notified() => sleep(SOON).await,
         }
-        let answered = ask(&follower, &shared).await;
+        let answered = ask(&follower, &shared, &mut stamps).await;
         if answered.is_ok() != agreed {
             agreed = answered.is_ok();
             let reason = answered.as_ref().err();
@@ -90,16 +91,44 @@
     known.clone()
 }
 
-async fn ask(follower: &Follower, shared: &Shared) -> Result<Totals, Unheard> {
+/// The last stamp of each control instance, and when it came.
+#[derive(Debug, Default)]
+struct Stamps(Vec<(SocketAddr, Stamp, Instant)>);
+
+impl Stamps {
+    /// Most instances that are remembered: more than are ever asked.
+    const MOST: usize = 16;
+
+    fn heard(&mut self, address: SocketAddr, stamp: Stamp) {
+        self.0.retain(|known| known.0 != address);
+        self.0.truncate(Self::MOST - 1);
+        self.0.insert(0, (address, stamp, Instant::now()));
+    }
+
+    fn echo(&self, address: SocketAddr) -> Option<Echo> {
+        let known = self.0.iter().find(|known| known.0 == address);
+        known.map(|(_, stamp, at)| Echo {
+            stamp: *stamp,
+            since: at.elapsed(),
+        })
+    }
+}
+
+async fn ask(
+    follower: &Follower,
+    shared: &Shared,
+    stamps: &mut Stamps,
+) -> Result<Totals, Unheard> {
     let (held, list) = shared.lists.told();
     let (sights, heard) = shared.lists.sights();
-    let tell = TellDemand {
+    let mut tell = TellDemand {
         entry: follower.name.clone(),
         services: shared.directory.demanded(),
         held,
         list,
         sights,
         heard,
+        echo: None,
     };
     let mut told = instances(follower);
     told.sort_unstable();
@@ -110,12 +139,14 @@
     };
     let mut reason = Unheard::Unknown;
     for address in told.into_iter().take(TRIES) {
+        tell.echo = stamps.echo(address);
         let asked = Instant::now();
         let call = follower.caller.call(address, DEMAND_PATH, &tell);
         let answered: Result<Result<Totals, CallError>, _> =
             timeout(patience, call).await;
         reason = match answered {
             Ok(Ok(mut totals)) => {
+                stamps.heard(address, totals.stamp);
                 shared.lists.heard(&shared.directory, asked, &mut totals);
                 return Ok(totals);
             }
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -9,6 +9,26 @@
 /// Path of [`TellDemand`].
 pub const DEMAND_PATH: &str = "/internal/demand";
 
+/// When a control instance answered, by its own clock: the time since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Names the instance's present run; 0 for none.
+    pub run: u64,
+    /// Its time.
+    pub at: Duration,
+}
+
+/// An instance's last stamp, as an entry tells it back. Whatever passed since the stamp and
+/// not at the entry, the two messages were under way: so the instance knows for how long
+/// the second one was at most, without a clock that both share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The stamp.
+    pub stamp: Stamp,
+    /// How long ago the entry got it, when it wrote this.
+    pub since: Duration,
+}
+
 /// Tells what came lately at one entry. Answered with [`Totals`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TellDemand {
@@ -29,6 +49,9 @@
     /// lowest bit of the first byte is the first place.
     #[serde(default, with = "serde_bytes")]
     pub heard: Vec<u8>,
+    /// The last stamp that it got of this instance.
+    #[serde(default)]
+    pub echo: Option<Echo>,
 }
 
 /// What an entry met at one endpoint.
@@ -119,4 +142,7 @@
     /// What entries together see of the endpoints of that read; the others are sound.
     #[serde(default)]
     pub verdicts: Vec<EndpointVerdict>,
+    /// When this was answered.
+    #[serde(default)]
+    pub stamp: Stamp,
 }
