What entries met counts only if it was not told long ago

Change: what was under way for more than half a second, by the echo of the instance's stamp, counts for nothing. Test: sighted_late_counts_for_nothing, failing before.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -23,6 +23,9 @@
 /// How long verdicts are told to all that ask before they are worked out anew: a tenth of
 /// the interval at which an entry asks.
 const FRESH: Duration = Duration::from_millis(50);
+/// Time under way from which what an entry met counts for nothing: the interval at which
+/// entries tell, so that what is missed is told anew as soon as it is met again.
+const LATE: Duration = Duration::from_millis(500);
 /// Bytes of whole lists that are told in a second. A control instance has a
 /// link of 100 Mbit/s; hundreds of entries that start together and were all told at once
 /// would share it, so that none of them has its list before it gives up and asks again.
@@ -168,8 +171,12 @@
         ListNews { reader, newest }
     }
 
-    /// Takes in what an entry met at the endpoints of the list that it has.
+    /// Takes in what an entry met at the endpoints of the list that it has, lately: what was
+    /// told long ago, and lay before an instance that stood still, says nothing of now.
     pub fn sighted(&self, now: Instant, tell: &TellDemand) {
+        if self.under_way(now, tell.echo) > LATE {
+            return;
+        }
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if state.read.is_none() || state.contents.newest().mark != tell.held {
             // Its places are those of another list; it will tell again.
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -257,6 +257,30 @@
     assert_eq!(lists.verdicts(now + ms(400)), []);
 }
 
+/// An instance stood still, and reads what entries told it before: an endpoint that they had
+/// lost then is not silent now.
+#[test]
+fn sighted_late_counts_for_nothing() {
+    let lists = Lists::default();
+    let now = Instant::now() + ms(60_000);
+    let held = named(12);
+    lists.tell(now, "a", held, read(12, ms(40), true));
+    let stamp = lists.stamp(now);
+    let told = |name, since| TellDemand {
+        echo: Some(Echo { stamp, since }),
+        ..met(name, held, lost(9), Vec::new())
+    };
+    for name in ["a", "b"] {
+        lists.sighted(now + ms(4_000), &told(name, ms(500)));
+    }
+    assert_eq!(lists.verdicts(now + ms(4_000)), []);
+    for name in ["a", "b"] {
+        lists.sighted(now + ms(5_000), &told(name, ms(4_800)));
+    }
+    let verdicts = lists.verdicts(now + ms(5_100));
+    assert_eq!(verdicts.len(), 1, "this was under way for a moment");
+}
+
 /// Places of another list mean other endpoints: they count for nothing. Where the list
 /// changes, what was met follows its endpoint to its new place.
 #[test]
