--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -1,7 +1,9 @@
 //! From a request's id to its cause: the lines of several processes about one
 //! request, in order, with what each outcome means.
 //!
-//! A line counts as about the request if its `request` field has the id. Time
+//! A line counts as about the request if its `request` field has the id. Of the processes
+//! that had it, what they learned of its endpoints counts too, and the list that they chose
+//! from: whether an endpoint was known to leave when the request went there. Time
 //! is that of each process's own clock, which may be off by seconds between
 //! instances; lines of one file keep their order.
 
@@ -16,8 +18,19 @@
     text: &'a str,
 }
 
+impl<'a> Line<'a> {
+    fn new(source: &'a str, text: &'a str) -> Self {
+        let time = field(text, "time").and_then(|time| time.parse().ok());
+        Self {
+            source,
+            time: time.unwrap_or(0.0),
+            text,
+        }
+    }
+}
+
 /// What the causes in the lines mean, and what to look at next.
-const CAUSES: [(&str, &str); 18] = [
+const CAUSES: [(&str, &str); 19] = [
     (
         "no-routes",
         "the entry had no route set yet: it had just started, and no control instance had confirmed one; look at control-lost, leadership-changed and routes-in-force",
@@ -63,6 +76,10 @@
         "endpoint-lost",
         "the stream's connection to its endpoint broke, and it could not go on elsewhere",
     ),
+    (
+        "leaving",
+        "the endpoint began to leave while a connection to it was made; it got nothing",
+    ),
     (
         "connection-broke",
         "the endpoint closed or reset the connection after the request went out",
@@ -94,6 +111,10 @@
         );
         return Err(Failure::new(Exit::Failed, text));
     }
+    for (source, text) in logs {
+        let known = beliefs(source, text, &lines);
+        lines.extend(known);
+    }
     lines.sort_by(|a, b| a.time.total_cmp(&b.time));
     let mut out = String::new();
     for line in &lines {
@@ -120,13 +141,37 @@
 ) -> impl Iterator<Item = Line<'a>> {
     let lines = text.lines().map(str::trim);
     let ours = lines.filter(move |line| field(line, "request") == Some(id));
-    ours.map(move |text| Line {
-        source,
-        time: field(text, "time")
-            .and_then(|t| t.parse().ok())
-            .unwrap_or(0.0),
-        text,
-    })
+    ours.map(move |text| Line::new(source, text))
+}
+
+/// What a process that had the request learned of its endpoints, and the list that it had
+/// taken last before.
+fn beliefs<'a>(source: &'a str, text: &'a str, about: &[Line<'a>]) -> Vec<Line<'a>> {
+    let own = about.iter().filter(|line| line.source == source);
+    let Some(first) = own.clone().map(|line| line.time).min_by(f64::total_cmp) else {
+        return Vec::new();
+    };
+    let endpoints: Vec<&str> = own
+        .filter_map(|line| field(line.text, "endpoint"))
+        .filter(|endpoint| *endpoint != "-")
+        .collect();
+    let all = || text.lines().map(|text| Line::new(source, text.trim()));
+    let events = [
+        "endpoint-listed",
+        "endpoint-leaving",
+        "endpoint-gone",
+        "endpoint-replaced",
+    ];
+    let learned = all().filter(|line| {
+        let event =
+            field(line.text, "event").is_some_and(|event| events.contains(&event));
+        let named = field(line.text, "endpoint");
+        event && named.is_some_and(|endpoint| endpoints.contains(&endpoint))
+    });
+    let taken = all().filter(|line| {
+        field(line.text, "event") == Some("list-taken") && line.time <= first
+    });
+    learned.chain(taken.last()).collect()
 }
 
 /// Value of a field without quotes.
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -35,3 +35,26 @@
     let failure = trace("r2", &logs()).expect_err("no line");
     assert!(failure.text.contains("log-lines-dropped"));
 }
+
+/// A request at an endpoint that was leaving: what its entry had read by then, when it
+/// learned that the endpoint leaves, and nothing of other endpoints or entries.
+#[test]
+fn trace_shows_what_was_known_of_the_endpoint() {
+    let entry = "\
+time=1.000 level=info event=list-taken mark=0a before=00 by=others endpoints=3 age_ms=90 took_ms=4
+time=2.000 level=info event=list-taken mark=0b before=0a by=itself endpoints=3 age_ms=30 took_ms=9
+time=5.500 level=info event=request-answered request=r1 endpoint=e1 list_ms=3530 status=200
+time=6.000 level=info event=list-taken mark=0c before=0b by=itself endpoints=3 age_ms=40 took_ms=9
+time=6.000 level=info event=endpoint-leaving endpoint=e1 service=voice
+time=6.000 level=info event=endpoint-leaving endpoint=e2 service=voice
+";
+    let other =
+        "time=2.100 level=info event=endpoint-leaving endpoint=e1 service=voice\n";
+    let logs = [("entry-1", entry), ("entry-2", other)];
+    let logs = logs.map(|(name, text)| (name.to_string(), text.to_string()));
+    let text = trace("r1", &logs).expect("there are lines");
+    let times: Vec<&str> = text.lines().map(|line| &line[..19]).collect();
+    let expected = ["2.000", "5.500", "6.000"].map(|at| format!("entry-1: time={at}"));
+    assert_eq!(times, expected);
+    assert!(text.contains("endpoint-leaving endpoint=e1") && !text.contains("e2"));
+}
