--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -168,10 +168,10 @@
         let named = field(line.text, "endpoint");
         event && named.is_some_and(|endpoint| endpoints.contains(&endpoint))
     });
-    let taken = all().filter(|line| {
+    let mut taken = all().filter(|line| {
         field(line.text, "event") == Some("list-taken") && line.time <= first
     });
-    learned.chain(taken.last()).collect()
+    learned.chain(taken.next_back()).collect()
 }
 
 /// Value of a field without quotes.
