Lists are dated by a clock that goes on while the machine is suspended

Cause: the usual monotonic clock stands still while a machine is suspended. An entry that was suspended took its list for as fresh as before, chose from it, and told it to control as fresh, which put it in place of newer ones; a control instance that was suspended could not see that messages had lain before it. Ruled out: the time of day, which jumps. No test suspends a machine; those of ages pass times in.

--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -17,7 +17,7 @@
 use dogwoodhill_consensus::NodeId;
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_daemon::prelude::Drain;
+use dogwoodhill_daemon::prelude::{Drain, uptime};
 use dogwoodhill_wire::codec::decode;
 use dogwoodhill_wire::control::{
     Acquire, Answered, FINISH_PATH, Finish, LEASE_PATH, TAKE_PATH, Take, Unable,
@@ -254,7 +254,7 @@
 
 async fn demand(State(inside): State<Inside>, bytes: Bytes) -> Response {
     serve(bytes, |tell: TellDemand| async move {
-        let now = Instant::now();
+        let now = uptime();
         let mut tell = tell;
         let list = inside.lists.dated(now, tell.echo, tell.list.take());
         let news = inside.lists.tell(now, &tell.entry, tell.held, list);
@@ -263,8 +263,8 @@
             reader: news.reader,
             list: news.newest,
             verdicts: inside.lists.verdicts(now),
-            stamp: inside.lists.stamp(Instant::now()),
-            ..inside.demand.tell(now, tell)
+            stamp: inside.lists.stamp(uptime()),
+            ..inside.demand.tell(Instant::now(), tell)
         }
     })
     .await
--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -1,6 +1,9 @@
 //! The newest read of the list of endpoints, passed on from the entries that read
 //! it to all others, and what entries met at its endpoints.
 //!
+//! Times are those of a clock that goes on while the machine is suspended
+//! ([`dogwoodhill_daemon::clock`]).
+//!
 //! Nothing here is durable, and nobody waits for it: an entry that hears of no
 //! fresh read reads by itself. Two entries are asked to read for all, those first by
 //! name among the ones that lately could; so a reader that dies, freezes or is cut
@@ -12,7 +15,6 @@
 use dogwoodhill_wire::demand::{Echo, EndpointVerdict, Stamp, TellDemand};
 use dogwoodhill_wire::list::{Contents, ListRead, Listed, Mark};
 use std::sync::{Arc, Mutex, PoisonError};
-use tokio::time::Instant;
 
 /// Entries that are asked to read. One may be lost at any moment.
 const READERS: usize = 2;
@@ -43,9 +45,9 @@
 #[derive(Debug)]
 struct Teller {
     entry: String,
-    told: Instant,
+    told: Duration,
     /// When it asked for the read that it told last.
-    read: Option<Instant>,
+    read: Option<Duration>,
 }
 
 /// Bytes of whole lists that may be told.
@@ -77,13 +79,11 @@
     /// The newest list that was read, and earlier ones.
     contents: Contents,
     /// When it was read, and how long that took.
-    read: Option<(Instant, Duration)>,
+    read: Option<(Duration, Duration)>,
     whole: Allowance,
     sightings: Sightings,
     /// What is told of them, and when it was worked out.
     verdicts: Option<(Duration, Vec<EndpointVerdict>)>,
-    /// From which the times of sightings are measured.
-    start: Option<Instant>,
 }
 
 /// What entries told one instance of the list. Clones share it.
@@ -91,7 +91,6 @@
 pub struct Lists {
     /// Names this run of the instance.
     run: u64,
-    started: Instant,
     state: Arc<Mutex<State>>,
 }
 
@@ -99,7 +98,6 @@
     fn default() -> Self {
         Self {
             run: rand::random::<u64>().max(1),
-            started: Instant::now(),
             state: Arc::default(),
         }
     }
@@ -116,16 +114,16 @@
 
 impl Lists {
     /// The time of an answer.
-    pub fn stamp(&self, now: Instant) -> Stamp {
+    pub fn stamp(&self, now: Duration) -> Stamp {
         Stamp {
             run: self.run,
-            at: now.saturating_duration_since(self.started),
+            at: now,
         }
     }
 
     /// How long a message was under way at most that has this echo and arrived at `now`.
     /// Without an echo of this run nothing is known, and nothing is assumed.
-    fn under_way(&self, now: Instant, echo: Option<Echo>) -> Duration {
+    fn under_way(&self, now: Duration, echo: Option<Echo>) -> Duration {
         let own = echo.filter(|echo| echo.stamp.run == self.run);
         let passed = own.map(|echo| {
             let since = self.stamp(now).at.saturating_sub(echo.stamp.at);
@@ -139,7 +137,7 @@
     /// otherwise as when it was written, and put an old list in place of a newer one.
     pub fn dated(
         &self,
-        now: Instant,
+        now: Duration,
         echo: Option<Echo>,
         list: Option<ListRead>,
     ) -> Option<ListRead> {
@@ -154,13 +152,13 @@
     /// it has.
     pub fn tell(
         &self,
-        now: Instant,
+        now: Duration,
         entry: &str,
         held: Mark,
         list: Option<ListRead>,
     ) -> ListNews {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.tellers.retain(|t| now.duration_since(t.told) < KEPT);
+        state.tellers.retain(|t| now.saturating_sub(t.told) < KEPT);
         let read = list.as_ref().and_then(|list| now.checked_sub(list.age));
         state.note(now, entry, read);
         if let (Some(list), Some(read)) = (list, read) {
@@ -173,7 +171,7 @@
 
     /// Takes in what an entry met at the endpoints of the list that it has, lately: what was
     /// told long ago, and lay before an instance that stood still, says nothing of now.
-    pub fn sighted(&self, now: Instant, tell: &TellDemand) {
+    pub fn sighted(&self, now: Duration, tell: &TellDemand) {
         if self.under_way(now, tell.echo) > LATE {
             return;
         }
@@ -182,7 +180,6 @@
             // Its places are those of another list; it will tell again.
             return;
         }
-        let now = state.since_start(now);
         let met = tell.sights.iter().map(|met| {
             let sight = Sight {
                 replaced: met.replaced,
@@ -203,9 +200,8 @@
     }
 
     /// What entries together see of the endpoints of the newest read.
-    pub fn verdicts(&self, now: Instant) -> Vec<EndpointVerdict> {
+    pub fn verdicts(&self, now: Duration) -> Vec<EndpointVerdict> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = state.since_start(now);
         if let Some((at, told)) = &state.verdicts
             && now.saturating_sub(*at) < FRESH
         {
@@ -258,20 +254,14 @@
 impl State {
     /// The newest read for an entry that has the list of `held`; `None` also where it has to
     /// wait for its turn.
-    fn newest(&mut self, now: Instant, held: Mark) -> Option<ListRead> {
+    fn newest(&mut self, now: Duration, held: Mark) -> Option<ListRead> {
         let (read, took) = self.read?;
-        let news = self.contents.told(held, now.duration_since(read), took);
-        let since = self.since_start(now);
+        let news = self.contents.told(held, now.saturating_sub(read), took);
         let bytes = news.whole.as_ref().map_or(0, |whole| whole.size());
-        (bytes == 0 || self.whole.take(since, bytes)).then_some(news)
-    }
-
-    fn since_start(&mut self, now: Instant) -> Duration {
-        let start = *self.start.get_or_insert(now);
-        now.saturating_duration_since(start)
+        (bytes == 0 || self.whole.take(now, bytes)).then_some(news)
     }
 
-    fn note(&mut self, now: Instant, entry: &str, read: Option<Instant>) {
+    fn note(&mut self, now: Duration, entry: &str, read: Option<Duration>) {
         match self
             .tellers
             .binary_search_by(|teller| teller.entry.as_str().cmp(entry))
@@ -296,7 +286,7 @@
 
     /// Takes a read that is newer than the one held. One without content counts
     /// where the content is the one held.
-    fn take(&mut self, list: &ListRead, read: Instant, entry: &str) {
+    fn take(&mut self, list: &ListRead, read: Duration, entry: &str) {
         if self.read.is_some_and(|(held, _)| held >= read) {
             return;
         }
@@ -333,9 +323,9 @@
     }
 
     /// Whether `entry` is among those that read.
-    fn reads(&self, now: Instant, entry: &str) -> bool {
+    fn reads(&self, now: Duration, entry: &str) -> bool {
         let can = |teller: &&Teller| {
-            let read = teller.read.map(|read| now.duration_since(read));
+            let read = teller.read.map(|read| now.saturating_sub(read));
             read.is_some_and(|age| age < READS)
         };
         let able = self.tellers.iter().filter(can);
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -11,7 +11,6 @@
 };
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -49,7 +48,7 @@
 #[test]
 fn tell_newest_read_passed_on() {
     let lists = Lists::default();
-    let now = Instant::now() + ms(60_000);
+    let now = ms(60_000);
     let held = named(3);
     lists.tell(now, "a", held, read(3, ms(40), true));
     let news = lists.tell(now + ms(500), "b", 0, None).newest.expect("one");
@@ -69,7 +68,7 @@
 #[test]
 fn dated_with_the_time_under_way() {
     let lists = Lists::default();
-    let now = Instant::now() + ms(60_000);
+    let now = ms(60_000);
     let stamp = lists.stamp(now);
     let echo = |since| Some(Echo { stamp, since });
     let late = lists.dated(now + ms(6_000), echo(ms(1_000)), read(3, ms(40), true));
@@ -96,7 +95,7 @@
 #[test]
 fn tell_older_read_changes_nothing() {
     let lists = Lists::default();
-    let now = Instant::now() + ms(60_000);
+    let now = ms(60_000);
     let held = named(3);
     lists.tell(now, "a", held, read(3, ms(40), true));
     let news = lists.tell(now, "b", named(9), read(9, ms(300), true));
@@ -116,7 +115,7 @@
 #[test]
 fn tell_readers_replaced() {
     let lists = Lists::default();
-    let start = Instant::now() + ms(60_000);
+    let start = ms(60_000);
     let mut count = 0;
     let mut told = |lists: &Lists, at: u64, entry: &str, reads: bool| {
         count += 1;
@@ -161,7 +160,7 @@
 #[test]
 fn tell_minute_of_33_entries() {
     let lists = Lists::default();
-    let start = Instant::now() + ms(60_000);
+    let start = ms(60_000);
     let interval = ms(1_000);
     let mut entries = [Entry::default(); 33];
     let mut counts = [0u32; 60];
@@ -241,7 +240,7 @@
 #[test]
 fn sighted_lost_by_two_told_to_all() {
     let lists = Lists::default();
-    let now = Instant::now() + ms(60_000);
+    let now = ms(60_000);
     let held = named(12);
     lists.tell(now, "a", held, read(12, ms(40), true));
     lists.sighted(now, &met("a", held, lost(9), Vec::new()));
@@ -262,7 +261,7 @@
 #[test]
 fn sighted_late_counts_for_nothing() {
     let lists = Lists::default();
-    let now = Instant::now() + ms(60_000);
+    let now = ms(60_000);
     let held = named(12);
     lists.tell(now, "a", held, read(12, ms(40), true));
     let stamp = lists.stamp(now);
@@ -286,7 +285,7 @@
 #[test]
 fn sighted_places_are_those_of_one_list() {
     let lists = Lists::default();
-    let now = Instant::now() + ms(60_000);
+    let now = ms(60_000);
     let held = named(3);
     lists.tell(now, "a", held, read(3, ms(40), true));
     for entry in ["a", "b"] {
@@ -333,7 +332,7 @@
 #[test]
 fn tell_hundreds_that_start_in_turn() {
     let lists = Lists::default();
-    let start = Instant::now() + ms(60_000);
+    let start = ms(60_000);
     lists.tell(start, "reader", named(3_000), read(3_000, ms(0), true));
     let mut waiting: Vec<usize> = (0..450).collect();
     let mut intervals = 0;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! nothing here is global: each daemon has its own [`drain::Drain`] and
 //! [`metrics::Metrics`].
 
+pub mod clock;
 pub mod drain;
 pub mod health;
 pub mod listen;
@@ -18,6 +19,7 @@
 
 /// The names most modules need, for one import line.
 pub mod prelude {
+    pub use crate::clock::uptime;
     pub use crate::drain::{Busy, Drain};
     pub use crate::listen::{ListenError, Listener};
     pub use crate::metrics::Metrics;
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -11,12 +11,12 @@
 use crate::request::Shared;
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_wire::client::CallError;
 use dogwoodhill_wire::demand::{DEMAND_PATH, Echo, Stamp, TellDemand, Totals};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 use tokio::time::{sleep, timeout};
 
 /// Interval at which an entry tells. A burst is known everywhere within two of
@@ -93,7 +93,7 @@
 
 /// The last stamp of each control instance, and when it came.
 #[derive(Debug, Default)]
-struct Stamps(Vec<(SocketAddr, Stamp, Instant)>);
+struct Stamps(Vec<(SocketAddr, Stamp, Duration)>);
 
 impl Stamps {
     /// Most instances that are remembered: more than are ever asked.
@@ -102,14 +102,14 @@
     fn heard(&mut self, address: SocketAddr, stamp: Stamp) {
         self.0.retain(|known| known.0 != address);
         self.0.truncate(Self::MOST - 1);
-        self.0.insert(0, (address, stamp, Instant::now()));
+        self.0.insert(0, (address, stamp, uptime()));
     }
 
     fn echo(&self, address: SocketAddr) -> Option<Echo> {
         let known = self.0.iter().find(|known| known.0 == address);
         known.map(|(_, stamp, at)| Echo {
             stamp: *stamp,
-            since: at.elapsed(),
+            since: uptime().saturating_sub(*at),
         })
     }
 }
@@ -140,7 +140,7 @@
     let mut reason = Unheard::Unknown;
     for address in told.into_iter().take(TRIES) {
         tell.echo = stamps.echo(address);
-        let asked = Instant::now();
+        let asked = uptime();
         let call = follower.caller.call(address, DEMAND_PATH, &tell);
         let answered: Result<Result<Totals, CallError>, _> =
             timeout(patience, call).await;
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{EndpointList, Fetch, Flaw, ListContent, ListError};
 use crate::request::Shared;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::reads::{Doubt, pause};
 use rand::RngExt;
 use std::sync::Arc;
@@ -59,7 +60,7 @@
             reader = !reader;
             Event::new("list-reader").field("reader", reader).info();
         }
-        let asked = Instant::now();
+        let asked = uptime();
         let listed = fetch(list.as_ref()).await.and_then(|content| {
             flaws.note(&shared, &content);
             let before = shared.directory.all().len();
@@ -82,7 +83,7 @@
                 }
                 failures = 0;
                 shared.stats.list_reads.with_label_values(&["used"]).inc();
-                let took = asked.elapsed();
+                let took = uptime().saturating_sub(asked);
                 shared.lists.read(&shared.directory, asked, took, listed);
                 note(&shared);
                 continue;
--- a/crates/direct/src/lists.rs
+++ b/crates/direct/src/lists.rs
@@ -4,6 +4,7 @@
 use crate::dialect::Listed;
 use crate::directory::{Directory, Endpoint};
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::reads::{CONNECT_TIMEOUT, Doubt, LEAVING_WITHIN, Reads, STALE};
 use dogwoodhill_policy::sightings::Verdict;
 use dogwoodhill_wire::demand::{EndpointSight, EndpointVerdict, Totals};
@@ -11,7 +12,6 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 use tokio::sync::Notify;
 
 /// Longest wait of requests for a list after the one in use was found to be too old to
@@ -22,11 +22,11 @@
 /// The reads an entry knows of.
 #[derive(Debug)]
 pub struct Lists {
-    /// From which the times of reads are measured: [`STALE`] before the entry's start.
-    base: Instant,
+    /// When the entry started, by a clock that goes on while the machine is suspended.
+    start: Duration,
     state: Mutex<State>,
-    /// When the read in use was asked for, in microseconds since `base`; 0 without one.
-    /// Requests look at it without waiting for a list that is being put in use.
+    /// When the read in use was asked for, as reads are measured, in microseconds; 0
+    /// without one. Requests look at it without waiting for a list that is being put in use.
     newest: AtomicU64,
     /// How long endpoints that leave may still be sent requests.
     within: Duration,
@@ -62,7 +62,7 @@
 /// An own read.
 #[derive(Debug)]
 struct Own {
-    asked: Instant,
+    asked: Duration,
     took: Duration,
     mark: Mark,
 }
@@ -81,9 +81,7 @@
             ..State::default()
         };
         Self {
-            base: Instant::now()
-                .checked_sub(STALE)
-                .unwrap_or_else(Instant::now),
+            start: uptime(),
             state: Mutex::new(state),
             newest: AtomicU64::new(0),
             within,
@@ -110,15 +108,21 @@
     pub fn read(
         &self,
         directory: &Directory,
-        asked: Instant,
+        asked: Duration,
         took: Duration,
         endpoints: Vec<Listed>,
     ) {
         let mut state = self.state();
         let content = Content::new(endpoints);
         let mark = content.mark;
-        if state.reads.take(asked.duration_since(self.base), took) {
-            log_taken(&state, &content, "itself", asked.elapsed(), took);
+        if state.reads.take(self.at(asked), took) {
+            log_taken(
+                &state,
+                &content,
+                "itself",
+                uptime().saturating_sub(asked),
+                took,
+            );
             state.put(directory, content);
         }
         state.own = Some(Own { asked, took, mark });
@@ -128,20 +132,20 @@
     }
 
     /// Control answered a question that was sent at `asked`.
-    pub fn heard(&self, directory: &Directory, asked: Instant, totals: &mut Totals) {
+    pub fn heard(&self, directory: &Directory, asked: Duration, totals: &mut Totals) {
         let mut state = self.state();
         if totals.reader && !state.reads.reader() {
             self.appointed.notify_one();
         }
         state.reads.appoint(totals.reader);
         let Some(list) = totals.list.take() else {
-            let now = self.base.elapsed();
+            let now = self.now();
             state.control = None;
             state.reads.awaited(now);
             return;
         };
         state.control = Some(list.mark);
-        let read = asked.duration_since(self.base).checked_sub(list.age);
+        let read = self.at(asked).checked_sub(list.age);
         // One that was stale when this entry started is of no use to it.
         let Some(read) = read else { return };
         if state.contents.newest().mark == list.mark {
@@ -159,7 +163,7 @@
             return;
         };
         let before = state.contents.newest().endpoints.len();
-        let now = self.base.elapsed();
+        let now = self.now();
         let after = content.endpoints.len();
         if state.doubt.believes(now, before, after) && state.reads.take(read, list.took) {
             log_taken(
@@ -215,7 +219,7 @@
         } = &mut *state;
         let mark = contents.newest().mark;
         let read = own.as_ref().map(|own| {
-            let age = own.asked.elapsed();
+            let age = uptime().saturating_sub(own.asked);
             // A read that is not the one in use has no news: another one was later.
             let known = if own.mark == mark {
                 control.unwrap_or_default()
@@ -232,7 +236,7 @@
 
     /// How long until this entry reads by itself, if nothing is heard until then.
     pub fn due(&self, interval: Duration, spread: f64) -> Duration {
-        let now = self.base.elapsed();
+        let now = self.now();
         self.state().reads.due(now, interval, spread)
     }
 
@@ -240,10 +244,7 @@
     /// far as this entry can tell. `None` without one.
     pub fn age(&self) -> Option<Duration> {
         let newest = self.newest.load(Ordering::Relaxed);
-        let age = self
-            .base
-            .elapsed()
-            .saturating_sub(Duration::from_micros(newest));
+        let age = self.now().saturating_sub(Duration::from_micros(newest));
         (newest > 0).then_some(age)
     }
 
@@ -289,6 +290,15 @@
         self.state().reads.reader()
     }
 
+    /// A time as reads are measured: from [`STALE`] before the entry's start.
+    fn at(&self, uptime: Duration) -> Duration {
+        (uptime + STALE).saturating_sub(self.start)
+    }
+
+    fn now(&self) -> Duration {
+        self.at(uptime())
+    }
+
     /// Tells requests which read is in use.
     fn publish(&self, state: &State) {
         let newest = state.reads.newest().unwrap_or_default();
--- a/crates/direct/tests/all/ages.rs
+++ b/crates/direct/tests/all/ages.rs
@@ -3,6 +3,7 @@
 
 use crate::dialect::Plain;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_direct::dialect::{
     EndpointList, Fetch, ListContent, Listed, PageToken, Prompt, Tell,
 };
@@ -15,7 +16,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::task::yield_now;
@@ -46,7 +46,7 @@
 async fn overdue_list_waits_for_the_next() {
     let directory = Arc::new(Directory::new("here".to_string()));
     let lists = Arc::new(Lists::new(WITHIN));
-    let before = Instant::now() - WITHIN;
+    let before = uptime() - WITHIN;
     lists.read(
         &directory,
         before,
@@ -66,7 +66,7 @@
     assert!(!chooses.is_finished(), "it waits");
     lists.read(
         &directory,
-        Instant::now(),
+        uptime(),
         Duration::ZERO,
         vec![listed(nobody(), true)],
     );
@@ -81,7 +81,7 @@
 async fn overdue_list_delays_callers_once() {
     let directory = Directory::new("here".to_string());
     let lists = Lists::new(WITHIN);
-    let before = Instant::now() - WITHIN;
+    let before = uptime() - WITHIN;
     lists.read(
         &directory,
         before,
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -13,7 +13,6 @@
 use dogwoodhill_route::set::JsonFormat;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -167,7 +166,7 @@
         let lists = &self.shared.lists;
         lists.read(
             &self.shared.directory,
-            Instant::now(),
+            uptime(),
             Duration::ZERO,
             listed(endpoints),
         );
--- a/crates/direct/tests/all/lists.rs
+++ b/crates/direct/tests/all/lists.rs
@@ -1,6 +1,7 @@
 //! Which read of the list an entry goes by, without sockets.
 
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_direct::dialect::{Listed, Prompt};
 use dogwoodhill_direct::directory::{Directory, Lane, Standing, Want};
 use dogwoodhill_direct::lists::Lists;
@@ -9,7 +10,6 @@
 use dogwoodhill_wire::list::{Content, ListChanges, ListRead, Mark, PackedList};
 use proptest::prelude::*;
 use std::sync::Arc;
-use std::time::Instant;
 
 fn listed(id: usize, leaving: bool) -> Listed {
     Listed {
@@ -47,19 +47,14 @@
 #[test]
 fn told_content_once() {
     let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
-    lists.read(
-        &directory,
-        Instant::now(),
-        Duration::ZERO,
-        vec![listed(1, false)],
-    );
+    lists.read(&directory, uptime(), Duration::ZERO, vec![listed(1, false)]);
     let (held, told) = lists.told();
     let told = told.expect("it read");
     assert_eq!(told.mark, held);
     let whole = told.whole.expect("control has nothing").read();
     assert_eq!(whole.expect("it is whole").len(), 1);
     let mut totals = news(held, Duration::ZERO, None);
-    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, uptime(), &mut totals);
     let (_, told) = lists.told();
     assert_eq!(told.expect("it read").whole, None);
 }
@@ -69,22 +64,17 @@
 #[test]
 fn heard_newer_read_replaces() {
     let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
-    lists.read(
-        &directory,
-        Instant::now(),
-        Duration::ZERO,
-        vec![listed(1, false)],
-    );
+    lists.read(&directory, uptime(), Duration::ZERO, vec![listed(1, false)]);
     let older = Duration::from_secs(3_600);
     let both = vec![listed(1, false), listed(2, false)];
     let mut totals = news(5, older, Some(both.clone()));
-    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, uptime(), &mut totals);
     assert_eq!(usable(&directory), ["i-1"]);
     let mut totals = news(5, Duration::ZERO, Some(both));
-    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, uptime(), &mut totals);
     assert_eq!(usable(&directory), ["i-1", "i-2"]);
     let mut totals = news(6, Duration::ZERO, None);
-    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, uptime(), &mut totals);
     assert_eq!(usable(&directory), ["i-1", "i-2"], "no content, no change");
 }
 
@@ -110,11 +100,11 @@
         }
     };
     let mut totals = news(0, Duration::ZERO, Some(Vec::clone(&first.endpoints)));
-    lists.heard(&directory, Instant::now(), &mut totals);
-    lists.heard(&directory, Instant::now(), &mut changes(first.mark + 1));
+    lists.heard(&directory, uptime(), &mut totals);
+    lists.heard(&directory, uptime(), &mut changes(first.mark + 1));
     assert_eq!(usable(&directory), ["i-1", "i-2", "i-3", "i-4"]);
     assert_eq!(lists.told().0, 0, "it asks for the whole");
-    lists.heard(&directory, Instant::now(), &mut changes(first.mark));
+    lists.heard(&directory, uptime(), &mut changes(first.mark));
     assert_eq!(usable(&directory), ["i-1", "i-4", "i-5"]);
     assert_eq!(lists.told().0, second.mark);
 }
@@ -125,13 +115,13 @@
 fn heard_list_cut_short_changes_nothing() {
     let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
     let list: Vec<Listed> = (1..=8).map(|id| listed(id, false)).collect();
-    lists.read(&directory, Instant::now(), Duration::ZERO, list.clone());
+    lists.read(&directory, uptime(), Duration::ZERO, list.clone());
     let mut spoiled = news(0, Duration::ZERO, Some(list[..7].to_vec()));
     spoiled.list.as_mut().expect("told").mark += 1;
-    lists.heard(&directory, Instant::now(), &mut spoiled);
+    lists.heard(&directory, uptime(), &mut spoiled);
     for few in [0, 1, 3] {
         let mut totals = news(0, Duration::ZERO, Some(list[..few].to_vec()));
-        lists.heard(&directory, Instant::now(), &mut totals);
+        lists.heard(&directory, uptime(), &mut totals);
         assert_eq!(usable(&directory).len(), 8, "{few}");
     }
 }
@@ -271,7 +261,7 @@
         let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
         let list = Some(vec![listed(1, false)]);
         let mut totals = news(5, Duration::from_millis(age), list);
-        lists.heard(&directory, Instant::now(), &mut totals);
+        lists.heard(&directory, uptime(), &mut totals);
         assert_eq!(usable(&directory), expected, "{age}");
         assert_eq!(lists.known(), !expected.is_empty());
     }
@@ -283,7 +273,7 @@
 fn told_verdicts_go_by_place() {
     let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
     let list = vec![listed(3, false), listed(1, false), listed(2, false)];
-    lists.read(&directory, Instant::now(), Duration::ZERO, list);
+    lists.read(&directory, uptime(), Duration::ZERO, list);
     let (held, _) = lists.told();
     let verdict = |place, verdict| EndpointVerdict { place, verdict };
     let mut totals = news(held, Duration::ZERO, None);
@@ -292,7 +282,7 @@
         verdict(1, VerdictWord::Silent),
         verdict(7, VerdictWord::Silent),
     ];
-    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, uptime(), &mut totals);
     assert_eq!(
         usable(&directory),
         ["i-2", "i-3"],
@@ -302,7 +292,7 @@
     let trust: Vec<Trust> = all.iter().map(|endpoint| endpoint.trust()).collect();
     assert_eq!(trust[1..], [Trust::Silent, Trust::Sound]);
     let mut totals = news(held, Duration::ZERO, None);
-    lists.heard(&directory, Instant::now(), &mut totals);
+    lists.heard(&directory, uptime(), &mut totals);
     assert_eq!(all[1].trust(), Trust::Sound, "nothing is told any more");
     assert_eq!(usable(&directory), ["i-2", "i-3"], "replaced for good");
 }
@@ -313,7 +303,7 @@
 fn sights_told_by_place() {
     let (lists, directory) = (Lists::default(), Directory::new("here".to_string()));
     let list = (1..=9).map(|id| listed(id, false)).collect();
-    lists.read(&directory, Instant::now(), Duration::ZERO, list);
+    lists.read(&directory, uptime(), Duration::ZERO, list);
     let all = directory.all();
     all[8].heard();
     all[2].unreached();
