--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -29,7 +29,7 @@
     pub missed_pieces: IntCounterVec,
     /// What the entry believes.
     pub beliefs: IntGaugeVec,
-    /// Age of the list in use when an endpoint was chosen.
+    /// Age of the list in use at each choice of an endpoint.
     list_age: Histogram,
 }
 
@@ -78,7 +78,7 @@
             ),
             list_age: metrics.seconds(
                 "dogwoodhill_direct_list_age_seconds",
-                "Age of the list of endpoints in use when an endpoint was chosen",
+                "Age of the list of endpoints in use at each choice of one",
             ),
         }
     }
