The echo counts from the question, so that the usual time on the way adds nothing

Cause: counted from its answer, each exchange added the answer's time on the way to the age of a read, some 0.1 s where an instance has a tenth of a core, which brings ages close to the one at which entries read by themselves. Change: what is counted as under way is now the least it can have been.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    /// How long a message was under way at most that has this echo and arrived at `now`.
+    /// How long a message was under way at least that has this echo and arrived at `now`.
     /// Without an echo of this run nothing is known, and nothing is assumed.
     fn under_way(&self, now: Duration, echo: Option<Echo>) -> Duration {
         let own = echo.filter(|echo| echo.stamp.run == self.run);
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -91,7 +91,7 @@
     known.clone()
 }
 
-/// The last stamp of each control instance, and when it came.
+/// The last stamp of each control instance, and when it was asked for.
 #[derive(Debug, Default)]
 struct Stamps(Vec<(SocketAddr, Stamp, Duration)>);
 
@@ -99,17 +99,17 @@
     /// Most instances that are remembered: more than are ever asked.
     const MOST: usize = 16;
 
-    fn heard(&mut self, address: SocketAddr, stamp: Stamp) {
+    fn heard(&mut self, address: SocketAddr, stamp: Stamp, asked: Duration) {
         self.0.retain(|known| known.0 != address);
         self.0.truncate(Self::MOST - 1);
-        self.0.insert(0, (address, stamp, uptime()));
+        self.0.insert(0, (address, stamp, asked));
     }
 
     fn echo(&self, address: SocketAddr) -> Option<Echo> {
         let known = self.0.iter().find(|known| known.0 == address);
-        known.map(|(_, stamp, at)| Echo {
+        known.map(|(_, stamp, asked)| Echo {
             stamp: *stamp,
-            since: uptime().saturating_sub(*at),
+            since: uptime().saturating_sub(*asked),
         })
     }
 }
@@ -146,7 +146,7 @@
             timeout(patience, call).await;
         reason = match answered {
             Ok(Ok(mut totals)) => {
-                stamps.heard(address, totals.stamp);
+                stamps.heard(address, totals.stamp, asked);
                 shared.lists.heard(&shared.directory, asked, &mut totals);
                 return Ok(totals);
             }
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -18,14 +18,16 @@
     pub at: Duration,
 }
 
-/// An instance's last stamp, as an entry tells it back. Whatever passed since the stamp and
-/// not at the entry, the two messages were under way: so the instance knows for how long
-/// the second one was at most, without a clock that both share.
+/// An instance's last stamp, as an entry tells it back. What passed since the stamp beyond
+/// what the entry says, its message was under way at least: so the instance knows of one
+/// that lay for long, without a clock that both share. Counted from the question and not
+/// from its answer, so that the usual time on the way adds nothing: ages that are told too
+/// large make entries read the list by themselves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
     /// The stamp.
     pub stamp: Stamp,
-    /// How long ago the entry got it, when it wrote this.
+    /// How long ago the entry had asked for it, when it wrote this.
     pub since: Duration,
 }
 
