Entries that hear nothing spread their reads whatever a read takes

Cause: the age at which entries read by themselves was cut at the bound, and at the usual age of news; where a read takes 0.6 s or more, all of them read at that very age, hundreds at once at a list that is slow already. Change: reads are spread over the time before the bound, at least 0.1 s; where the bound leaves no time, entries are as patient as before there was one.

--- a/crates/policy/src/reads.rs
+++ b/crates/policy/src/reads.rs
@@ -28,7 +28,7 @@
 //!
 //! Invariant: only a read that was asked for later than the one in use replaces
 //! it. Reads of others are dated by their age when the question for them was
-//! sent, so they never look newer than they are.
+//! sent, so they never look newer than they are by more than a message to control takes.
 
 use std::time::Duration;
 
@@ -51,6 +51,9 @@
 /// nothing do not read at the same moment.
 const SPREAD: f64 = 0.25;
 
+/// Least time over which entries that hear nothing spread their reads.
+pub const LEAST_SPREAD: Duration = Duration::from_millis(100);
+
 /// Longest time from a reader's read to when another entry has heard of it, beside the
 /// read itself: the interval at which an entry asks.
 const TELLING: Duration = Duration::from_millis(600);
@@ -68,18 +71,26 @@
 }
 
 /// Age of a read at which an entry that is no reader reads by itself, where one takes
-/// `took` and endpoints that leave may be sent requests for `within`. Never before the
+/// `took` and endpoints that leave may be sent requests for `within`; `spread`, of 0 to 1,
+/// keeps entries that all hear nothing from reading at the same moment. Never before the
 /// usual age: entries that read while all is well keep each other's calls from being
-/// answered.
+/// answered. Where that leaves no time for the read and a connection, entries are as
+/// patient as without a bound, since hundreds that hurry would be late together.
 pub fn alone_after(
     within: Duration,
     interval: Duration,
     took: Duration,
     spread: f64,
 ) -> Duration {
-    let patient = (STALE.max(interval) + took).mul_f64(1.0 + SPREAD * spread);
+    let stale = STALE.max(interval) + took;
+    let patient = stale.mul_f64(1.0 + SPREAD);
+    let usual = usual_age(interval, took);
     let last = within.saturating_sub(CONNECT_TIMEOUT + took);
-    patient.min(last.max(usual_age(interval, took)))
+    if patient <= last || usual + LEAST_SPREAD > last {
+        return stale.mul_f64(1.0 + SPREAD * spread);
+    }
+    let first = usual.max(last.saturating_sub(stale.mul_f64(SPREAD)));
+    first + (last - first).mul_f64(spread)
 }
 
 /// How long a list stays in doubt that names far fewer endpoints than the one in
