A control instance that stood still asks no hundred entries to read the list

Cause: an instance counts an entry for 2 s after its last word. By a clock that goes on while a machine is suspended, all are forgotten when it wakes, and each that tells is first by name until two before it do: a hundred readers of a hundred, each for one exchange. It was the same before for one that was stopped or cut off. Change: where nobody was heard for so long that all would be forgotten, none is. Test: tell_after_standing_still_same_readers, 100 readers before, 2 after.

--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -76,6 +76,8 @@
 struct State {
     /// Sorted by entry.
     tellers: Vec<Teller>,
+    /// When any entry told last.
+    told: Duration,
     /// The newest list that was read, and earlier ones.
     contents: Contents,
     /// When it was read, and how long that took.
@@ -158,7 +160,7 @@
         list: Option<ListRead>,
     ) -> ListNews {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.tellers.retain(|t| now.saturating_sub(t.told) < KEPT);
+        state.forget_tellers(now);
         let read = list.as_ref().and_then(|list| now.checked_sub(list.age));
         state.note(now, entry, read);
         if let (Some(list), Some(read)) = (list, read) {
@@ -261,6 +263,19 @@
         (bytes == 0 || self.whole.take(now, bytes)).then_some(news)
     }
 
+    /// Forgets entries that tell nothing more. Where nobody at all was heard for so long that
+    /// all would be forgotten, it is this instance that stood still or was cut off; with all
+    /// forgotten, each entry that tells would be asked to read until two before it by name
+    /// do.
+    fn forget_tellers(&mut self, now: Duration) {
+        let silent = now.saturating_sub(self.told);
+        if silent >= KEPT {
+            self.tellers.iter_mut().for_each(|t| t.told += silent);
+        }
+        self.tellers.retain(|t| now.saturating_sub(t.told) < KEPT);
+        self.told = now;
+    }
+
     fn note(&mut self, now: Duration, entry: &str, read: Option<Duration>) {
         match self
             .tellers
--- a/crates/control/tests/lists.rs
+++ b/crates/control/tests/lists.rs
@@ -62,6 +62,24 @@
     assert_eq!((news.age, news.whole), (ms(940), None));
 }
 
+/// An instance that stood still has not heard of any entry for long, and not because they are
+/// gone: the readers stay, and no other is asked to read as the others tell one by one.
+#[test]
+fn tell_after_standing_still_same_readers() {
+    let lists = Lists::default();
+    let now = ms(60_000);
+    let names: Vec<String> = (0..100).map(|at| format!("entry-{at:02}")).collect();
+    for name in &names {
+        lists.tell(now, name, 0, None);
+    }
+    let woken = now + ms(6_000);
+    let told = names
+        .iter()
+        .rev()
+        .map(|name| lists.tell(woken, name, 0, None));
+    assert_eq!(told.filter(|news| news.reader).count(), 2);
+}
+
 /// An instance stands still for five seconds while an entry's word lies before it. What the
 /// entry read is dated as it was read, so a list that came in meanwhile stays; without the
 /// echo it would have looked as fresh as when it was written.
