Request lines tell which attempts are of the same request

An attempt has an id of its own, and the next one comes to another entry, so that the incident's logs can't say under which request endpoints ended. Lines about a request now have the beginning of a keyed digest of workspace, method, host, target and body. It is made once for each request; bodies stay out of the logs.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod document;
 pub mod event;
 pub mod fault;
+pub mod fingerprint;
 pub mod ids;
 pub mod incarnation;
 pub mod keys;
@@ -29,6 +30,7 @@
     };
     pub use crate::event::Event;
     pub use crate::fault::{Fault, Faults};
+    pub use crate::fingerprint::Fingerprint;
     pub use crate::ids::*;
     pub use crate::incarnation::{Born, Incarnation};
     pub use crate::outcome::Outcome;
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -15,6 +15,7 @@
 use axum::Router;
 use axum::routing::get;
 use derive_more::{Display, Error};
+use dogwoodhill_core::fingerprint::Fingerprinter;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
@@ -97,6 +98,7 @@
             lists: Lists::new(settings.leaving_within),
             callers: dialects.callers,
             endpoints: dialects.endpoints,
+            fingerprints: Fingerprinter::new(&settings.secret),
             stats: Stats::new(&metrics),
             drain,
             stopping: OnceLock::new(),
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -14,6 +14,7 @@
 use crate::stats::Record;
 use crate::stream::{CHECK, PARTS, Pauses, Piece, Relay, Source};
 use bytes::Bytes;
+use dogwoodhill_core::fingerprint::shown;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_route::prelude::*;
@@ -42,6 +43,8 @@
     pub(crate) outbound: Outbound,
     pub(crate) ask: Ask,
     pub(crate) admitted: Admitted,
+    /// Tells it from all requests that ask for something else.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// A request on its way to endpoints.
@@ -56,6 +59,7 @@
     ask: Ask,
     admitted: Admitted,
     outbound: Outbound,
+    fingerprint: Fingerprint,
     service: ServiceId,
     mixed: bool,
     lane: Lane,
@@ -90,6 +94,7 @@
             outbound,
             ask,
             admitted,
+            fingerprint,
         } = prepared;
         let service = pick(&admitted.route);
         record.route.clone_from(&admitted.route.name);
@@ -98,6 +103,7 @@
         record.prompt = ask.prompt.tokens;
         record.output = ask.prompt.output;
         record.version = table.version();
+        record.content = shown(fingerprint);
         shared.earn(&service);
         let (shortest, longest) = table.pauses(&service).unwrap_or_default();
         let mixed = shared.directory.apart(&service, shortest, longest);
@@ -113,6 +119,7 @@
             ask,
             admitted,
             outbound,
+            fingerprint,
             service,
             standing: Standing::default(),
             tried: Vec::new(),
@@ -239,6 +246,7 @@
     pub fn left_behind(&mut self, endpoint: &Endpoint, reason: impl Display) {
         Event::new("endpoint-left")
             .field("request", &self.ask.id)
+            .field("content", shown(self.fingerprint))
             .field("endpoint", endpoint.run())
             .field("reason", reason)
             .field("sends", self.sends)
@@ -417,6 +425,7 @@
         self.shared.lists.met.notify_one();
         Event::new("send-failed")
             .field("request", &self.ask.id)
+            .field("content", shown(self.fingerprint))
             .field("service", &self.service)
             .field("endpoint", endpoint.run())
             .field("result", result)
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -13,6 +13,7 @@
 use crate::stats::{Record, Stats};
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
+use dogwoodhill_core::fingerprint::{Content, Fingerprinter};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::budget::{Allowance, Budget};
@@ -67,6 +68,8 @@
     pub callers: Box<dyn CallerDialect>,
     /// How endpoints speak.
     pub endpoints: Box<dyn EndpointDialect>,
+    /// Tells which requests are the same.
+    pub fingerprints: Fingerprinter,
     /// Metrics.
     pub stats: Stats,
     /// Drain of the entry.
@@ -189,6 +192,13 @@
             .route
             .timeout
             .min(ask.patience.unwrap_or(Duration::MAX));
+        let fingerprint = self.fingerprints.of(&Content {
+            workspace: admitted.workspace.as_ref(),
+            method: parts.method.as_str(),
+            host: &host,
+            target: target.as_str(),
+            body: &body,
+        });
         let mut headers = parts.headers;
         exchange::strip(&mut headers);
         Ok(Prepared {
@@ -202,6 +212,7 @@
             },
             ask,
             admitted,
+            fingerprint,
         })
     }
 
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -95,6 +95,8 @@
     stats: Stats,
     id: RequestId,
     since: Instant,
+    /// Beginning of its fingerprint, once it is known: attempts of one request share it.
+    pub content: String,
     /// Route, once it is known.
     pub route: String,
     /// Service, once it is chosen.
@@ -129,6 +131,7 @@
             stats,
             id,
             since: Instant::now(),
+            content: String::from("-"),
             route: String::from("-"),
             service: String::from("-"),
             tier: 0,
@@ -217,6 +220,7 @@
     fn line(&self, event: &str, status: u16, cause: &str) -> Event {
         Event::new(event)
             .field("request", &self.id)
+            .field("content", &self.content)
             .field("route", &self.route)
             .field("service", &self.service)
             .field("tier", self.tier)
--- a/crates/direct/tests/all/logged.rs
+++ b/crates/direct/tests/all/logged.rs
@@ -222,3 +222,30 @@
     let logs = [("entry".to_string(), lines)];
     trace(id, &logs).expect("lines are about it")
 }
+
+/// Attempts of one request have ids of their own and come to any entry; their lines share
+/// what the request asks, and no line tells it whole.
+#[tokio::test]
+async fn content_same_for_attempts_of_one_request() {
+    begin();
+    let endpoint = StandIn::start(Vec::new()).await;
+    let entries = [
+        Entry::before(&[&endpoint]).await,
+        Entry::before(&[&endpoint]).await,
+    ];
+    let mut told = Vec::new();
+    for (id, entry, body) in [
+        ("log-first", 0, "weather"),
+        ("log-again", 1, "weather"),
+        ("log-other", 1, "insurer"),
+    ] {
+        entries[entry].call_as(id, "POST /once/", "", body).await;
+        let lines = about_with(id, "request-answered").await;
+        let mut fields = lines[0].split(' ');
+        let content = fields.find_map(|field| field.strip_prefix("content="));
+        told.push(content.expect("it is told").to_string());
+    }
+    assert_eq!(told[0], told[1]);
+    assert_ne!(told[0], told[2]);
+    assert_eq!(told[0].len(), 8);
+}
