A test of a request that crashes its endpoints, which fails

Four entries and a control instance before six endpoints that end when they begin a marked request and come back under another name. Its caller sends it to one entry after the other. After three endpoints ended each entry still sends it on: its caller gets 502, and another endpoint ends.

--- /dev/null
+++ b/crates/direct/tests/all/control.rs
@@ -0,0 +1,85 @@
+//! Control instances under test, each a cluster of its own.
+
+use dogwoodhill_consensus::members::Member;
+use dogwoodhill_control::command::Action;
+use dogwoodhill_control::demand::Demand;
+use dogwoodhill_control::internal::{self, Inside};
+use dogwoodhill_control::lists::Lists;
+use dogwoodhill_control::peers::Peers;
+use dogwoodhill_control::presence::Presence;
+use dogwoodhill_control::replica::{Limits, make};
+use dogwoodhill_control::service::Service;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_store::memory::MemoryFiles;
+use dogwoodhill_store::{Identity, Store};
+use dogwoodhill_wire::client::Caller;
+use dogwoodhill_wire::routes::HeldRoutes;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A control instance with a log of its own, which any set can be put into.
+pub(crate) struct Instance {
+    /// Where entries find it.
+    pub(crate) address: SocketAddr,
+    /// Where it listens.
+    pub(crate) inner: SocketAddr,
+    service: Service,
+}
+
+impl Instance {
+    /// Starts one.
+    pub(crate) async fn start(number: usize) -> Self {
+        Self::shown_at(number, None).await
+    }
+
+    /// Starts one that names `shown` as its address.
+    pub(crate) async fn shown_at(number: usize, shown: Option<SocketAddr>) -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Listener::bind(free).await.expect("a free port");
+        let inner = listener.address();
+        let address = shown.unwrap_or(inner);
+        let identity = Identity {
+            cluster: 1,
+            node: number as u64 + 1,
+        };
+        let opened = Store::create(Box::new(MemoryFiles::default()), identity.clone());
+        let caller = Caller::new("secret".to_string());
+        let peers = Peers::new(identity.cluster, caller.clone());
+        let limits = Limits {
+            compact: 1_000,
+            copies: 1,
+        };
+        let mut made = make(opened.expect("an empty folder"), peers, limits, 7);
+        made.driver.bootstrap(Member {
+            id: identity.node,
+            name: format!("control-{number}"),
+            address,
+            voter: true,
+            seat: true,
+        });
+        tokio::spawn(made.driver.run());
+        let service = Service::new(made.replica, caller);
+        let inside = Inside {
+            service: service.clone(),
+            presence: Presence::default(),
+            demand: Demand::default(),
+            lists: Lists::default(),
+            cluster: identity.cluster,
+            secret: Arc::new("secret".to_string()),
+        };
+        let routes = internal::routes(inside);
+        tokio::spawn(listener.serve(routes, Drain::default(), Duration::ZERO));
+        Self {
+            address,
+            inner,
+            service,
+        }
+    }
+
+    /// Puts a set in force.
+    pub(crate) async fn put(&self, held: HeldRoutes) {
+        let put = self.service.submit(&Action::Routes(held)).await;
+        put.expect("a cluster of one accepts");
+    }
+}
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::StandIn;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_direct::dialect::Listed;
+use dogwoodhill_direct::dialect::{EndpointList, Listed};
 use dogwoodhill_direct::direct::Dialects;
 use dogwoodhill_direct::request::Shared;
 use dogwoodhill_direct::{Direct, Settings};
@@ -95,22 +95,29 @@
     /// An entry without routes that stops within `grace`.
     pub(crate) async fn with_grace(endpoints: &[&StandIn], grace: Duration) -> Self {
         let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
-        Self::start(endpoints, grace, vec![nobody]).await
+        let listed = listed(endpoints);
+        let list = Box::new(Fixed(listed.clone()));
+        let entry = Self::start("entry", list, grace, vec![nobody]).await;
+        entry.shared.directory.update(listed);
+        entry
     }
 
     /// An entry without routes and endpoints that asks these control instances.
     pub(crate) async fn following(control: Vec<SocketAddr>) -> Self {
-        Self::start(&[], LONG, control).await
+        Self::start("entry", Box::new(Fixed(Vec::new())), LONG, control).await
     }
 
-    async fn start(
-        endpoints: &[&StandIn],
+    /// An entry of this name that asks these control instances, and knows endpoints from
+    /// a list.
+    pub(crate) async fn start(
+        name: &str,
+        list: Box<dyn EndpointList>,
         grace: Duration,
         control: Vec<SocketAddr>,
     ) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
-            name: "entry".to_string(),
+            name: name.to_string(),
             domain: "here".to_string(),
             listen: free,
             status: free,
@@ -126,11 +133,10 @@
             linger: Duration::from_millis(50),
             grace,
         };
-        let listed = listed(endpoints);
         let dialects = Dialects {
             callers: Box::new(Plain),
             endpoints: Box::new(Plain),
-            list: Box::new(Fixed(listed.clone())),
+            list,
             routes: Box::new(JsonFormat),
             ready_path: "/ready".to_string(),
         };
@@ -143,7 +149,6 @@
             drain,
             shared: direct.shared(),
         };
-        entry.shared.directory.update(listed);
         let (_unchanged, changed) = watch::channel(None);
         tokio::spawn(direct.run(changed));
         entry
@@ -172,6 +177,20 @@
         );
     }
 
+    /// What the entry serves at a path of its status address.
+    pub(crate) async fn status_page(&self, path: &str) -> Got {
+        let stream = TcpStream::connect(self.status).await.expect("connects");
+        let text = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        Got::read(stream, &text).await
+    }
+
+    /// A metric without labels.
+    pub(crate) async fn metric(&self, name: &str) -> Option<u64> {
+        let page = self.status_page("/metrics").await;
+        let mut lines = page.body.lines();
+        lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     /// Sends `METHOD path` with further header lines, and reads until the
     /// entry closes.
     pub(crate) async fn call(&self, line: &str, headers: &str, body: &str) -> Got {
--- a/crates/direct/tests/all/follow.rs
+++ b/crates/direct/tests/all/follow.rs
@@ -8,22 +8,10 @@
 //! long, and was sent anew from the start. That the link was full, the processor idle
 //! and all polls of an entry ended in one instant proved it.
 
+use crate::control::Instance;
 use crate::entry::{Entry, LONG};
-use dogwoodhill_consensus::members::Member;
-use dogwoodhill_control::command::Action;
-use dogwoodhill_control::demand::Demand;
-use dogwoodhill_control::internal::{self, Inside};
-use dogwoodhill_control::lists::Lists;
-use dogwoodhill_control::peers::Peers;
-use dogwoodhill_control::presence::Presence;
-use dogwoodhill_control::replica::{Limits, make};
-use dogwoodhill_control::service::Service;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_route::prelude::*;
-use dogwoodhill_store::memory::MemoryFiles;
-use dogwoodhill_store::{Identity, Store};
-use dogwoodhill_wire::client::Caller;
 use dogwoodhill_wire::routes::HeldRoutes;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -105,58 +93,13 @@
     }
 }
 
-/// A control instance with a log of its own, which any set can be put into.
-struct Instance {
-    address: SocketAddr,
-    service: Service,
-}
-
-impl Instance {
-    /// Starts one; entries find it behind the link.
-    async fn behind(link: &Arc<Link>, number: usize) -> Self {
-        let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = socket.local_addr().expect("is bound");
-        let free = SocketAddr::from(([127, 0, 0, 1], 0));
-        let inner = Listener::bind(free).await.expect("a free port");
-        link.before(socket, inner.address()).await;
-        let identity = Identity {
-            cluster: 1,
-            node: number as u64 + 1,
-        };
-        let opened = Store::create(Box::new(MemoryFiles::default()), identity.clone());
-        let caller = Caller::new("secret".to_string());
-        let peers = Peers::new(identity.cluster, caller.clone());
-        let limits = Limits {
-            compact: 1_000,
-            copies: 1,
-        };
-        let mut made = make(opened.expect("an empty folder"), peers, limits, 7);
-        made.driver.bootstrap(Member {
-            id: identity.node,
-            name: format!("control-{number}"),
-            address,
-            voter: true,
-            seat: true,
-        });
-        tokio::spawn(made.driver.run());
-        let service = Service::new(made.replica, caller);
-        let inside = Inside {
-            service: service.clone(),
-            presence: Presence::default(),
-            demand: Demand::default(),
-            lists: Lists::default(),
-            cluster: identity.cluster,
-            secret: Arc::new("secret".to_string()),
-        };
-        let routes = internal::routes(inside);
-        tokio::spawn(inner.serve(routes, Drain::default(), Duration::ZERO));
-        Self { address, service }
-    }
-
-    async fn put(&self, held: HeldRoutes) {
-        let put = self.service.submit(&Action::Routes(held)).await;
-        put.expect("a cluster of one accepts");
-    }
+/// Starts a control instance that entries find behind the link.
+async fn instance_behind(link: &Arc<Link>, number: usize) -> Instance {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let shown = socket.local_addr().expect("is bound");
+    let instance = Instance::shown_at(number, Some(shown)).await;
+    link.before(socket, instance.inner).await;
+    instance
 }
 
 /// A set of `bytes` or a little more, which says little twice.
@@ -197,7 +140,7 @@
         let link = Link::of(rate);
         let mut instances = Vec::new();
         for number in 0..INSTANCES {
-            instances.push(Instance::behind(&link, number).await);
+            instances.push(instance_behind(&link, number).await);
         }
         let control = instances.iter().map(|instance| instance.address);
         let entry = Entry::following(control.collect()).await;
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -4,6 +4,8 @@
 mod ages;
 mod answers;
 mod callers;
+mod control;
+mod crashing;
 mod dialect;
 mod endpoint;
 mod entry;
