Bytes that an entry had not read yet are no sign of life

Found by reading: an entry that is busy reads what came before an endpoint ended up to some hundred milliseconds later, and tells that it heard from it. The crash would have counted for nothing, for good. Bytes count as a sign of life from half a second after the crash on; an endpoint that lives is heard from then, too.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -38,6 +38,9 @@
 /// Time without a sign of life after which one entry's word is enough for a crash: each
 /// entry tells within it whom it heard.
 const QUIET: Duration = Duration::from_millis(600);
+/// Time after a crash within which bytes of the endpoint may still be read: an entry that is
+/// busy has not taken in all that had come.
+const UNREAD: Duration = Duration::from_millis(500);
 /// How long after it was served a request counts as harmless.
 pub const HARMLESS: Duration = Duration::from_secs(5);
 /// How long a crash counts.
@@ -108,6 +111,11 @@
     pub times: u32,
 }
 
+/// Whether an endpoint that was heard from at `heard` did not end at `lost`.
+pub fn outlived(lost: Duration, heard: Duration) -> bool {
+    heard > lost + UNREAD
+}
+
 /// How long the quarantine of a request lasts that is found for the `times`th time.
 pub fn term(times: u32) -> Duration {
     let doubled = 2u32.saturating_pow(times.saturating_sub(1));
@@ -246,14 +254,14 @@
         self.gone.iter().map(|gone| &gone.run)
     }
 
-    /// Bytes came from an endpoint at `heard` or later: what was told of it before that is
-    /// no crash.
+    /// Bytes came from an endpoint at `heard` or later: what was told of it well before that
+    /// is no crash.
     pub fn alive(&mut self, run: &Incarnation, heard: Duration) {
         self.gone
-            .retain(|gone| gone.run != *run || gone.at >= heard);
+            .retain(|gone| gone.run != *run || !outlived(gone.at, heard));
         for suspect in &mut self.suspects {
             let crashes = &mut suspect.crashes;
-            crashes.retain(|crash| crash.run != *run || crash.at >= heard);
+            crashes.retain(|crash| crash.run != *run || !outlived(crash.at, heard));
         }
         self.forget_idle();
     }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -78,13 +78,12 @@
 fn alive_endpoint_is_no_crash() {
     let mut quarantine = crashes(3);
     let run = Incarnation::new("i-1", None);
-    quarantine.alive(&run, ms(9_000));
-    assert_eq!(
-        quarantine.standing(ms(20_000), CULPRIT).crashes,
-        3,
-        "before"
-    );
-    quarantine.alive(&run, ms(10_001));
+    for heard in [9_000, 10_300] {
+        // What came before it ended is read a little later, too.
+        quarantine.alive(&run, ms(heard));
+        assert_eq!(quarantine.standing(ms(20_000), CULPRIT).crashes, 3);
+    }
+    quarantine.alive(&run, ms(10_600));
     assert_eq!(quarantine.standing(ms(20_000), CULPRIT).crashes, 2);
     assert_eq!(found(&mut quarantine, 20_000 + LATER), []);
 }
