A suspected request is looked up before it is sent

What entries were told may be half a second old, and each endpoint matters: a request under which two endpoints ended asks control what is known by now, for 150 ms at most. suspected_request_looked_up_before_it_is_sent: control knows of a third crash of which the entry has not been told; the request was sent on without the question.

--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -51,9 +51,11 @@
         tokio::select! {
             () = sleep(interval.mul_f64(spread)) => {}
             () = shared.lists.news.notified() => {}
+            () = shared.suspects.asked.notified() => {}
             () = shared.lists.met.notified() => sleep(SOON).await,
         }
         let answered = ask(&follower, &shared, &mut stamps).await;
+        shared.suspects.refreshed();
         if answered.is_ok() != agreed {
             agreed = answered.is_ok();
             let reason = answered.as_ref().err();
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -205,6 +205,18 @@
         self.shared.suspects.standing(self.fingerprint).crashes
     }
 
+    /// How much longer it is not sent on, if it is quarantined. A suspected one waits for
+    /// what is known by now.
+    async fn quarantined(&self) -> Option<Duration> {
+        let suspects = &self.shared.suspects;
+        let left = suspects.standing(self.fingerprint).left;
+        if left.is_some() || !self.apart {
+            return left;
+        }
+        suspects.refresh().await;
+        suspects.standing(self.fingerprint).left
+    }
+
     /// Whether it may be sent once more after it may have run. A request that endpoints ended
     /// under is left at that: what it was sent on for is to be served, and it mostly is not.
     fn harmless(&self) -> bool {
@@ -237,8 +249,7 @@
 
     /// Sends it, and answers the caller.
     pub(crate) async fn serve(mut self) -> Response<Reply> {
-        let held = self.shared.suspects.standing(self.fingerprint).left;
-        if let Some(left) = held {
+        if let Some(left) = self.quarantined().await {
             return self.refuse_for(Cause::Quarantined, Some(left));
         }
         loop {
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -12,16 +12,21 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::hash;
-use dogwoodhill_policy::quarantine::{LostRequest, MEMORY, Quarantine, Standing, Teller};
+use dogwoodhill_policy::quarantine::{
+    LostRequest, MEMORY, Quarantine, Standing, Teller, outlived,
+};
 use dogwoodhill_policy::served::Served;
 use dogwoodhill_wire::demand::{RequestLoss, RequestServed, Suspects as Told};
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// Own losses that are kept, the oldest out first: what is under way at the endpoints that
 /// end while a control instance can't be reached.
 const MOST_OWN: usize = 1_024;
+/// Longest wait of a suspected request for what control knows by now.
+const REFRESH: Duration = Duration::from_millis(150);
 /// Requests that were served and are to be told.
 const MOST_SERVED: usize = 256;
 
@@ -33,6 +38,10 @@
     state: Mutex<State>,
     /// Told when a request is quarantined.
     found: Notify,
+    /// Told when control is to be asked at once.
+    pub asked: Notify,
+    /// Told when control has answered, or has not.
+    answered: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -77,6 +86,8 @@
             stats,
             state: Mutex::default(),
             found: Notify::new(),
+            asked: Notify::new(),
+            answered: Notify::new(),
         }
     }
 
@@ -92,6 +103,21 @@
         }
     }
 
+    /// Asks control what is known by now, before a suspected request is sent: each moment
+    /// counts there, and what was told may be half a second old.
+    pub async fn refresh(&self) {
+        let mut answered = pin!(self.answered.notified());
+        answered.as_mut().enable();
+        self.asked.notify_one();
+        // Without an answer it goes on by what it was told.
+        let _ = timeout(REFRESH, answered).await;
+    }
+
+    /// Control has answered, or not in time.
+    pub fn refreshed(&self) {
+        self.answered.notify_waiters();
+    }
+
     /// Ends when a request is quarantined.
     pub async fn quarantined(&self, request: Fingerprint) {
         loop {
@@ -249,7 +275,7 @@
         own.retain(|own| {
             let silence = own.endpoint.silence();
             let heard = silence.and_then(|silence| now.checked_sub(silence));
-            let alive = heard.is_some_and(|heard| heard > own.loss.at);
+            let alive = heard.is_some_and(|heard| outlived(own.loss.at, heard));
             if alive {
                 quarantine.alive(&own.loss.run, heard.unwrap_or_default());
             }
--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -14,10 +14,13 @@
 use crate::control::Instance;
 use crate::endpoint::{Act, StandIn};
 use crate::entry::{Entry, LONG, set};
+use dogwoodhill_core::fingerprint::{Content, Fingerprinter};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{EndpointList, Fetch, Listed, PageToken};
 use dogwoodhill_route::prelude::*;
+use dogwoodhill_wire::demand::{DEMAND_PATH, RequestStanding, Suspects, Totals};
 use dogwoodhill_wire::routes::HeldRoutes;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -356,3 +359,57 @@
     let service = "dogwoodhill_direct_lost_with_endpoint_total{service=\"service\"} ";
     assert_eq!(entry.metric(service).await, None);
 }
+
+/// A control instance that says of one request what a test wants.
+async fn saying(standing: Arc<Mutex<RequestStanding>>) -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("is bound");
+    let answer = move || {
+        let requests = vec![*standing.lock().expect("not poisoned")];
+        let totals = Totals {
+            suspects: Some(Suspects { mark: 1, requests }),
+            ..Totals::default()
+        };
+        async move { rmp_serde::to_vec(&totals).expect("messages encode") }
+    };
+    let routes = axum::Router::new().route(DEMAND_PATH, axum::routing::post(answer));
+    tokio::spawn(async move { axum::serve(socket, routes).await });
+    address
+}
+
+/// Entries know that two endpoints ended under it. A third one just has, which control
+/// knows: the entry asks before it sends it on.
+#[tokio::test]
+async fn suspected_request_looked_up_before_it_is_sent() {
+    let endpoint = StandIn::start(Vec::new()).await;
+    let request = Fingerprinter::new("secret").of(&Content {
+        workspace: None,
+        method: "POST",
+        host: "test",
+        target: "/once/",
+        body: CRASHES.as_bytes(),
+    });
+    let standing = Arc::new(Mutex::new(RequestStanding {
+        request,
+        crashes: 2,
+        left: None,
+    }));
+    let control = saying(Arc::clone(&standing)).await;
+    let entry = Entry::following(vec![control]).await;
+    entry.shared.take_routes(RouteTable::new(set()));
+    entry.list(&[&endpoint]);
+    until("the entry is told of it", async || {
+        entry.shared.suspects.standing(request).crashes == 2
+    })
+    .await;
+    let got = entry.call("POST /once/", "", CRASHES).await;
+    assert_eq!(got.status, 200, "suspected, it is served");
+    *standing.lock().expect("not poisoned") = RequestStanding {
+        request,
+        crashes: 3,
+        left: Some(Duration::from_secs(60)),
+    };
+    let got = entry.call("POST /once/", "", CRASHES).await;
+    assert!(got.body.contains("quarantined"), "{got:?}");
+    assert_eq!(endpoint.seen().len(), 1);
+}
