--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -3,7 +3,8 @@
 //!
 //! A line counts as about the request if its `request` field has the id. Of the processes
 //! that had it, what they learned of its endpoints counts too, and the list that they chose
-//! from: whether an endpoint was known to leave when the request went there. Time
+//! from: whether an endpoint was known to leave when the request went there. So does what
+//! became of endpoints under other attempts that asked the same. Time
 //! is that of each process's own clock, which may be off by seconds between
 //! instances; lines of one file keep their order.
 
@@ -117,7 +118,9 @@
     }
     for (source, text) in logs {
         let known = beliefs(source, text, &lines);
+        let crashes = crashes(id, source, text, &lines);
         lines.extend(known);
+        lines.extend(crashes);
     }
     lines.sort_by(|a, b| a.time.total_cmp(&b.time));
     let mut out = String::new();
@@ -178,6 +181,26 @@
     learned.chain(taken.next_back()).collect()
 }
 
+/// Endpoints that ended under other attempts that asked the same as request `id`, and what
+/// followed from that.
+fn crashes<'a>(
+    id: &str,
+    source: &'a str,
+    text: &'a str,
+    about: &[Line<'a>],
+) -> Vec<Line<'a>> {
+    let contents = about.iter().filter_map(|line| field(line.text, "content"));
+    let contents: Vec<&str> = contents.filter(|content| *content != "-").collect();
+    let events = ["endpoint-ended", "request-quarantined", "quarantine-told"];
+    let lines = text.lines().map(str::trim).filter(|line| {
+        let event = field(line, "event").is_some_and(|event| events.contains(&event));
+        let own = field(line, "request") == Some(id);
+        let content = field(line, "content");
+        event && !own && content.is_some_and(|content| contents.contains(&content))
+    });
+    lines.map(|text| Line::new(source, text)).collect()
+}
+
 /// Value of a field without quotes.
 fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
     let mut fields = line.split(' ');
--- a/crates/direct/tests/all/logged.rs
+++ b/crates/direct/tests/all/logged.rs
@@ -249,3 +249,30 @@
     assert_ne!(told[0], told[2]);
     assert_eq!(told[0].len(), 8);
 }
+
+/// From the id of a request that was not sent on to the endpoints that ended under others
+/// that asked the same, at other entries, and to who found that.
+#[test]
+fn trace_quarantined_shows_crashes_of_the_same_content() {
+    let refused = "time=9 event=request-refused request=r9 content=aa status=503 cause=quarantined ms=0";
+    let ended = |time: u32, request: &str, content: &str| {
+        format!(
+            "time={time} event=endpoint-ended request={request} content={content} endpoint=i-{time} crashes={time}"
+        )
+    };
+    let other = [ended(1, "r1", "aa"), ended(2, "r2", "bb")].join("\n");
+    let control =
+        "time=4 event=request-quarantined content=aa crashes=3 times=1 for_s=600";
+    let logs = [
+        ("entry-0".to_string(), refused.to_string()),
+        ("entry-1".to_string(), other),
+        ("control-0".to_string(), control.to_string()),
+    ];
+    let text = trace("r9", &logs).expect("there are lines");
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].starts_with("entry-1: time=1 "), "{text}");
+    assert!(lines[1].starts_with("control-0: "), "{text}");
+    assert!(lines[2].starts_with("entry-0: "), "{text}");
+    assert!(lines[3].starts_with("quarantined: "), "{text}");
+    assert_eq!(lines.len(), 4, "{text}");
+}
