An outage that loses thousands of requests costs control little

Each exchange copied every endpoint that was lost in the last ten minutes and worked out the standing of every request that was; with 300 entries and a domain of hundreds of endpoints lost that is hundreds of thousands of copies a second. Endpoints are asked for only within ten seconds, and only requests that were lost twice are looked at.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -41,6 +41,8 @@
 /// Time after a crash within which bytes of the endpoint may still be read: an entry that is
 /// busy has not taken in all that had come.
 const UNREAD: Duration = Duration::from_millis(500);
+/// How long after it was lost an endpoint may still show that it lives.
+const DOUBTED: Duration = Duration::from_secs(10);
 /// How long after it was served a request counts as harmless.
 pub const HARMLESS: Duration = Duration::from_secs(5);
 /// How long a crash counts.
@@ -249,7 +251,7 @@
         at
     }
 
-    /// Endpoints that were told as lost.
+    /// Endpoints that were told as lost lately.
     pub fn gone(&self) -> impl Iterator<Item = &Incarnation> {
         self.gone.iter().map(|gone| &gone.run)
     }
@@ -376,7 +378,11 @@
     /// The requests that entries should know of, sorted: those that are quarantined, and
     /// those that are suspected.
     pub fn told(&self, now: Duration) -> Vec<Told> {
-        let all = self.suspects.iter().map(|suspect| Told {
+        // After an outage thousands were lost once.
+        let known = |suspect: &&Suspect| {
+            suspect.until.is_some() || suspect.crashes.len() >= SUSPECTED
+        };
+        let all = self.suspects.iter().filter(known).map(|suspect| Told {
             request: suspect.request,
             standing: suspect.standing(now),
         });
@@ -419,7 +425,7 @@
             }
         }
         self.gone
-            .retain(|gone| now.saturating_sub(gone.at) < MEMORY);
+            .retain(|gone| now.saturating_sub(gone.at) < DOUBTED);
         self.forget_idle();
     }
 
