--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -377,18 +377,47 @@
     address
 }
 
-/// Entries know that two endpoints ended under it. A third one just has, which control
-/// knows: the entry asks before it sends it on.
-#[tokio::test]
-async fn suspected_request_looked_up_before_it_is_sent() {
-    let endpoint = StandIn::start(Vec::new()).await;
-    let request = Fingerprinter::new("secret").of(&Content {
+/// Of [`CRASHES`] on the route for requests that run once.
+fn fingerprint() -> Fingerprint {
+    Fingerprinter::new("secret").of(&Content {
         workspace: None,
         method: "POST",
         host: "test",
         target: "/once/",
         body: CRASHES.as_bytes(),
-    });
+    })
+}
+
+/// It waits in an endpoint's queue when others of the same content are found out: it is
+/// withdrawn before the endpoint begins it.
+#[tokio::test]
+async fn quarantined_request_withdrawn_from_its_queue() {
+    let endpoint = StandIn::start(vec![Act::Hang]).await;
+    let standing = Arc::new(Mutex::new(RequestStanding::default()));
+    let control = saying(Arc::clone(&standing)).await;
+    let entry = Entry::following(vec![control]).await;
+    entry.shared.take_routes(RouteTable::new(set()));
+    entry.list(&[&endpoint]);
+    let found = async {
+        until("the endpoint has it", async || !endpoint.seen().is_empty()).await;
+        *standing.lock().expect("not poisoned") = RequestStanding {
+            request: fingerprint(),
+            crashes: 3,
+            left: Some(Duration::from_secs(60)),
+        };
+        endpoint.left().await;
+    };
+    let call = entry.call("POST /once/", "", CRASHES);
+    let (got, ()) = tokio::join!(call, found);
+    assert_eq!(got.status, 502, "it may have run: {got:?}");
+}
+
+/// Entries know that two endpoints ended under it. A third one just has, which control
+/// knows: the entry asks before it sends it on.
+#[tokio::test]
+async fn suspected_request_looked_up_before_it_is_sent() {
+    let endpoint = StandIn::start(Vec::new()).await;
+    let request = fingerprint();
     let standing = Arc::new(Mutex::new(RequestStanding {
         request,
         crashes: 2,
