--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -55,6 +55,12 @@
     /// The bytes are no frames.
     #[display("the agent's answer is unreadable")]
     Unreadable,
+    /// The engine answered with a status that says nothing about the request itself.
+    #[display("the engine answered with status {status}")]
+    Engine {
+        /// The status.
+        status: u16,
+    },
     /// The deadline passed.
     #[display("the deadline passed")]
     Late,
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -24,6 +24,8 @@
 const WAITING_OVERHEAD: usize = 1024;
 /// Most that jitter adds to the advice when to come back, as a part of it.
 const JITTER: f64 = 0.5;
+/// Endpoints that may be lost under one call: it may be the request that ends them.
+const MOST_LOST: u32 = 2;
 /// Statuses of a model engine that say nothing about the request itself.
 const ENGINE_FAULTS: [u16; 4] = [429, 500, 502, 503];
 
@@ -98,6 +100,7 @@
         lane.earn();
         let mut effort = Effort::default();
         let mut lost = None;
+        let mut lost_with = 0;
         loop {
             let place = lane.pool.enter(item(call, &lane.pool, deadline)).await;
             let place = place.map_err(|denied| explain(denied, lost.as_ref()))?;
@@ -113,8 +116,11 @@
                 Ok(opened) => return Ok(Ran { opened, effort }),
                 Err(broken) => {
                     effort.wasted += 1;
+                    // An engine that answers has outlived the request.
+                    lost_with += u32::from(!matches!(broken, Broken::Engine { .. }));
                     let again = call.class.repeat == Repeat::Allowed
                         && broken != Broken::Late
+                        && lost_with < MOST_LOST
                         && lane.spend();
                     if !again {
                         return Err(lost_refusal(&broken));
@@ -216,7 +222,7 @@
         let model = call.service.document.kind == Kind::Model;
         let repeat = call.class.repeat == Repeat::Allowed;
         if model && repeat && ENGINE_FAULTS.contains(&status) {
-            return Err(Stopped::Lost(Broken::Connection));
+            return Err(Stopped::Lost(Broken::Engine { status }));
         }
         Ok(Self {
             place,
--- a/tests/all/broken_answers.rs
+++ b/tests/all/broken_answers.rs
@@ -308,3 +308,18 @@
     let seen = engine_fault(Fault::Error, false, &headers).await;
     assert_eq!(seen.outcome, "unknown");
 }
+
+/// An endpoint is lost under a request at each try. It may be the request that ends them: one
+/// call of its caller loses two, whatever the budget allows.
+#[tokio::test]
+async fn idempotent_lost_twice_is_given_up() {
+    let script =
+        |a: &Attempt| frame(a.attempt, 0, Body::Broken("it broke off".to_string()));
+    let (address, calls) = fake(script).await;
+    let alone = Alone::start(address).await;
+    let got = alone.chat(&[], &chat("x", 3, false)).await;
+    assert_eq!(got.status(), 502);
+    assert!(got.body().contains("unknown"), "{}", got.body());
+    assert_eq!(calls.load(Ordering::Relaxed), 2);
+    alone.stop().await;
+}
