--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -3,10 +3,12 @@
 //! The order of things matters for what may be said afterwards. As soon as one
 //! send may have run, no later refusal may say not run. A non-idempotent
 //! request is sent again only after an endpoint's own refusal, or where no byte
-//! went out. What is sent again draws on the service's budget.
+//! went out. What is sent again draws on the service's budget. What endpoints ended
+//! under is not sent on (`job::crash`).
+
+mod crash;
 
 use crate::answer::{Cause, Reply, refuse};
-use crate::crash::Broken;
 use crate::dialect::{Ask, EventId, Tell};
 use crate::directory::{Endpoint, Lane, Standing, Want};
 use crate::exchange::{self, Answer, Asked, Ended, Loss, Outbound, Whole};
@@ -18,8 +20,7 @@
 use dogwoodhill_core::fingerprint::shown;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_policy::affinity::hash;
-use dogwoodhill_policy::quarantine::{LostRequest, SUSPECTED};
+use dogwoodhill_policy::quarantine::SUSPECTED;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
 use rand::RngExt;
@@ -27,15 +28,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Endpoints to which no connection could be made, before a request is
 /// refused. None of them got a byte, so they count as no send.
 const MAX_UNSENT: usize = 3;
-/// Longest wait until it is known whether an endpoint has ended, before the request is sent
-/// again: some ways there and back, and the time in which a process ends.
-const LOOK_PATIENCE: Duration = Duration::from_millis(40);
 /// Time without an answer after which an idempotent request is tried elsewhere,
 /// as a multiple of its objective. Callers of streams leave after four.
 const SILENT_OBJECTIVES: f64 = 2.5;
@@ -200,53 +197,6 @@
         self.record.as_mut().expect("a request ends once")
     }
 
-    /// Endpoints that ended under requests that ask the same.
-    fn crashes(&self) -> usize {
-        self.shared.suspects.standing(self.fingerprint).crashes
-    }
-
-    /// How much longer it is not sent on, if it is quarantined. A suspected one waits for
-    /// what is known by now.
-    async fn quarantined(&self) -> Option<Duration> {
-        let suspects = &self.shared.suspects;
-        let left = suspects.standing(self.fingerprint).left;
-        if left.is_some() || !self.apart {
-            return left;
-        }
-        suspects.refresh().await;
-        suspects.standing(self.fingerprint).left
-    }
-
-    /// Whether it may be sent once more after it may have run. A request that endpoints ended
-    /// under is left at that: what it was sent on for is to be served, and it mostly is not.
-    fn harmless(&self) -> bool {
-        self.crashes() < SUSPECTED
-    }
-
-    /// Finds out, in the background, whether the endpoint that broke its connection has
-    /// ended, and remembers that.
-    fn look_after(&self, endpoint: &Arc<Endpoint>) -> JoinHandle<()> {
-        let broken = Broken {
-            shared: Arc::clone(&self.shared),
-            id: self.ask.id.clone(),
-            lost: LostRequest {
-                request: self.fingerprint,
-                workspace: self.workspace(),
-                run: endpoint.run(),
-                domain: hash(endpoint.domain.as_bytes()),
-                sent: self.sent_at,
-                at: uptime(),
-            },
-        };
-        let now = std::time::Instant::now();
-        tokio::spawn(broken.look(Arc::clone(endpoint), now))
-    }
-
-    fn workspace(&self) -> u64 {
-        let name = self.admitted.workspace.as_deref();
-        hash(name.unwrap_or_default().as_bytes())
-    }
-
     /// Sends it, and answers the caller.
     pub(crate) async fn serve(mut self) -> Response<Reply> {
         if let Some(left) = self.quarantined().await {
@@ -498,19 +448,6 @@
         }
     }
 
-    /// Notes how a send was lost. Whether its endpoint has ended is waited for only where
-    /// the request may be sent again.
-    pub async fn note_lost(&self, endpoint: &Arc<Endpoint>, loss: Loss) {
-        if loss != Loss::Broke {
-            return;
-        }
-        let looked = self.look_after(endpoint);
-        if self.idempotent() {
-            // A look that takes longer goes on without the request.
-            let _ = timeout(LOOK_PATIENCE, looked).await;
-        }
-    }
-
     /// Notes that a send led to no answer, for the log and for the other entries.
     fn note_failed(&self, endpoint: &Endpoint, result: &str) {
         self.shared.lists.met.notify_one();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,7 +22,6 @@
 
 pub mod agree;
 pub mod answer;
-mod crash;
 pub mod dialect;
 pub mod direct;
 pub mod directory;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -23,8 +23,13 @@
 //!   under way at each of them, make it suspected at most;
 //! * what is remembered is bounded, for each workspace too, and ends.
 
+mod crash;
+mod suspect;
+
+use crash::{Candidate, Crash, contains};
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
+use suspect::Suspect;
 
 /// Crashes from which a request is quarantined. Fewer come about by chance.
 pub const CRASHES: usize = 3;
@@ -33,8 +38,6 @@
 /// Crashes from which a request is quarantined although others were lost with the same
 /// endpoints: after two it runs apart from these, so that they would have been served.
 const CERTAIN: usize = 6;
-/// Time within which endpoints of one failure domain may have ended with it.
-const TOGETHER: Duration = Duration::from_millis(250);
 /// Time without a sign of life after which one entry's word is enough for a crash: each
 /// entry tells within it whom it heard.
 const QUIET: Duration = Duration::from_millis(600);
@@ -51,8 +54,6 @@
 const FIRST_TERM: Duration = Duration::from_secs(600);
 /// Longest quarantine.
 const LONGEST_TERM: Duration = Duration::from_secs(24 * 3_600);
-/// Crashes that are remembered of one request.
-const MOST_CRASHES: usize = 16;
 /// Requests that are remembered, some 200 bytes each.
 const MOST: usize = 4_096;
 /// The same of one workspace, so that none can make the others' be forgotten.
@@ -124,36 +125,6 @@
     FIRST_TERM.saturating_mul(doubled).min(LONGEST_TERM)
 }
 
-#[derive(Clone, Debug)]
-struct Crash {
-    run: Incarnation,
-    domain: u64,
-    sent: Duration,
-    at: Duration,
-}
-
-#[derive(Clone, Debug)]
-struct Suspect {
-    request: Fingerprint,
-    workspace: u64,
-    /// Oldest first.
-    crashes: Vec<Crash>,
-    /// Until when it is quarantined.
-    until: Option<Duration>,
-    /// How often it has been.
-    times: u32,
-    /// When its last quarantine ended; crashes before that count from then on.
-    ended: Duration,
-}
-
-impl Suspect {
-    /// Time of the newest thing that is known of it.
-    fn newest(&self) -> Duration {
-        let crash = self.crashes.last().map(|crash| crash.at);
-        crash.max(self.until).unwrap_or_default()
-    }
-}
-
 /// An endpoint that was lost.
 #[derive(Clone, Debug)]
 struct Gone {
@@ -186,21 +157,12 @@
         }
         self.note_gone(teller, loss);
         let at = self.suspect(loss.request, loss.workspace);
-        let crashes = &mut self.suspects[at].crashes;
-        if crashes.iter().any(|crash| crash.run == loss.run) {
-            return;
-        }
-        let place = crashes.partition_point(|crash| crash.at <= loss.at);
-        let crash = Crash {
+        self.suspects[at].add(Crash {
             run: loss.run.clone(),
             domain: loss.domain,
             sent: loss.sent,
             at: loss.at,
-        };
-        crashes.insert(place, crash);
-        if crashes.len() > MOST_CRASHES {
-            crashes.remove(0);
-        }
+        });
     }
 
     fn note_gone(&mut self, teller: Teller, loss: &LostRequest) {
@@ -239,15 +201,7 @@
             remove_oldest(&mut self.suspects, |suspect| Some(suspect.newest()));
         }
         let at = find(&self.suspects).unwrap_or_else(|at| at);
-        let suspect = Suspect {
-            request,
-            workspace,
-            crashes: Vec::new(),
-            until: None,
-            times: 0,
-            ended: Duration::ZERO,
-        };
-        self.suspects.insert(at, suspect);
+        self.suspects.insert(at, Suspect::new(request, workspace));
         at
     }
 
@@ -318,7 +272,10 @@
     /// The request that explains most of the crashes that no quarantined one explains, if it
     /// explains enough and no other one explains the same.
     fn culprit(&self, now: Duration) -> Option<(usize, usize)> {
-        let enough = |suspect: &&Suspect| suspect.crashes.len() >= CRASHES;
+        let enough = |suspect: &&Suspect| {
+            suspect.until.is_none() && suspect.crashes.len() >= CRASHES
+        };
+        // Mostly nobody is, and nothing has to be compared.
         self.suspects.iter().find(enough)?;
         let explained = self.explained();
         let counts = |crash: &&Crash| {
@@ -407,22 +364,10 @@
         held.count()
     }
 
-    /// Forgets what is over. A quarantine that ends leaves its request one crash short of
-    /// the next one.
+    /// Forgets what is over.
     fn expire(&mut self, now: Duration) {
         for suspect in &mut self.suspects {
-            if suspect.until.is_some_and(|until| until <= now) {
-                suspect.until = None;
-                suspect.ended = now;
-                let excess = suspect.crashes.len().saturating_sub(CRASHES - 1);
-                suspect.crashes.drain(..excess);
-            }
-            if suspect.until.is_none() {
-                let ended = suspect.ended;
-                let counts =
-                    |crash: &Crash| now.saturating_sub(crash.at.max(ended)) < MEMORY;
-                suspect.crashes.retain(counts);
-            }
+            suspect.expire(now);
         }
         self.gone
             .retain(|gone| now.saturating_sub(gone.at) < DOUBTED);
@@ -440,58 +385,6 @@
     }
 }
 
-impl Suspect {
-    fn standing(&self, now: Duration) -> Standing {
-        let crashes: Vec<&Crash> = self.crashes.iter().collect();
-        Standing {
-            crashes: events(&crashes),
-            left: self.until.and_then(|until| until.checked_sub(now)),
-        }
-    }
-}
-
-/// A request that explains enough crashes.
-struct Candidate<'a> {
-    at: usize,
-    crashes: &'a [&'a Crash],
-    events: usize,
-    /// How long it was under way at all of them. Of requests that were always lost together
-    /// the culprit is the one that never lasted.
-    lasted: Duration,
-}
-
-impl<'a> Candidate<'a> {
-    fn new(at: usize, crashes: &'a [&'a Crash]) -> Self {
-        let lasted = crashes.iter().map(|c| c.at.saturating_sub(c.sent));
-        Self {
-            at,
-            crashes,
-            events: events(crashes),
-            lasted: lasted.fold(Duration::ZERO, Duration::saturating_add),
-        }
-    }
-}
-
-/// How many crashes these are. Of endpoints of one failure domain that ended in the same
-/// moment [`SUSPECTED`] count at most: the domain may have been lost. One that began the
-/// request after the other had ended was not lost with it.
-fn events(crashes: &[&Crash]) -> usize {
-    let counts = |(at, crash): &(usize, &&Crash)| {
-        let together = |other: &&&Crash| {
-            let moment = crash.at.saturating_sub(other.at) < TOGETHER;
-            moment && other.domain == crash.domain && crash.sent <= other.at
-        };
-        crashes[..*at].iter().filter(together).count() < SUSPECTED
-    };
-    crashes.iter().enumerate().filter(counts).count()
-}
-
-/// Whether `all` has each endpoint that `some` has.
-fn contains(all: &[&Crash], some: &[&Crash]) -> bool {
-    let within = |crash: &&Crash| all.iter().any(|other| other.run == crash.run);
-    some.iter().all(within)
-}
-
 /// Removes the item with the earliest time, of those that have one.
 fn remove_oldest<T>(items: &mut Vec<T>, time: impl Fn(&T) -> Option<Duration>) {
     let timed = items.iter().enumerate();
