An entry that hears control blames no request by itself

The culprits had come to the other entry, so that this one knew of nobody else who explained the same crashes. Control, which knew of both, blamed the culprit alone.

Cause: an entry judged by its own losses whatever control said. It does so now only after ten seconds without control. entry_that_hears_control_blames_nobody, entry_alone_blames_by_itself. A request counts as harmless for ten seconds after it was served, in place of five: endpoints that end together are away for some.

--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -67,7 +67,7 @@
         match answered {
             Ok(totals) => shared.directory.agree(&totals),
             // Without the others, it goes by what it met itself.
-            Err(_) => shared.suspects.heard(None),
+            Err(_) => shared.suspects.unheard(),
         }
     }
 }
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -2,6 +2,10 @@
 //! ([`dogwoodhill_policy::quarantine`]): what it met itself, and what all entries together
 //! found.
 //!
+//! An entry alone blames no request: of those that were lost with the same endpoint it knows
+//! its own only, and the culprit may have come to another entry. It does so where it has heard
+//! nothing from control for long.
+//!
 //! What it met is kept here and told to each control instance once, so that the next one
 //! knows as much as the one before. What is quarantined stays so until its end, whatever an
 //! instance says that has forgotten it.
@@ -13,7 +17,7 @@
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::quarantine::{
-    LostRequest, MEMORY, Quarantine, Standing, Teller, outlived,
+    LostRequest, MEMORY, Quarantine, Standing, Teller, outlived, term,
 };
 use dogwoodhill_policy::served::Served;
 use dogwoodhill_wire::demand::{RequestLoss, RequestServed, Suspects as Told};
@@ -25,6 +29,8 @@
 /// Own losses that are kept, the oldest out first: what is under way at the endpoints that
 /// end while a control instance can't be reached.
 const MOST_OWN: usize = 1_024;
+/// Time without control after which an entry goes by what it met itself.
+const ALONE: Duration = Duration::from_secs(10);
 /// Longest wait of a suspected request for what control knows by now.
 const REFRESH: Duration = Duration::from_millis(150);
 /// Requests that were served and are to be told.
@@ -51,6 +57,8 @@
     /// Suspected requests as control told them, sorted, with their crashes.
     told: Vec<(Fingerprint, usize)>,
     mark: u64,
+    /// When control answered last, or the first time that it did not.
+    answered: Option<Duration>,
     served: Served,
     /// Suspected requests that were served, and when, until that is told.
     harmless: Vec<(Fingerprint, Duration)>,
@@ -201,22 +209,33 @@
         state.harmless.drain(..told);
     }
 
-    /// Takes in what all entries together found, and looks at what this one met.
+    /// Control answered: takes in what all entries together found, where that has changed.
     pub fn heard(&self, told: Option<Told>) {
         let now = uptime();
         let mut state = self.state();
         let before = state.quarantine.held();
+        state.answered = Some(now);
         if let Some(told) = told {
             state.take(now, &told);
         }
-        state.forget(now);
-        for found in state.quarantine.judge(now) {
-            Event::new("request-quarantined")
-                .field("content", shown(found.request))
-                .field("crashes", found.crashes)
-                .field("times", found.times)
-                .warn();
+        self.settle(state, now, before);
+    }
+
+    /// Control did not answer.
+    pub fn unheard(&self) {
+        let now = uptime();
+        let mut state = self.state();
+        let before = state.quarantine.held();
+        let since = *state.answered.get_or_insert(now);
+        if now.saturating_sub(since) >= ALONE {
+            state.judge(now);
         }
+        self.settle(state, now, before);
+    }
+
+    /// Forgets what is over, and tells who waits if more is quarantined than before.
+    fn settle(&self, mut state: MutexGuard<'_, State>, now: Duration, before: usize) {
+        state.forget(now);
         let held = state.quarantine.held();
         self.stats.quarantined.set(held as i64);
         drop(state);
@@ -253,6 +272,18 @@
         }
     }
 
+    /// Blames requests for what this entry met.
+    fn judge(&mut self, now: Duration) {
+        for found in self.quarantine.judge(now) {
+            Event::new("request-quarantined")
+                .field("content", shown(found.request))
+                .field("crashes", found.crashes)
+                .field("times", found.times)
+                .field("for_s", term(found.times).as_secs())
+                .warn();
+        }
+    }
+
     /// A request was served at `at`: it is told so, if anybody suspects it.
     fn exonerate(&mut self, request: Fingerprint, at: Duration) {
         let known = self.told.binary_search_by_key(&request, |told| told.0);
@@ -272,6 +303,7 @@
         let Self {
             own, quarantine, ..
         } = self;
+        quarantine.expire(now);
         own.retain(|own| {
             let silence = own.endpoint.silence();
             let heard = silence.and_then(|silence| now.checked_sub(silence));
--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -475,3 +475,53 @@
     })
     .await;
 }
+
+/// An entry before endpoints that end under [`CRASHES`], which it sends until three have.
+async fn three_lost_at_one_entry(control: Vec<SocketAddr>) -> (Entry, Fleet) {
+    let fleet = Fleet::start(ENDPOINTS).await;
+    let list = Box::new(fleet.clone());
+    let entry = Entry::start("entry", list, LONG, control).await;
+    entry.shared.take_routes(RouteTable::new(set()));
+    until("the entry serves", async || {
+        entry.call("GET /safe/", "", "").await.status == 200
+    })
+    .await;
+    while fleet.ended() < KNOWN_AFTER {
+        entry.call("POST /once/", "", CRASHES).await;
+    }
+    until("the entry knows of them", async || {
+        entry.shared.suspects.standing(fingerprint()).crashes >= KNOWN_AFTER
+    })
+    .await;
+    (entry, fleet)
+}
+
+/// Seen: an entry refused what many callers ask word for word. It had been lost with four
+/// endpoints there; the request that ended them had come to the other entry. Control, which
+/// knew of both, did not blame it.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_hears_control_blames_nobody() {
+    let control = saying(Arc::default()).await;
+    let (entry, fleet) = three_lost_at_one_entry(vec![control]).await;
+    // Long enough that one entry's word would count.
+    sleep(Duration::from_secs(1)).await;
+    for _ in 0..5 {
+        entry.shared.suspects.refresh().await;
+    }
+    let ended = fleet.ended();
+    entry.call("POST /once/", "", CRASHES).await;
+    assert_eq!(fleet.ended(), ended + 1, "it is sent on");
+}
+
+/// Without control an entry goes by what it met itself, in the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_alone_blames_by_itself() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let (entry, _fleet) = three_lost_at_one_entry(vec![nobody]).await;
+    until("the entry quarantines it", async || {
+        entry.shared.suspects.standing(fingerprint()).left.is_some()
+    })
+    .await;
+    let got = entry.call("POST /once/", "", CRASHES).await;
+    assert!(got.body.contains("quarantined"), "{got:?}");
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -47,7 +47,7 @@
 /// How long after it was lost an endpoint may still show that it lives.
 const DOUBTED: Duration = Duration::from_secs(10);
 /// How long after it was served a request counts as harmless.
-pub const HARMLESS: Duration = Duration::from_secs(5);
+pub const HARMLESS: Duration = Duration::from_secs(10);
 /// How long a crash counts.
 pub const MEMORY: Duration = Duration::from_secs(600);
 /// How long the first quarantine of a request lasts; each further one lasts twice as long.
@@ -365,7 +365,7 @@
     }
 
     /// Forgets what is over.
-    fn expire(&mut self, now: Duration) {
+    pub fn expire(&mut self, now: Duration) {
         for suspect in &mut self.suspects {
             suspect.expire(now);
         }
