--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -39,6 +39,8 @@
 const KNOWN_AFTER: usize = 3;
 /// How long an endpoint is gone.
 const DOWN: Duration = Duration::from_millis(700);
+/// Several times what an entry takes to look after an endpoint.
+const LOOKED: Duration = Duration::from_millis(300);
 /// Longest wait for something that comes about by itself.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -323,6 +325,8 @@
         let got = entry.call("POST /once/", "", "same").await;
         assert_eq!(got.status, 502);
     }
+    // The entry has looked after them by then.
+    sleep(LOOKED).await;
     let service = "dogwoodhill_direct_lost_with_endpoint_total{service=\"service\"} ";
     assert_eq!(entry.metric(service).await, None);
 }
@@ -356,6 +360,7 @@
         let (got, ()) = tokio::join!(call, serve);
         assert_eq!(got.status, 502);
     }
+    sleep(LOOKED).await;
     let service = "dogwoodhill_direct_lost_with_endpoint_total{service=\"service\"} ";
     assert_eq!(entry.metric(service).await, None);
 }
