Times out of messages that overflow are bounded

Found by reading: a quarantine whose rest is told as the longest time there is would have ended the entry.

--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -42,10 +42,9 @@
 
 impl Quarantines {
     /// One that goes by what the log has, too.
-    pub fn following(logged: watch::Receiver<Vec<(Quarantined, Duration)>>) -> Self {
+    pub fn following(mut logged: watch::Receiver<Vec<(Quarantined, Duration)>>) -> Self {
         let quarantines = Self::default();
         // What is in it already counts as changed.
-        let mut logged = logged;
         logged.mark_changed();
         quarantines.state().logged = Some(logged);
         quarantines
@@ -91,7 +90,8 @@
             }
         }
         for run in heard {
-            quarantine.alive(run, now.saturating_sub(under_way + LATELY));
+            let lately = under_way.saturating_add(LATELY);
+            quarantine.alive(run, now.saturating_sub(lately));
         }
         quarantine.judge(now)
     }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -247,7 +247,7 @@
         }
         let at = self.suspect(request, workspace);
         let suspect = &mut self.suspects[at];
-        suspect.until = suspect.until.max(Some(now + left));
+        suspect.until = suspect.until.max(Some(now.saturating_add(left)));
         suspect.times = suspect.times.max(times);
     }
 
