A third control instance is asked where two are lost

Found by adding up the terms: entries asked the first two instances by address. Where two losses are to be borne and strike these, no entry was told anything by any other for as long as they stayed away, what crashes endpoints included. The test has two instances that refuse and a third one; it fails with two tries.

--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -37,8 +37,9 @@
 /// where hundreds of entries start at once and ask one instance on 100 Mbit/s. Giving up
 /// sooner would ask for the same again while it is under way.
 const FIRST_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Instances that are asked at one time before the next interval.
-const TRIES: usize = 2;
+/// Instances that are asked at one time before the next interval: one more than may be lost
+/// at once where five keep the log.
+const TRIES: usize = 3;
 
 /// Tells and listens, for ever.
 pub async fn run(follower: Arc<Follower>, shared: Arc<Shared>) {
--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -382,6 +382,23 @@
     address
 }
 
+/// Two of five control instances are lost, those that entries ask first.
+#[tokio::test]
+async fn third_instance_asked_where_two_are_gone() {
+    let standing = RequestStanding {
+        request: fingerprint(),
+        crashes: 3,
+        left: Some(Duration::from_secs(60)),
+    };
+    let control = saying(Arc::new(Mutex::new(standing))).await;
+    let gone = [9, 10].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let entry = Entry::following(vec![gone[0], gone[1], control]).await;
+    until("the entry is told of it", async || {
+        entry.shared.suspects.standing(fingerprint()).left.is_some()
+    })
+    .await;
+}
+
 /// Of [`CRASHES`] on the route for requests that run once.
 fn fingerprint() -> Fingerprint {
     Fingerprinter::new("secret").of(&Content {
