--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -17,7 +17,7 @@
 //!   own, and nobody has heard from it since;
 //! * a request that was served lately is not the cause;
 //! * where several requests were lost with the same endpoints, none of them is quarantined
-//!   until they differ, or until [`CERTAIN`] crashes;
+//!   until they differ, or until six crashes;
 //! * a crash that a quarantined request explains counts against no other one;
 //! * endpoints of one failure domain that end in the same moment, while the request was
 //!   under way at each of them, make it suspected at most;
