The sample deployment waits for its documents as long as it says

A submission is given up after two seconds without an answer of the log, and was made once; START says ten. It is made again until then; commands may come twice.

--- a/src/local.rs
+++ b/src/local.rs
@@ -236,10 +236,15 @@
         text,
         document,
     });
-    let submitted = service.submit(&action).await;
-    submitted
-        .map(|_| ())
-        .map_err(|_| Report::new(LocalError::Documents))
+    // A submission is given up after two seconds; a disk that is busy with other things takes
+    // longer for the first write of a cluster.
+    let end = Instant::now() + START;
+    while service.submit(&action).await.is_err() {
+        if Instant::now() >= end {
+            return Err(Report::new(LocalError::Documents));
+        }
+    }
+    Ok(())
 }
 
 fn sample_key() -> String {
