--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -1,7 +1,7 @@
 //! A request that crashes the endpoints that run it.
 //!
 //! Seen: one request was sent again by its caller at one entry after the other, and ended
-//! 10 to 18 endpoints in a row; up to 44 requests that were beside it were lost each time.
+//! 10 to 18 endpoints in a row; up to 41 requests that were beside it were lost each time.
 //! How it comes about: an endpoint ends some 40 ms after it began the request. The entry
 //! sees a broken connection and answers 502. The caller sends the same again, to another
 //! entry, which has never heard of it and places it like any other.
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -60,7 +60,7 @@
 const MOST_OF_WORKSPACE: usize = 512;
 /// Endpoints that are remembered as gone.
 const MOST_GONE: usize = 1_024;
-/// Requests that entries are told of, 20 bytes each.
+/// Requests that entries are told of, 30 bytes each.
 const MOST_TOLD: usize = 256;
 
 /// Names who told something: an entry's hash.
