Tests of crashes wait for a list without the endpoints that ended

Traced: the answer was endpoints-full, not quarantined. The endpoints that had ended were still on the entry's list, it tries those that it could not reach again after a while, and three in vain end a request. What the test claims is not touched; it now waits until the entry has the list, and shows the answer where it fails.

--- a/crates/direct/tests/all/crashing.rs
+++ b/crates/direct/tests/all/crashing.rs
@@ -65,6 +65,20 @@
         *self.ended.lock().expect("not poisoned")
     }
 
+    /// Waits until an entry has a list without those that ended: it tries endpoints that it
+    /// could not reach again after a while, three for one request.
+    async fn known_to(&self, entry: &Entry) {
+        until("the entry has the list", async || {
+            let listed = self.listed.lock().expect("not poisoned").clone();
+            let names = |id: &str| listed.iter().any(|listed| listed.run.id == id);
+            let known = entry.shared.directory.all();
+            listed.len() == ENDPOINTS
+                && known.len() == ENDPOINTS
+                && known.iter().all(|known| names(&known.id))
+        })
+        .await;
+    }
+
     /// An endpoint that listens and is listed.
     async fn add(&self, id: String) -> TcpListener {
         let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -251,6 +265,9 @@
     let scene = Scene::start().await;
     scene.crash(KNOWN_AFTER).await;
     scene.known_everywhere(1).await;
+    for entry in &scene.entries {
+        scene.fleet.known_to(entry).await;
+    }
     let ended = scene.fleet.ended();
     for entry in scene.entries.iter().cycle().take(2 * ENTRIES) {
         let got = entry.call("POST /once/", "", CRASHES).await;
@@ -527,12 +544,13 @@
     let (entry, fleet) = three_lost_at_one_entry(vec![control]).await;
     // Long enough that one entry's word would count.
     sleep(Duration::from_secs(1)).await;
+    fleet.known_to(&entry).await;
     for _ in 0..5 {
         entry.shared.suspects.refresh().await;
     }
     let ended = fleet.ended();
-    entry.call("POST /once/", "", CRASHES).await;
-    assert_eq!(fleet.ended(), ended + 1, "it is sent on");
+    let got = entry.call("POST /once/", "", CRASHES).await;
+    assert_eq!(fleet.ended(), ended + 1, "it is sent on: {got:?}");
 }
 
 /// Without control an entry goes by what it met itself, in the end.
