--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,6 +1,6 @@
 //! Commands of the replicated state machine and what they answer.
 
-use crate::state::Quarantined;
+use crate::state::{FixUsage, GiveUp, Hold, Holds, Quarantined, UsageOwed};
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::control::{Acquire, Finish, Lease, Take, Taken};
@@ -33,6 +33,12 @@
     Routes(HeldRoutes),
     /// Keeps a request from being sent on.
     Quarantine(Quarantined),
+    /// Takes or prolongs the lease of a duty.
+    Hold(Hold),
+    /// Gives the lease of a duty up.
+    GiveUp(GiveUp),
+    /// Fixes the usage of windows.
+    FixUsage(FixUsage),
 }
 
 /// A document that an operator wants in force.
@@ -61,6 +67,12 @@
     Routes(Version),
     /// To [`Action::Quarantine`].
     Quarantined,
+    /// To [`Action::Hold`].
+    Holds(Holds),
+    /// To [`Action::GiveUp`].
+    GivenUp,
+    /// To [`Action::FixUsage`]: what is owed, or how long another machine holds the duty.
+    Usage(Result<UsageOwed, Duration>),
 }
 
 /// A document is in force.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -6,7 +6,7 @@
 
 mod handle;
 
-pub use handle::{Input, Replica, Standing};
+pub use handle::{DutyView, Input, Replica, Standing};
 
 use crate::command::{Action, Command, Reply};
 use crate::peers::{Delivery, Peers};
@@ -67,6 +67,7 @@
     documents: Arc<ArcSwap<Documents>>,
     routes: watch::Sender<Sets>,
     quarantined: watch::Sender<Vec<(Quarantined, Duration)>>,
+    duties: watch::Sender<DutyView>,
     applied: watch::Sender<Index>,
     standing: watch::Sender<Standing>,
     waiters: VecDeque<Waiter>,
@@ -143,6 +144,7 @@
     sets.take(state.routes.as_ref());
     let routes = watch::Sender::new(sets);
     let quarantined = watch::Sender::new(state.quarantined());
+    let duties = watch::Sender::new(DutyView::of(&state));
     let applied = watch::Sender::new(applied);
     let standing = watch::Sender::new(Standing::default());
     let replica = Replica {
@@ -150,6 +152,7 @@
         documents: Arc::clone(&documents),
         routes: routes.subscribe(),
         quarantined: quarantined.subscribe(),
+        duties: duties.subscribe(),
         applied: applied.subscribe(),
         standing: standing.subscribe(),
     };
@@ -163,6 +166,7 @@
         documents,
         routes,
         quarantined,
+        duties,
         applied,
         standing,
         waiters: VecDeque::new(),
@@ -334,6 +338,7 @@
             self.documents.store(Arc::new(self.state.documents.clone()));
             self.publish_routes();
             self.quarantined.send_replace(self.state.quarantined());
+            self.duties.send_replace(DutyView::of(&self.state));
             self.applied.send_replace(snapshot.index);
             self.fail_waiters(snapshot.index);
         }
@@ -414,8 +419,14 @@
         match rmp_serde::from_slice::<Command>(bytes) {
             Ok(command) => {
                 let reply = self.state.apply(index, &command);
-                if reply == Reply::Quarantined {
-                    self.quarantined.send_replace(self.state.quarantined());
+                match reply {
+                    Reply::Quarantined => {
+                        self.quarantined.send_replace(self.state.quarantined());
+                    }
+                    Reply::Holds(_) | Reply::GivenUp | Reply::Usage(_) => {
+                        self.duties.send_replace(DutyView::of(&self.state));
+                    }
+                    _ => {}
                 }
                 Some(reply)
             }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -2,12 +2,12 @@
 
 use crate::command::{Action, Reply};
 use crate::sets::Sets;
-use crate::state::{Documents, Quarantined};
+use crate::state::{Documents, HeldDuty, Quarantined, State};
 use arc_swap::ArcSwap;
 use dogwoodhill_consensus::members::{Member, Members};
 use dogwoodhill_consensus::message::Message;
 use dogwoodhill_consensus::{Index, NodeId, Term};
-use dogwoodhill_core::prelude::Duration;
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::control::{Answered, Unable};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,6 +61,31 @@
     pub claims: usize,
 }
 
+/// Duties of one holder, as far as applied.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DutyView {
+    /// Who holds which, or held it last.
+    pub held: Vec<HeldDuty>,
+    /// The first window whose usage is not fixed; 0 where none is.
+    pub next: Window,
+    /// Windows that are fixed and not known to be reported.
+    pub owed: usize,
+    /// Windows that were owed for so long that they gave way.
+    pub dropped: u64,
+}
+
+impl DutyView {
+    /// The view of a state.
+    pub(super) fn of(state: &State) -> Self {
+        Self {
+            held: state.duties.held(),
+            next: state.reports.next(),
+            owed: state.reports.owed().len(),
+            dropped: state.reports.dropped(),
+        }
+    }
+}
+
 /// A handle on the loop. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -71,6 +96,8 @@
     pub routes: watch::Receiver<Sets>,
     /// Requests that are quarantined, and how much longer, as far as applied.
     pub quarantined: watch::Receiver<Vec<(Quarantined, Duration)>>,
+    /// Duties of one holder, as far as applied.
+    pub duties: watch::Receiver<DutyView>,
     /// Applied position.
     pub applied: watch::Receiver<Index>,
     /// Standing.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,8 +2,10 @@
 
 mod claims;
 mod documents;
+mod duties;
 mod leases;
 mod quarantined;
+mod reports;
 
 use crate::command::{Action, Command, Reply};
 use claims::Claims;
@@ -13,7 +15,9 @@
 use std::sync::Arc;
 
 pub use documents::{Documents, History};
+pub use duties::{Duties, DutyHolder, GiveUp, HeldDuty, Hold, Holds};
 pub use quarantined::Quarantined;
+pub use reports::{FixUsage, Reports, UsageOwed};
 
 /// All state of the cluster.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -32,6 +36,12 @@
     pub routes: Option<Arc<HeldRoutes>>,
     #[serde(default)]
     quarantined: quarantined::AllQuarantined,
+    /// Duties of one holder.
+    #[serde(default)]
+    pub duties: Duties,
+    /// Usage reports.
+    #[serde(default)]
+    pub reports: Reports,
 }
 
 impl State {
@@ -52,6 +62,14 @@
                 self.quarantined.put(now, given);
                 Reply::Quarantined
             }
+            Action::Hold(hold) => Reply::Holds(self.duties.hold(index, now, hold)),
+            Action::GiveUp(given) => {
+                self.duties.give_up(now, given);
+                Reply::GivenUp
+            }
+            Action::FixUsage(fix) => {
+                Reply::Usage(self.reports.fix(&mut self.duties, index, now, fix))
+            }
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod load;
 pub mod outcome;
 pub mod text;
+pub mod usage;
 
 /// The names most modules need, for one import line.
 pub mod prelude {
@@ -35,5 +36,6 @@
     pub use crate::incarnation::{Born, Incarnation};
     pub use crate::outcome::Outcome;
     pub use crate::text::Section;
+    pub use crate::usage::{TrueTime, Window, WindowCounts, Windows, WorkspaceCount};
     pub use std::time::Duration;
 }
