--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,7 +25,9 @@
 //! * [`quarantine`]: which requests crash endpoints, and are not sent on;
 //! * [`served`]: which requests were served lately;
 //! * [`transfer`]: fetching a large text that several sources have;
+//! * [`true_time`]: what time it is, by many wall clocks;
 //! * [`urgency`]: who goes first at an endpoint;
+//! * [`usage`]: how many requests of each workspace were begun in a window of time;
 //! * [`trust`]: which endpoints an entry may use after what came back lately;
 //! * [`gate`]: the agent's decision to start or refuse, with [`limit`], the
 //!   number of requests its endpoint can run at once, learned from token gaps.
@@ -54,8 +56,10 @@
 pub mod sightings;
 pub mod subset;
 pub mod transfer;
+pub mod true_time;
 pub mod trust;
 pub mod urgency;
+pub mod usage;
 pub mod view;
 pub mod wait;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod list;
 pub mod pack;
 pub mod routes;
+pub mod usage;
 
 /// The names most modules need, for one import line.
 pub mod prelude {
