--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -10,8 +10,10 @@
 use crate::presence::{INTERVAL, PRESENCE_PATH, Presence};
 use crate::quarantine::Quarantines;
 use crate::replica::{Driver, Input, Limits, Made, Replica, Standing, make};
+use crate::reporter::{Reporter, Stats, UsageSink};
 use crate::service::Service;
 use crate::settings::{Settings, Start};
+use crate::usage::Usage;
 use axum::Router;
 use derive_more::{Display, Error};
 use dogwoodhill_consensus::NodeId;
@@ -68,12 +70,30 @@
     Alone,
 }
 
+/// What a platform adds to an instance.
+#[derive(Clone, Debug)]
+pub struct Extensions {
+    /// Routes for operators.
+    pub routes: fn(Service) -> Router,
+    /// Whom usage is reported to.
+    pub usage: Option<Arc<dyn UsageSink>>,
+}
+
+impl Default for Extensions {
+    fn default() -> Self {
+        Self {
+            routes: |_| Router::new(),
+            usage: None,
+        }
+    }
+}
+
 /// Pause before an instance whose disk failed opens its folder again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(700);
 
 /// Runs an instance until its drain is complete. One whose disk fails takes no
 /// part until the folder can be opened again; what is on disk then decides, as
-/// after a crash. `extra` adds routes for operators.
+/// after a crash.
 ///
 /// # Errors
 ///
@@ -82,7 +102,7 @@
     mut settings: Settings,
     drain: Drain,
     changed: Changed<Settings>,
-    extra: fn(Service) -> Router,
+    extensions: Extensions,
 ) -> Result<(), String> {
     if settings.data.as_os_str().is_empty() {
         return forward::run(settings, drain).await;
@@ -96,10 +116,7 @@
             () = drain.wait() => break,
         };
         let ended = match started {
-            Ok(control) => {
-                let service = control.service();
-                control.run_with(extra(service)).await
-            }
+            Ok(control) => control.run_with(extensions.clone()).await,
             Err(error) => Err(format!("{error:#}")),
         };
         match ended {
@@ -215,16 +232,15 @@
     ///
     /// Text that says why the instance stopped.
     pub async fn run(self) -> Result<(), String> {
-        self.run_with(Router::new()).await
+        self.run_with(Extensions::default()).await
     }
 
-    /// Serves like [`Control::run`], and `extra` beside the routes for
-    /// operators.
+    /// Serves like [`Control::run`], with what a platform adds.
     ///
     /// # Errors
     ///
     /// Text that says why the instance stopped.
-    pub async fn run_with(self, extra: Router) -> Result<(), String> {
+    pub async fn run_with(self, extensions: Extensions) -> Result<(), String> {
         Event::new("control-started")
             .field("name", &self.settings.name)
             .field("node", format!("{:016x}", self.member.id))
@@ -234,18 +250,30 @@
         let service = self.service();
         let quarantines = Quarantines::following(self.replica.quarantined.clone());
         let presence = Presence::default();
+        let usage = Usage::new(self.replica.clone());
+        let extra = (extensions.routes)(service.clone());
         let outside =
             Outside::new(service.clone(), presence.clone(), &self.settings.teams);
         let inside = Inside {
-            service,
+            service: service.clone(),
             presence: presence.clone(),
             demand: Demand::default(),
             lists: Lists::default(),
             quarantines,
+            usage: usage.clone(),
             cluster: self.cluster,
             secret: Arc::new(self.settings.secret.clone()),
         };
         let metrics = Metrics::default();
+        let reporter = extensions.usage.zip(self.settings.usage.clone());
+        let reporter = reporter.map(|(sink, settings)| {
+            let machine = self.member.address;
+            let entries = presence.count();
+            let stats = Stats::new(&metrics);
+            let reporter =
+                Reporter::new(settings, machine, usage, service, sink, entries, stats);
+            AbortOnDropHandle::new(tokio::spawn(reporter.run(self.drain.clone())))
+        });
         let health =
             health::routes(&self.drain, &metrics, ready(&self.replica, &metrics));
         let public = operators::routes(outside)
@@ -255,7 +283,7 @@
             internal::ending_polls(internal::routes(inside), self.drain.clone());
         let private = private.merge(health);
         let replica = self.replica.clone();
-        let stop = hand_over(replica.clone(), self.drain.clone());
+        let stop = hand_over(replica.clone(), self.drain.clone(), reporter);
         let drain = self.drain.clone();
         let linger = self.settings.linger;
         let handle = replica.clone();
@@ -534,9 +562,18 @@
     AbortOnDropHandle::new(tokio::spawn(task))
 }
 
-/// Waits for the drain, then for another instance to lead.
-async fn hand_over(replica: Replica, drain: Drain) {
+/// Waits for the drain, then for the duty of reporting to be given up, then for another
+/// instance to lead.
+async fn hand_over(
+    replica: Replica,
+    drain: Drain,
+    reporter: Option<AbortOnDropHandle<()>>,
+) {
     drain.wait().await;
+    if let Some(reporter) = reporter {
+        // A lease that is not given up in time ends by itself.
+        let _ = timeout(PEER_TIMEOUT, reporter).await;
+    }
     let mut standing = replica.standing.clone();
     if !standing.borrow().leads {
         return;
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -8,6 +8,7 @@
 use crate::quarantine::{self, Quarantines};
 use crate::replica::Input;
 use crate::service::{CONFIRM_PATH, SUBMIT_PATH, Service};
+use crate::usage::Usage;
 use crate::{routes, watch};
 use axum::Router;
 use axum::extract::{DefaultBodyLimit, Request, State};
@@ -26,6 +27,7 @@
 };
 use dogwoodhill_wire::demand::{DEMAND_PATH, TellDemand, Totals};
 use dogwoodhill_wire::routes::{FetchRoutes, FollowRoutes, PIECE_PATH, ROUTES_PATH};
+use dogwoodhill_wire::usage::{TellUsage, USAGE_PATH};
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -57,6 +59,8 @@
     pub lists: Lists,
     /// Requests that crash their endpoints.
     pub quarantines: Quarantines,
+    /// Usage that entries told.
+    pub usage: Usage,
     /// Cluster's id.
     pub cluster: u128,
     /// Key shared by the router's processes.
@@ -82,6 +86,7 @@
         .route(ROUTES_PATH, post(follow_routes))
         .route(PIECE_PATH, post(fetch_routes))
         .route(DEMAND_PATH, post(demand))
+        .route(USAGE_PATH, post(usage))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE))
         .with_state(inside);
     guarded(routes, secret)
@@ -280,6 +285,14 @@
     .await
 }
 
+async fn usage(State(inside): State<Inside>, bytes: Bytes) -> Response {
+    serve(
+        bytes,
+        |tell: TellUsage| async move { inside.usage.tell(tell) },
+    )
+    .await
+}
+
 async fn fetch_routes(State(inside): State<Inside>, bytes: Bytes) -> Response {
     serve(bytes, |fetch: FetchRoutes| async move {
         let sets = inside.service.replica().routes.borrow().clone();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,12 +21,14 @@
 pub mod presence;
 pub mod quarantine;
 pub mod replica;
+pub mod reporter;
 pub mod routes;
 pub mod service;
 pub mod sets;
 pub mod settings;
 pub mod state;
+pub mod usage;
 pub mod watch;
 
-pub use control::{Control, run_until_drained};
+pub use control::{Control, Extensions, run_until_drained};
 pub use settings::Settings;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -104,6 +104,37 @@
     pub members: Vec<MemberStatus>,
     /// Services.
     pub services: Vec<ServiceStatus>,
+    /// Duties of one holder.
+    #[serde(default)]
+    pub duties: Vec<DutyStatus>,
+    /// Usage reports, where any window was ever fixed.
+    #[serde(default)]
+    pub usage: Option<UsageStatus>,
+}
+
+/// A duty and who holds it, or held it last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyStatus {
+    /// What it is.
+    pub duty: String,
+    /// What it is about.
+    pub subject: String,
+    /// Internal address of the holder.
+    pub holder: String,
+    /// Its fencing number.
+    pub fence: Fence,
+}
+
+/// Usage reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageStatus {
+    /// The first window whose counts are not fixed.
+    pub next: Window,
+    /// Windows that are fixed and not known to be reported. The newest one stays here until
+    /// the next is fixed.
+    pub owed: usize,
+    /// Windows that were owed for so long that they were given up.
+    pub dropped: u64,
 }
 
 /// One control instance.
@@ -328,6 +359,18 @@
         owner: history.document.owner.clone(),
         state: history.document.state.to_string(),
     });
+    let view = replica.duties.borrow().clone();
+    let duties = view.held.iter().map(|held| DutyStatus {
+        duty: held.duty.clone(),
+        subject: held.subject.clone(),
+        holder: held.holder.machine.to_string(),
+        fence: held.fence,
+    });
+    let usage = UsageStatus {
+        next: view.next,
+        owed: view.owed,
+        dropped: view.dropped,
+    };
     Ok(Json(Status {
         revision: documents.revision,
         node: format!("{:016x}", standing.node),
@@ -339,5 +382,7 @@
         log_bytes: standing.size,
         members: members.collect(),
         services: services.collect(),
+        duties: duties.collect(),
+        usage: (view.next > 0).then_some(usage),
     }))
 }
--- /dev/null
+++ b/crates/control/src/reporter.rs
@@ -0,0 +1,464 @@
+//! Reporting usage: a duty that one instance holds at a time.
+//!
+//! Any instance that entries tell of their usage may hold it. It fixes the counts of a
+//! window in the log, by the same command that takes or prolongs the lease, and sends what
+//! the log has, oldest first, until it is accepted. Nothing is called and nothing is
+//! written while no window is owed.
+//!
+//! A holder that stood still looks at a clock that goes on meanwhile before each call. A
+//! call that was under way by then bears the old fencing number; where nobody checks that,
+//! the lease passes on only after such a call is over, too.
+
+use crate::command::{Action, Reply};
+use crate::service::Service;
+use crate::state::{DutyHolder, FixUsage, GiveUp, Hold, UsageOwed};
+use crate::usage::{Open, Usage};
+use derive_more::{Display, Error};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_policy::usage::Closing;
+use std::collections::VecDeque;
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Name of the duty.
+pub const DUTY: &str = "usage";
+/// Interval at which is looked whether a window is complete. No call is made for that.
+const LOOK: Duration = Duration::from_millis(200);
+/// Longest wait for an answer to a report.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after a report that was not accepted; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause between two reports of one window.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// A pause of this instance's own tasks that means that it stood still.
+const STOOD_STILL: Duration = Duration::from_secs(1);
+/// Time after standing still in which no window is closed without all entries: several of
+/// the intervals at which they tell, and news of the log.
+const RECOVERS: Duration = Duration::from_secs(2);
+/// Time without an accepted report after which another instance may try: what keeps this
+/// one from the platform may not keep that one.
+const UNABLE_AFTER: Duration = Duration::from_secs(3);
+/// How long such an instance leaves the duty to others.
+const LEAVES: Duration = Duration::from_secs(10);
+
+/// A report that is being sent.
+pub type Reporting<'a> =
+    Pin<Box<dyn Future<Output = Result<(), ReportError>> + Send + 'a>>;
+
+/// Whom usage is reported to.
+pub trait UsageSink: Send + Sync + Debug {
+    /// Sends a report. The same one may be sent again.
+    fn report<'a>(&'a self, report: &'a UsageReport) -> Reporting<'a>;
+}
+
+/// A report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageReport {
+    /// Name of the instance that holds the duty.
+    pub holder: String,
+    /// Fencing number of its lease.
+    pub fence: Fence,
+    /// The window's counts.
+    pub counts: WindowCounts,
+}
+
+/// Why a report was not accepted.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Error)]
+pub enum ReportError {
+    /// A higher fencing number was seen.
+    #[display("a higher fencing number was seen")]
+    Fenced,
+    /// More calls than are allowed.
+    #[display("more calls than are allowed")]
+    Busy,
+    /// No answer, or none that says that it is accepted.
+    #[display("{problem}")]
+    #[error(ignore)]
+    Failed {
+        /// What went wrong.
+        problem: String,
+    },
+}
+
+/// Settings of the duty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageSettings {
+    /// Name that reports bear.
+    pub reporter: String,
+    /// Whom they are sent to.
+    pub platform: SocketAddr,
+    /// How windows are cut.
+    pub windows: Windows,
+    /// Time after a window's end by which it is to be reported.
+    pub within: Duration,
+    /// How long a holder may act without asking the log again.
+    pub lease: Duration,
+    /// How much longer nobody else may: time in which a holder that stood still may act on
+    /// what it believed, and, where fencing numbers are not checked, calls end.
+    pub slack: Duration,
+    /// Shortest time between two calls.
+    pub spacing: Duration,
+}
+
+impl UsageSettings {
+    /// A window is closed with whatever was told after half of the time in which it has to
+    /// be reported; the rest is for the log, a holder that is lost, and a call that is.
+    pub fn closing(&self) -> Closing {
+        Closing {
+            windows: self.windows,
+            patience: self.within / 2,
+        }
+    }
+}
+
+/// A lease, as its holder sees it.
+#[derive(Clone, Copy, Debug)]
+struct Holding {
+    fence: Fence,
+    /// When it stops to act on it, by [`uptime`].
+    until: Duration,
+}
+
+/// Reports usage.
+#[derive(Debug)]
+pub struct Reporter {
+    settings: UsageSettings,
+    usage: Usage,
+    service: Service,
+    sink: Arc<dyn UsageSink>,
+    entries: watch::Receiver<u32>,
+    stats: Stats,
+    holder: DutyHolder,
+    holding: Option<Holding>,
+    /// The highest fencing number that was refused.
+    refused: Fence,
+    /// Fixed windows that this instance is to report.
+    owed: VecDeque<WindowCounts>,
+    /// Windows before this one are reported.
+    sent: Window,
+    /// When it looked last.
+    looked: Duration,
+    /// Until when nothing is closed without all entries.
+    unsure: Duration,
+    /// Until when the duty is left to others.
+    leaves: Duration,
+    /// Until when another machine holds the duty.
+    barred: Duration,
+    /// Since when no report was accepted.
+    failing: Option<Duration>,
+    pause: Duration,
+}
+
+/// Counters of the duty.
+#[derive(Clone, Debug)]
+pub struct Stats {
+    reports: prometheus::IntCounterVec,
+    state: prometheus::IntGaugeVec,
+}
+
+impl Stats {
+    /// Adds them to `metrics`.
+    pub fn new(metrics: &Metrics) -> Self {
+        Self {
+            reports: metrics.counters(
+                "dogwoodhill_usage_reports_total",
+                "Usage reports sent, by outcome",
+                &["outcome"],
+            ),
+            state: metrics.gauges(
+                "dogwoodhill_usage",
+                "Whether this instance holds the duty, windows owed, and windows given up",
+                &["what"],
+            ),
+        }
+    }
+}
+
+impl Reporter {
+    /// A reporter for the control instance at `machine`.
+    pub fn new(
+        settings: UsageSettings,
+        machine: SocketAddr,
+        usage: Usage,
+        service: Service,
+        sink: Arc<dyn UsageSink>,
+        entries: watch::Receiver<u32>,
+        stats: Stats,
+    ) -> Self {
+        let holder = DutyHolder {
+            machine,
+            run: usage.instance(),
+        };
+        Self {
+            settings,
+            usage,
+            service,
+            sink,
+            entries,
+            stats,
+            holder,
+            holding: None,
+            refused: 0,
+            owed: VecDeque::new(),
+            sent: 0,
+            looked: uptime(),
+            unsure: Duration::ZERO,
+            leaves: Duration::ZERO,
+            barred: Duration::ZERO,
+            failing: None,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Runs until the drain begins, then gives the lease up.
+    pub async fn run(mut self, drain: Drain) {
+        loop {
+            tokio::select! {
+                () = drain.wait() => break,
+                () = sleep(LOOK) => {}
+            }
+            let now = uptime();
+            if now.saturating_sub(self.looked) > STOOD_STILL {
+                self.unsure = now + RECOVERS;
+            }
+            self.look(now).await;
+            self.looked = uptime();
+        }
+        self.usage.set_away(true);
+        self.give_up("stop").await;
+    }
+
+    async fn look(&mut self, now: Duration) {
+        self.usage.set_away(now < self.leaves);
+        self.publish();
+        if !self.usage.settled() || now < self.barred {
+            return;
+        }
+        let open = self.open();
+        // Until something is fixed, nothing is reported: the first window is the one in
+        // which the deployment starts.
+        let first = self.next() == 0 && open.entries > 0;
+        if first || !open.complete.is_empty() {
+            self.fix(open).await;
+        }
+        while let Some(counts) = self.owed.front().cloned() {
+            if !self.report(counts).await {
+                break;
+            }
+        }
+    }
+
+    fn next(&self) -> Window {
+        self.service.replica().duties.borrow().next
+    }
+
+    fn open(&self) -> Open {
+        let expected = *self.entries.borrow() as usize;
+        let next = self.next();
+        let closing = self.settings.closing();
+        let mut open = self.usage.open(next, &closing, expected);
+        if next == 0 || uptime() < self.unsure {
+            open.complete.clear();
+        }
+        open
+    }
+
+    /// Fixes what is complete. Whoever holds the duty keeps it.
+    async fn fix(&mut self, open: Open) {
+        let Some(time) = open.time else { return };
+        let asked = uptime();
+        let fixed = open.complete.clone();
+        let action = Action::FixUsage(FixUsage {
+            hold: Hold {
+                duty: DUTY.to_string(),
+                subject: String::new(),
+                holder: self.holder,
+                lasting: self.settings.lease + self.settings.slack,
+                refused: self.refused,
+            },
+            first: self.settings.windows.at(time),
+            windows: open.complete,
+            sent: self.sent,
+        });
+        match self.service.submit(&action).await {
+            Ok(Reply::Usage(Ok(owed))) => {
+                for counts in &fixed {
+                    let end = self.settings.windows.end(counts.window);
+                    Event::new("usage-fixed")
+                        .field("window", counts.window)
+                        .field("requests", counts.total())
+                        .field("workspaces", counts.counts.len())
+                        .field("entries", open.entries)
+                        .field("expected", *self.entries.borrow())
+                        .field("age_ms", time.saturating_sub(end).as_millis())
+                        .info();
+                }
+                self.hold(asked, owed);
+            }
+            Ok(Reply::Usage(Err(left))) => self.other_holds(left),
+            Ok(_) | Err(_) => {
+                // Whether it is in force is not known; the log tells.
+                Event::new("usage-not-fixed")
+                    .field("windows", fixed.len())
+                    .field("reason", "no-majority")
+                    .warn();
+            }
+        }
+    }
+
+    fn hold(&mut self, asked: Duration, owed: UsageOwed) {
+        if self.holding.is_none_or(|held| held.fence != owed.fence) {
+            Event::new("duty-held")
+                .field("duty", DUTY)
+                .field("fence", owed.fence)
+                .field("next", owed.next)
+                .field("owed", owed.owed.len())
+                .info();
+        }
+        self.holding = Some(Holding {
+            fence: owed.fence,
+            until: asked + self.settings.lease,
+        });
+        let sent = self.sent;
+        let due = owed.owed.into_iter().filter(|counts| counts.window >= sent);
+        self.owed = due.collect();
+    }
+
+    fn other_holds(&mut self, left: Duration) {
+        if self.holding.take().is_some() {
+            Event::new("duty-lost")
+                .field("duty", DUTY)
+                .field("reason", "another-holds")
+                .field("left_ms", left.as_millis())
+                .info();
+        }
+        self.owed.clear();
+        self.barred = uptime() + left;
+    }
+
+    /// Sends a window. Whether the next one may be sent now.
+    async fn report(&mut self, counts: WindowCounts) -> bool {
+        let valid = |held: &Holding| uptime() < held.until;
+        if !self.holding.as_ref().is_some_and(valid) {
+            let mut open = self.open();
+            open.complete.clear();
+            self.fix(open).await;
+        }
+        let Some(held) = self.holding.filter(valid) else {
+            return false;
+        };
+        let window = counts.window;
+        let requests = counts.total();
+        let report = UsageReport {
+            holder: self.settings.reporter.clone(),
+            fence: held.fence,
+            counts,
+        };
+        let sent = timeout(CALL_TIMEOUT, self.sink.report(&report)).await;
+        let sent = sent.unwrap_or_else(|_| {
+            let problem = "no answer in time".to_string();
+            Err(ReportError::Failed { problem })
+        });
+        self.log(window, requests, held.fence, sent.as_ref().err());
+        match sent {
+            Ok(()) => {
+                self.accepted(window);
+                sleep(self.settings.spacing).await;
+                true
+            }
+            Err(ReportError::Fenced) => {
+                self.refused = self.refused.max(held.fence);
+                self.holding = None;
+                self.owed.clear();
+                false
+            }
+            Err(ReportError::Busy | ReportError::Failed { .. }) => {
+                self.not_accepted().await;
+                false
+            }
+        }
+    }
+
+    fn accepted(&mut self, window: Window) {
+        self.owed.pop_front();
+        self.sent = self.sent.max(window + 1);
+        self.failing = None;
+        self.pause = FIRST_PAUSE;
+    }
+
+    async fn not_accepted(&mut self) {
+        let now = uptime();
+        let since = *self.failing.get_or_insert(now);
+        if now.saturating_sub(since) >= UNABLE_AFTER {
+            self.failing = None;
+            self.leaves = now + LEAVES;
+            self.usage.set_away(true);
+            self.give_up("unable").await;
+        }
+        sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    async fn give_up(&mut self, reason: &str) {
+        if self.holding.take().is_none() {
+            return;
+        }
+        self.owed.clear();
+        let action = Action::GiveUp(GiveUp {
+            duty: DUTY.to_string(),
+            subject: String::new(),
+            holder: self.holder,
+        });
+        let given = self.service.submit(&action).await.is_ok();
+        Event::new("duty-given-up")
+            .field("duty", DUTY)
+            .field("reason", reason)
+            .field("logged", given)
+            .info();
+    }
+
+    fn log(
+        &self,
+        window: Window,
+        requests: u64,
+        fence: Fence,
+        error: Option<&ReportError>,
+    ) {
+        let outcome = match error {
+            None => "accepted",
+            Some(ReportError::Fenced) => "fenced",
+            Some(ReportError::Busy) => "busy",
+            Some(ReportError::Failed { .. }) => "failed",
+        };
+        self.stats.reports.with_label_values(&[outcome]).inc();
+        let time = self.open().time.unwrap_or_default();
+        let end = self.settings.windows.end(window);
+        let event = Event::new("usage-report")
+            .field("window", window)
+            .field("requests", requests)
+            .field("fence", fence)
+            .field("age_ms", time.saturating_sub(end).as_millis())
+            .field("outcome", outcome);
+        match error {
+            None => event.info(),
+            Some(error) => event.field("reason", error).warn(),
+        }
+    }
+
+    fn publish(&self) {
+        let view = self.service.replica().duties.borrow().clone();
+        let values = [
+            ("holds", i64::from(self.holding.is_some())),
+            ("owed", view.owed as i64),
+            ("given_up", view.dropped as i64),
+        ];
+        for (what, value) in values {
+            self.stats.state.with_label_values(&[what]).set(value);
+        }
+    }
+}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a control instance.
 
+use crate::reporter::{CALL_TIMEOUT, DUTY, UsageSettings};
 use dogwoodhill_core::keys::KeyHash;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
@@ -13,6 +14,13 @@
 /// How long connections are still accepted after a drain began.
 const DEFAULT_LINGER: Duration = Duration::from_secs(1);
 
+/// Lease of a duty.
+const DEFAULT_LEASE: Duration = Duration::from_secs(3);
+/// Time after a lease in which its holder may still act on it.
+const DEFAULT_SLACK: Duration = Duration::from_millis(300);
+/// Calls to the platform in a second: far more than a report a window.
+const DEFAULT_CALLS: f64 = 10.0;
+
 /// A team of operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Team {
@@ -82,6 +90,8 @@
     /// How long connections are still accepted after a drain began. Default
     /// 1 s.
     pub linger: Duration,
+    /// How usage is reported, where that is one of the instance's duties.
+    pub usage: Option<UsageSettings>,
     /// How an instance without state comes to be; from the command line.
     pub start: Start,
     /// Addresses of other instances, as they change while the instance runs;
@@ -105,6 +115,7 @@
             teams: Vec::new(),
             compact: DEFAULT_COMPACT,
             linger: DEFAULT_LINGER,
+            usage: None,
             start: Start::Again,
             known: None,
         }
@@ -139,6 +150,7 @@
         teams: s.sections("teams", team),
         compact: s.count("compact_after", 16..=1_000_000, Some(DEFAULT_COMPACT)),
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
+        usage: usage(s),
         start: Start::Again,
         known: None,
     };
@@ -153,6 +165,52 @@
     settings
 }
 
+/// The duties and how they are done. One that is not known is left to whoever knows it.
+fn usage(s: &mut Section<'_, '_>) -> Option<UsageSettings> {
+    let duties = s.texts("duties");
+    for duty in duties.iter().filter(|duty| *duty != DUTY) {
+        Event::new("duty-not-done")
+            .field("duty", duty)
+            .field("reason", "unknown")
+            .warn();
+    }
+    let settings = s.section("usage", usage_settings);
+    let owed = duties.iter().any(|duty| duty == DUTY);
+    if owed && settings.is_none() {
+        s.fault(
+            "usage",
+            "is missing",
+            "say how usage is reported, or drop the duty",
+        );
+    }
+    settings.filter(|_| owed)
+}
+
+fn usage_settings(s: &mut Section<'_, '_>) -> UsageSettings {
+    let window = s.duration("window", SECOND / 10..=86_400 * SECOND, None);
+    let within = s.duration("within", SECOND..=86_400 * SECOND, Some(2 * window));
+    let lease = s.duration("lease", SECOND / 10..=3_600 * SECOND, Some(DEFAULT_LEASE));
+    let slack = s.duration("slack", Duration::ZERO..=60 * SECOND, Some(DEFAULT_SLACK));
+    // Where fencing numbers are not checked, a call may be carried out for as long as
+    // somebody waits for its answer.
+    let checked = s.flag("fenced", false);
+    let late = if checked {
+        Duration::ZERO
+    } else {
+        CALL_TIMEOUT
+    };
+    let calls = s.number("calls_per_second", 0.01..=10_000.0, Some(DEFAULT_CALLS));
+    UsageSettings {
+        reporter: s.name("reporter"),
+        platform: s.address("platform"),
+        windows: Windows::new(window),
+        within,
+        lease,
+        slack: slack + late,
+        spacing: Duration::from_secs_f64(1.0 / calls),
+    }
+}
+
 fn seeds(s: &mut Section<'_, '_>) -> Seeds {
     let mut addresses = s.addresses("seeds");
     // 0: the seeds' own ports.
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -1,7 +1,7 @@
 //! A cluster that forms itself from seeds, over loopback and real folders.
 
 use dogwoodhill_control::settings::{Seeds, Start};
-use dogwoodhill_control::{Settings, run_until_drained};
+use dogwoodhill_control::{Extensions, Settings, run_until_drained};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_wire::client::Caller;
@@ -66,7 +66,7 @@
         let (_unchanged, changed) = watch::channel(None);
         let settings = self.settings.clone();
         let run =
-            run_until_drained(settings, drain.clone(), changed, |_| axum::Router::new());
+            run_until_drained(settings, drain.clone(), changed, Extensions::default());
         self.running = Some((drain, tokio::spawn(run)));
     }
 
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -223,5 +223,18 @@
             s.service, s.version, s.revision, s.owner, s.state
         );
     }
+    for d in &status.duties {
+        let (duty, subject) = (&d.duty, &d.subject);
+        let about = if subject.is_empty() { "all" } else { subject };
+        let _ = writeln!(
+            out,
+            "duty {duty} about {about} holder {} fence {}",
+            d.holder, d.fence
+        );
+    }
+    if let Some(usage) = &status.usage {
+        let (next, owed, dropped) = (usage.next, usage.owed, usage.dropped);
+        let _ = writeln!(out, "usage next {next} owed {owed} given up {dropped}");
+    }
     Ok(out)
 }
--- a/crates/direct/src/agree.rs
+++ b/crates/direct/src/agree.rs
@@ -84,18 +84,6 @@
     Failed(CallError),
 }
 
-/// Control instances as far as they were told of, else those of the settings: after all
-/// processes were killed they answer here before there is a leader to tell of others.
-fn instances(follower: &Follower) -> Vec<SocketAddr> {
-    let control = follower.control();
-    let known = if control.told.is_empty() {
-        &control.seeds
-    } else {
-        &control.told
-    };
-    known.clone()
-}
-
 /// The last stamp of each control instance, and when it was asked for.
 #[derive(Debug, Default)]
 struct Stamps(Vec<(SocketAddr, Stamp, Duration)>);
@@ -138,8 +126,7 @@
         served: Vec::new(),
         suspects: 0,
     };
-    let mut told = instances(follower);
-    told.sort_unstable();
+    let told = follower.control().instances();
     let patience = if shared.lists.known() {
         PATIENCE
     } else {
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -12,6 +12,7 @@
 use crate::settings::Settings;
 use crate::stats::Stats;
 use crate::suspects::Suspects;
+use crate::usage::{self, Usage};
 use arc_swap::ArcSwapOption;
 use axum::Router;
 use axum::routing::get;
@@ -38,6 +39,9 @@
 /// its last lines are written.
 const RESERVE: Duration = Duration::from_millis(400);
 
+/// Longest wait for control to hear the last counts of usage.
+const LAST_WORD: Duration = Duration::from_millis(250);
+
 /// The words that an entry speaks.
 #[derive(Debug)]
 pub struct Dialects {
@@ -93,6 +97,8 @@
             .change_context_lazy(|| BindError { address })?;
         let metrics = Metrics::default();
         let stats = Stats::new(&metrics);
+        let usage = settings.usage;
+        let usage = usage.map(|windows| Arc::new(Usage::new(windows, stats.clone())));
         let shared = Arc::new(Shared {
             routes: ArcSwapOption::empty(),
             routes_changed: Notify::new(),
@@ -102,6 +108,7 @@
             endpoints: dialects.endpoints,
             fingerprints: Fingerprinter::new(&settings.secret),
             suspects: Suspects::new(&settings.name, stats.clone()),
+            usage,
             stats,
             drain,
             stopping: OnceLock::new(),
@@ -177,6 +184,11 @@
             ready_path,
         } = self;
         let seeds = Arc::clone(&follower);
+        let counting = shared.usage.clone();
+        let counting = counting.map(|counted| {
+            let task = usage::run(Arc::clone(&counted), Arc::clone(&follower));
+            (counted, Arc::clone(&follower), tokio::spawn(task))
+        });
         let helpers = [
             tokio::spawn(agree::run(Arc::clone(&follower), Arc::clone(&shared))),
             tokio::spawn(follower.run()),
@@ -215,6 +227,13 @@
             .field("cut", drain.busy())
             .field("after_ms", begun.elapsed().as_millis())
             .info();
+        if let Some((counted, follower, task)) = counting {
+            task.abort();
+            let told =
+                timeout_at(Instant::now() + LAST_WORD, counted.tell(&follower, true));
+            let told = told.await.unwrap_or(false);
+            Event::new("usage-last-told").field("heard", told).info();
+        }
         helpers.iter().for_each(tokio::task::JoinHandle::abort);
         answering.abort();
     }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -84,6 +84,20 @@
         all.truncate(MOST);
         all
     }
+
+    /// Those that entries ask, one after the other: all entries the same one first. The
+    /// ones of the settings only until others were told of: after all processes were killed
+    /// they answer before there is a leader to tell of others.
+    pub(crate) fn instances(&self) -> Vec<SocketAddr> {
+        let known = if self.told.is_empty() {
+            &self.seeds
+        } else {
+            &self.told
+        };
+        let mut known = known.clone();
+        known.sort_unstable();
+        known
+    }
 }
 
 /// What is known of newer sets, and what has arrived of one.
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -16,6 +16,7 @@
 use crate::request::{Shared, soon};
 use crate::stats::Record;
 use crate::stream::{CHECK, PARTS, Pauses, Piece, Relay, Source};
+use crate::usage::Begun;
 use bytes::Bytes;
 use dogwoodhill_core::fingerprint::shown;
 use dogwoodhill_core::prelude::*;
@@ -79,6 +80,8 @@
     /// Whether the next send is already taken out of the service's budget.
     paid: bool,
     may_have_run: bool,
+    /// Counts it once an endpoint has begun it.
+    begun: Arc<Begun>,
     _busy: Busy,
 }
 
@@ -119,6 +122,8 @@
         let mixed = shared.directory.apart(&service, shortest, longest);
         let events = admitted.route.events;
         let fragile = mixed && events.is_some_and(|events| events.pause <= shortest);
+        let usage = shared.usage.clone();
+        let begun = Arc::new(Begun::new(usage, admitted.workspace.clone()));
         let mut job = Self {
             mixed,
             lane: if fragile { Lane::Fragile } else { Lane::Other },
@@ -139,6 +144,7 @@
             broken: 0,
             paid: false,
             may_have_run: false,
+            begun,
             _busy: busy,
         };
         let directory = &job.shared.directory;
@@ -210,8 +216,8 @@
                 Next::Refuse(cause) => return self.refuse(cause),
                 Next::Answer(answer) if self.streams(&answer) => {
                     match self.begin(Source::new(*answer)).await {
-                        Begun::Stream(response) => return response,
-                        Begun::Lost(job) => self = *job,
+                        Served::Stream(response) => return response,
+                        Served::Lost(job) => self = *job,
                     }
                 }
                 Next::Answer(answer) => {
@@ -301,6 +307,9 @@
                 Ended::Answered(answer) => {
                     self.sends += 1;
                     self.may_have_run = true;
+                    if !self.streams(&answer) {
+                        self.begun.count();
+                    }
                     return Next::Answer(answer);
                 }
                 Ended::Refused(reason) => {
@@ -484,24 +493,25 @@
     }
 
     /// Waits for a stream's first event, then answers with the stream.
-    async fn begin(mut self, mut source: Source) -> Begun {
+    async fn begin(mut self, mut source: Source) -> Served {
         let first = timeout_at(self.until, source.next()).await;
         let events = match first {
-            Err(_) => return Begun::Stream(self.refuse(Cause::Timeout)),
+            Err(_) => return Served::Stream(self.refuse(Cause::Timeout)),
             Ok(Piece::Broken(loss)) => {
                 self.left_behind(source.endpoint(), loss);
                 let endpoint = Arc::clone(source.endpoint());
                 self.note_lost(&endpoint, loss).await;
                 if !self.idempotent() {
-                    return Begun::Stream(self.refuse(lost(loss)));
+                    return Served::Stream(self.refuse(lost(loss)));
                 }
-                return Begun::Lost(Box::new(self));
+                return Served::Lost(Box::new(self));
             }
             Ok(Piece::End) => {
+                self.begun.count();
                 let (status, headers) = head(&source);
                 source.finish();
                 let bytes = Bytes::new();
-                return Begun::Stream(self.deliver(Whole {
+                return Served::Stream(self.deliver(Whole {
                     status,
                     headers,
                     bytes,
@@ -509,6 +519,7 @@
             }
             Ok(Piece::Events(events)) => events,
         };
+        self.begun.count();
         let (status, headers) = head(&source);
         self.record().answered(status.as_u16());
         let (parts, queue) = mpsc::channel(PARTS);
@@ -522,7 +533,7 @@
             pauses: Pauses::begin(),
         };
         tokio::spawn(relay.run(events));
-        Begun::Stream(respond(status, headers, Reply::stream(queue)))
+        Served::Stream(respond(status, headers, Reply::stream(queue)))
     }
 }
 
@@ -539,7 +550,7 @@
 }
 
 /// A stream's beginning.
-enum Begun {
+enum Served {
     /// There is something to answer with.
     Stream(Response<Reply>),
     /// The endpoint was lost before its first event; another may be asked.
--- a/crates/direct/src/job/crash.rs
+++ b/crates/direct/src/job/crash.rs
@@ -73,8 +73,9 @@
     /// Notes how a send was lost. Whether its endpoint has ended is waited for only where
     /// the request may be sent again.
     pub async fn note_lost(&mut self, endpoint: &Arc<Endpoint>, loss: Loss) {
-        if loss != Loss::Broke {
-            return;
+        match loss {
+            Loss::Broke => {}
+            Loss::Foreign | Loss::Spoiled | Loss::Timeout | Loss::Withdrawn => return,
         }
         self.broken += 1;
         let looked = self.look_after(endpoint);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod stats;
 pub mod stream;
 pub mod suspects;
+pub mod usage;
 
 pub use direct::Direct;
 pub use settings::Settings;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -12,6 +12,7 @@
 use crate::lists::Lists;
 use crate::stats::{Record, Stats};
 use crate::suspects::Suspects;
+use crate::usage::Usage;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use dogwoodhill_core::fingerprint::{Content, Fingerprinter};
@@ -81,6 +82,8 @@
     pub grace: Duration,
     /// Requests that crash endpoints.
     pub suspects: Suspects,
+    /// Requests that endpoints began, where they are to be counted.
+    pub usage: Option<Arc<Usage>>,
     /// Second sends that operators allow.
     pub allowance: Allowance,
     /// Most entries that control told of; they share the allowance.
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -50,8 +50,13 @@
     /// Time from the drain's beginning after which the process is killed.
     /// Default 8 s.
     pub grace: Duration,
+    /// Windows in which usage is counted, where control reports it.
+    pub usage: Option<Windows>,
 }
 
+/// Name of the duty for which usage is counted.
+const USAGE_DUTY: &str = "usage";
+
 impl Settings {
     /// Reads settings from JSON with comments.
     ///
@@ -90,6 +95,7 @@
         },
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
         grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
+        usage: usage(s),
     };
     if settings.list_every > longest {
         let problem = "is too long for leaving_within: news would travel longer";
@@ -107,6 +113,18 @@
     settings
 }
 
+/// Windows of usage, where reporting it is one of the deployment's duties.
+fn usage(s: &mut Section<'_, '_>) -> Option<Windows> {
+    let duties = s.texts("duties");
+    let range = SECOND / 10..=86_400 * SECOND;
+    let window = s.duration_opt("usage_window", range);
+    let owed = duties.iter().any(|duty| duty == USAGE_DUTY);
+    if owed && window.is_none() {
+        s.fault("usage_window", "is missing", "say how long a window is");
+    }
+    window.filter(|_| owed).map(Windows::new)
+}
+
 /// Addresses of control instances; `control_port` replaces their ports.
 fn control(s: &mut Section<'_, '_>) -> Vec<SocketAddr> {
     let mut addresses = s.addresses("control");
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -35,6 +35,8 @@
     pub quarantined: IntGauge,
     /// Requests that were lost with an endpoint that ended, by service.
     pub crashes: IntCounterVec,
+    /// Requests that endpoints began, by whether they were counted.
+    usage: IntCounterVec,
 }
 
 impl Stats {
@@ -93,9 +95,19 @@
                 "Requests that were lost with an endpoint that ended, by service",
                 &["service"],
             ),
+            usage: metrics.counters(
+                "dogwoodhill_direct_usage_total",
+                "Requests that endpoints began, by whether usage has them",
+                &["outcome"],
+            ),
         }
     }
 
+    /// Counts a request that an endpoint began.
+    pub fn usage(&self, outcome: &str) {
+        self.usage.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a second send.
     pub fn second(&self, service: &str, reason: &str) {
         self.seconds.with_label_values(&[service, reason]).inc();
--- a/crates/direct/tests/all/control.rs
+++ b/crates/direct/tests/all/control.rs
@@ -10,6 +10,7 @@
 use dogwoodhill_control::quarantine::Quarantines;
 use dogwoodhill_control::replica::{Limits, make};
 use dogwoodhill_control::service::Service;
+use dogwoodhill_control::usage::Usage;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_store::memory::MemoryFiles;
@@ -26,6 +27,8 @@
     /// Where it listens.
     pub(crate) inner: SocketAddr,
     service: Service,
+    /// What entries told it of usage.
+    pub(crate) usage: Usage,
 }
 
 impl Instance {
@@ -61,6 +64,7 @@
         });
         tokio::spawn(made.driver.run());
         let quarantines = Quarantines::following(made.replica.quarantined.clone());
+        let usage = Usage::new(made.replica.clone());
         let service = Service::new(made.replica, caller);
         let inside = Inside {
             service: service.clone(),
@@ -68,6 +72,7 @@
             demand: Demand::default(),
             lists: Lists::default(),
             quarantines,
+            usage: usage.clone(),
             cluster: identity.cluster,
             secret: Arc::new("secret".to_string()),
         };
@@ -77,6 +82,7 @@
             address,
             inner,
             service,
+            usage,
         }
     }
 
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -102,6 +102,19 @@
         entry
     }
 
+    /// An entry without routes that tells these control instances what endpoints begin.
+    pub(crate) async fn counting(
+        endpoints: &[&StandIn],
+        control: Vec<SocketAddr>,
+        windows: Windows,
+    ) -> Self {
+        let listed = listed(endpoints);
+        let list = Box::new(Fixed(listed.clone()));
+        let entry = Self::run("entry", list, LONG, control, Some(windows)).await;
+        entry.shared.directory.update(listed);
+        entry
+    }
+
     /// An entry without routes and endpoints that asks these control instances.
     pub(crate) async fn following(control: Vec<SocketAddr>) -> Self {
         Self::start("entry", Box::new(Fixed(Vec::new())), LONG, control).await
@@ -114,6 +127,16 @@
         list: Box<dyn EndpointList>,
         grace: Duration,
         control: Vec<SocketAddr>,
+    ) -> Self {
+        Self::run(name, list, grace, control, None).await
+    }
+
+    async fn run(
+        name: &str,
+        list: Box<dyn EndpointList>,
+        grace: Duration,
+        control: Vec<SocketAddr>,
+        usage: Option<Windows>,
     ) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
@@ -132,6 +155,7 @@
             },
             linger: Duration::from_millis(50),
             grace,
+            usage,
         };
         let dialects = Dialects {
             callers: Box::new(Plain),
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -18,4 +18,5 @@
 mod outcomes;
 mod settings;
 mod streams;
+mod usage;
 mod withdrawn;
