--- a/crates/direct/src/job/crash.rs
+++ b/crates/direct/src/job/crash.rs
@@ -7,6 +7,7 @@
 use crate::directory::Endpoint;
 use crate::exchange::Loss;
 use crate::request::Shared;
+use crate::usage::Begun;
 use dogwoodhill_core::fingerprint::shown;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
@@ -52,6 +53,7 @@
         let broken = Broken {
             shared: Arc::clone(&self.shared),
             id: self.ask.id.clone(),
+            begun: Arc::clone(&self.begun),
             lost: LostRequest {
                 request: self.fingerprint,
                 workspace: self.workspace(),
@@ -75,7 +77,9 @@
     pub async fn note_lost(&mut self, endpoint: &Arc<Endpoint>, loss: Loss) {
         match loss {
             Loss::Broke => {}
-            Loss::Foreign | Loss::Spoiled | Loss::Timeout | Loss::Withdrawn => return,
+            // It has answered something, so it had begun.
+            Loss::Foreign | Loss::Spoiled => return self.begun.count(),
+            Loss::Timeout | Loss::Withdrawn => return,
         }
         self.broken += 1;
         let looked = self.look_after(endpoint);
@@ -91,6 +95,7 @@
 struct Broken {
     shared: Arc<Shared>,
     id: RequestId,
+    begun: Arc<Begun>,
     lost: LostRequest,
 }
 
@@ -99,9 +104,12 @@
     /// request. `broke`: when the connection did.
     async fn look(self, endpoint: Arc<Endpoint>, broke: Instant) {
         if !endpoint.has_ended(broke).await {
-            return;
+            // What goes on has lost the answer of a request, and not the request.
+            return self.begun.count();
         }
-        let Self { shared, id, lost } = self;
+        let Self {
+            shared, id, lost, ..
+        } = self;
         let content = shown(lost.request);
         let crashes = shared.suspects.lost(&endpoint, lost);
         shared
--- a/crates/direct/tests/all/usage.rs
+++ b/crates/direct/tests/all/usage.rs
@@ -62,6 +62,15 @@
     told_of(&instance, 3).await;
 }
 
+/// An endpoint that goes on after it broke a connection has run the request; one that ends
+/// under a request may not have begun it.
+#[tokio::test]
+async fn count_answer_that_was_lost() {
+    let (entry, instance, _endpoint) = counting(vec![Act::Break]).await;
+    entry.call("POST /once/", "x-key: k\r\n", "").await;
+    told_of(&instance, 1).await;
+}
+
 /// The last word of an entry that stops.
 #[tokio::test]
 async fn tell_once_more_at_the_end() {
