--- a/crates/control/src/reporter.rs
+++ b/crates/control/src/reporter.rs
@@ -106,12 +106,12 @@
 }
 
 impl UsageSettings {
-    /// A window is closed with whatever was told after half of the time in which it has to
-    /// be reported; the rest is for the log, a holder that is lost, and a call that is.
+    /// A window is closed with whatever was told after two fifths of the time in which it
+    /// has to be reported; the rest is for the log and for a call that is lost.
     pub fn closing(&self) -> Closing {
         Closing {
             windows: self.windows,
-            patience: self.within / 2,
+            patience: self.within * 2 / 5,
         }
     }
 }
