--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -330,10 +330,6 @@
             let hopeful = backlog.hopeful(now, rank, least, objective);
             (backlog.wait(now, rank, least), hopeful)
         };
-        if !hopeful {
-            let mut all = self.demand();
-            Demand::of(&mut all, want.service).strain.crowded(now);
-        }
         Standing {
             backlog: Some(backlog),
             rank,
--- a/crates/direct/src/directory/demand.rs
+++ b/crates/direct/src/directory/demand.rs
@@ -5,7 +5,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::backlog::Backlog;
 use dogwoodhill_policy::disturbance::Disturbance;
-use dogwoodhill_policy::lanes::{Shares, Strain};
+use dogwoodhill_policy::lanes::Shares;
 use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_wire::demand::{ServiceDemand, Totals};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,7 +17,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     pub(super) shares: Shares,
-    pub(super) strain: Strain,
     pub(super) disturbance: Disturbance,
     pub(super) backlog: Arc<Mutex<Backlog>>,
     pub(super) rate: Arc<Mutex<ReadRate>>,
@@ -50,12 +49,7 @@
         let mut all = self.demand();
         let demand = Demand::of(&mut all, want.service);
         let fragile = want.lane == Lane::Fragile;
-        let factor = if fragile {
-            demand.strain.factor(now)
-        } else {
-            1.0
-        };
-        demand.shares.note(now, fragile, work.mul_f64(factor));
+        demand.shares.note(now, fragile, work);
     }
 
     /// Whether streams of `service` that allow a pause of `shortest`, and no other
@@ -80,14 +74,13 @@
         disturbance.apart()
     }
 
-    /// A stream of a request ended whose longest pause was `longest`, of `allowed`.
-    pub fn streamed(&self, want: &Want<'_>, longest: Duration, allowed: Duration) {
-        let now = self.start.elapsed();
-        let mut all = self.demand();
-        let demand = Demand::of(&mut all, want.service);
-        match want.lane {
-            Lane::Fragile => demand.strain.ended(longest > allowed),
-            Lane::Other => demand.disturbance.ended(now, longest),
+    /// A stream of a request ended whose longest pause was `longest`.
+    pub fn streamed(&self, want: &Want<'_>, longest: Duration) {
+        if want.lane == Lane::Other {
+            let now = self.start.elapsed();
+            let mut all = self.demand();
+            let demand = Demand::of(&mut all, want.service);
+            demand.disturbance.ended(now, longest);
         }
     }
 
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -179,10 +179,7 @@
     /// Notes that its stream is complete, with this longest pause.
     pub fn streamed(&self, longest: Duration) {
         self.shared.suspects.served(self.fingerprint);
-        if let Some(events) = self.admitted.route.events {
-            let directory = &self.shared.directory;
-            directory.streamed(&self.want(), longest, events.pause);
-        }
+        self.shared.directory.streamed(&self.want(), longest);
     }
 
     /// Whether its stream is disturbed by pauses.
--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -100,50 +100,6 @@
     }
 }
 
-/// Weight of the newest stream in the share of late ones.
-const NEWEST: f64 = 0.1;
-/// Growth of the work that fragile streams count for where all of them are late;
-/// with 2.5 no more of them were in time.
-const GROWTH: f64 = 1.0;
-/// Time without a prompt in the background after which there is room to spare.
-const ROOM: Duration = Duration::from_secs(3);
-
-/// Whether fragile streams need more endpoints than their work asks for.
-///
-/// The pattern: a service of nine endpoints keeps two free of long prompts, and
-/// both happen to be slow ones. Nothing is overloaded, and two streams in five
-/// are late, by the prompts of the other streams there. More endpoints make such
-/// meetings rarer, and the quicker ones among them end their streams sooner and
-/// get more. Where long prompts go to the background there is nothing to spare.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Strain {
-    late: f64,
-    crowded: Option<Duration>,
-}
-
-impl Strain {
-    /// A fragile stream ended; `late`: it had a pause that was too long.
-    pub fn ended(&mut self, late: bool) {
-        let newest = if late { 1.0 } else { 0.0 };
-        self.late += (newest - self.late) * NEWEST;
-    }
-
-    /// A prompt went to the background.
-    pub fn crowded(&mut self, now: Duration) {
-        self.crowded = Some(now);
-    }
-
-    /// How many times their work fragile streams should have.
-    pub fn factor(&self, now: Duration) -> f64 {
-        let room = |at: Duration| now.saturating_sub(at) >= ROOM;
-        if self.crowded.is_none_or(room) {
-            1.0 + GROWTH * self.late
-        } else {
-            1.0
-        }
-    }
-}
-
 /// The lanes of one service at one entry, by its own count and by that of all
 /// entries together.
 #[derive(Clone, Copy, Debug)]
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -4,7 +4,7 @@
 use dogwoodhill_policy::affinity::{Candidate, choose, hash};
 use dogwoodhill_policy::backlog::Backlog;
 use dogwoodhill_policy::budget::{Allowance, Budget};
-use dogwoodhill_policy::lanes::{Lanes, Shares, Strain};
+use dogwoodhill_policy::lanes::{Lanes, Shares};
 use dogwoodhill_policy::pace::{Pace, slow_from};
 use dogwoodhill_policy::packing::{Packing, used};
 use dogwoodhill_policy::wait::Waits;
@@ -315,25 +315,6 @@
     assert!(after > agreed, "{after}");
 }
 
-/// Two of nine endpoints are kept free, both slow ones, and two chats in five are
-/// late: the lane grows by two fifths. In a burst, when long prompts go to the
-/// background, there is nothing to spare.
-#[test]
-fn strain_late_streams_get_more_endpoints() {
-    let mut strain = Strain::default();
-    assert_eq!(strain.factor(ms(0)), 1.0);
-    for stream in 0..200 {
-        strain.ended(stream % 5 < 2);
-    }
-    let factor = strain.factor(ms(20_000));
-    assert!((1.2..1.6).contains(&factor), "{factor}");
-    strain.crowded(ms(20_000));
-    assert_eq!(strain.factor(ms(22_000)), 1.0);
-    assert_eq!(strain.factor(ms(23_000)), factor);
-    (0..100).for_each(|_| strain.ended(false));
-    assert!(strain.factor(ms(30_000)) < 1.01);
-}
-
 /// What entries tell fades, so that one which gets nothing more counts for
 /// nothing soon.
 #[test]
