--- a/crates/policy/src/packing.rs
+++ b/crates/policy/src/packing.rs
@@ -11,8 +11,8 @@
 //! at all, so they are used when the others are filled.
 
 /// Share of its slots up to which an endpoint is filled before slow ones are used:
-/// 16 of 64.
-const FILLED: f64 = 0.25;
+/// 38 of 64. What is left is for bursts and for what other entries send.
+const FILLED: f64 = 0.6;
 
 /// What runs on one endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
