--- a/crates/control/src/reporter.rs
+++ b/crates/control/src/reporter.rs
@@ -106,12 +106,14 @@
 }
 
 impl UsageSettings {
-    /// A window is closed with whatever was told after two fifths of the time in which it
-    /// has to be reported; the rest is for the log and for a call that is lost.
+    /// A window is closed without entries that are missing after two fifths of the time in
+    /// which it has to be reported; the rest is for the log and for a call that is lost. Where
+    /// only a few entries tell this instance, the one that the others tell has twice the time.
     pub fn closing(&self) -> Closing {
         Closing {
             windows: self.windows,
             patience: self.within * 2 / 5,
+            alone: self.within * 4 / 5,
         }
     }
 }
--- a/crates/direct/tests/all/usage.rs
+++ b/crates/direct/tests/all/usage.rs
@@ -17,6 +17,7 @@
     let closing = Closing {
         windows: Windows::new(Duration::from_millis(1)),
         patience: Duration::ZERO,
+        alone: Duration::ZERO,
     };
     // Every window is over for this closing, so what is open is all there.
     let time = instance.usage.open(0, &closing, 0).time.unwrap_or_default();
@@ -74,7 +75,10 @@
 /// The last word of an entry that stops.
 #[tokio::test]
 async fn tell_once_more_at_the_end() {
-    let (entry, instance, _endpoint) = counting(Vec::new()).await;
+    let (entry, instance, endpoint) = counting(Vec::new()).await;
+    // Somebody goes on telling, or the instance would take itself for forsaken.
+    let windows = Windows::new(WINDOW);
+    let _other = Entry::counting(&[&endpoint], vec![instance.address], windows).await;
     for _ in 0..5 {
         entry.call("POST /once/", "x-key: k\r\n", "").await;
     }
--- a/crates/policy/src/usage/tally.rs
+++ b/crates/policy/src/usage/tally.rs
@@ -49,8 +49,11 @@
 pub struct Closing {
     /// How windows are cut.
     pub windows: Windows,
-    /// Time after a window's end at which it is closed without the entries that are missing.
+    /// Time after a window's end at which it is closed without the entries that are missing,
+    /// where most of them tell this instance.
     pub patience: Duration,
+    /// The same where only a few do: the others may tell another instance.
+    pub alone: Duration,
 }
 
 /// The counts of windows that are not fixed yet, by entry.
@@ -98,7 +101,8 @@
     }
 
     /// Whether the counts of `window` may be fixed: it is over, and all `expected` entries
-    /// have told of it, or it has been waited for long enough.
+    /// have told of it, or it has been waited for long enough. Never where no entry tells
+    /// this instance: what they count, another one has.
     pub fn complete(
         &self,
         now: Moment,
@@ -111,9 +115,16 @@
         if time < end {
             return false;
         }
-        if time >= end + closing.patience {
+        let alive = self.alive(now);
+        if alive == 0 {
+            return false;
+        }
+        if time >= end + closing.alone {
             return true;
         }
+        if time >= end + closing.patience {
+            return 2 * alive >= expected;
+        }
         let missing = |teller: &Teller| teller.through < end && self.awaited(now, teller);
         let whole = self.tellers.iter().filter(|teller| teller.through >= end);
         let lately = whole.filter(|teller| now.saturating_sub(teller.at) < ALIVE);
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -14,6 +14,7 @@
     Closing {
         windows: Windows::new(LENGTH),
         patience: s(5),
+        alone: s(8),
     }
 }
 
@@ -117,6 +118,34 @@
     assert!(tally.complete(s(20), s(20), 2, &closing(), 2));
 }
 
+/// The holder has just been lost. Another instance was told once, at the start, and knows what
+/// time it is; its windows would be closed without a single request. Seen: a window of 2,505
+/// requests was reported as one of none.
+#[test]
+fn complete_not_where_entries_tell_another_instance() {
+    let mut tally = Tally::default();
+    let complete = |tally: &Tally, now| tally.complete(now, now, 2, &closing(), 33);
+    tally.tell(s(1), told(1, s(1), vec![]));
+    assert!(!complete(&tally, s(20)), "nobody tells it");
+    assert!(!complete(&tally, s(60)), "whoever comes may have counted");
+    for run in 0..16 {
+        tally.tell(s(20), told(run, s(20), vec![]));
+    }
+    assert!(!complete(&tally, s(20)), "most tell another one");
+    tally.tell(s(20), told(16, s(20), vec![]));
+    assert!(complete(&tally, s(20)), "most tell it");
+}
+
+/// Most entries are cut off from all instances: what is left is reported in time.
+#[test]
+fn complete_with_a_few_entries_in_the_end() {
+    let mut tally = Tally::default();
+    tally.tell(s(22), told(1, s(22), vec![]));
+    assert!(!tally.complete(s(22), s(22), 2, &closing(), 33));
+    tally.tell(s(23), told(1, s(23), vec![]));
+    assert!(tally.complete(s(23), s(23), 2, &closing(), 33));
+}
+
 /// An entry that stood still while one window ended and another one began.
 #[test]
 fn complete_waits_for_an_entry_that_is_silent() {
