--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -11,7 +11,7 @@
 use dogwoodhill_core::fingerprint::shown;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
-use dogwoodhill_policy::quarantine::{Found, LostRequest, Quarantine, Told, term};
+use dogwoodhill_policy::quarantine::{Found, LostRequest, Quarantine, Told};
 use dogwoodhill_policy::sightings::LATELY;
 use dogwoodhill_wire::demand::{RequestStanding, Suspects, TellDemand};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -153,12 +153,7 @@
 /// Logs what was found, and puts it into the cluster's log in the background.
 pub(crate) fn keep(service: &Service, found: Vec<Found>) {
     for found in found {
-        Event::new("request-quarantined")
-            .field("content", shown(found.request))
-            .field("crashes", found.crashes)
-            .field("times", found.times)
-            .field("for_s", term(found.times).as_secs())
-            .warn();
+        found.event().warn();
         tokio::spawn(put(service.clone(), found));
     }
 }
--- a/crates/control/src/reporter.rs
+++ b/crates/control/src/reporter.rs
@@ -9,18 +9,21 @@
 //! call that was under way by then bears the old fencing number; where nobody checks that,
 //! the lease passes on only after such a call is over, too.
 
+mod sink;
+mod stats;
+
+pub use sink::{ReportError, Reporting, UsageReport, UsageSink};
+pub use stats::Stats;
+
 use crate::command::{Action, Reply};
 use crate::service::Service;
 use crate::state::{DutyHolder, FixUsage, GiveUp, Hold, UsageOwed};
 use crate::usage::{Open, Usage};
-use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_policy::usage::Closing;
 use std::collections::VecDeque;
-use std::fmt::Debug;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -46,45 +49,6 @@
 /// How long such an instance leaves the duty to others.
 const LEAVES: Duration = Duration::from_secs(10);
 
-/// A report that is being sent.
-pub type Reporting<'a> =
-    Pin<Box<dyn Future<Output = Result<(), ReportError>> + Send + 'a>>;
-
-/// Whom usage is reported to.
-pub trait UsageSink: Send + Sync + Debug {
-    /// Sends a report. The same one may be sent again.
-    fn report<'a>(&'a self, report: &'a UsageReport) -> Reporting<'a>;
-}
-
-/// A report.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct UsageReport {
-    /// Name of the instance that holds the duty.
-    pub holder: String,
-    /// Fencing number of its lease.
-    pub fence: Fence,
-    /// The window's counts.
-    pub counts: WindowCounts,
-}
-
-/// Why a report was not accepted.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Error)]
-pub enum ReportError {
-    /// A higher fencing number was seen.
-    #[display("a higher fencing number was seen")]
-    Fenced,
-    /// More calls than are allowed.
-    #[display("more calls than are allowed")]
-    Busy,
-    /// No answer, or none that says that it is accepted.
-    #[display("{problem}")]
-    #[error(ignore)]
-    Failed {
-        /// What went wrong.
-        problem: String,
-    },
-}
-
 /// Settings of the duty.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UsageSettings {
@@ -156,31 +120,6 @@
     pause: Duration,
 }
 
-/// Counters of the duty.
-#[derive(Clone, Debug)]
-pub struct Stats {
-    reports: prometheus::IntCounterVec,
-    state: prometheus::IntGaugeVec,
-}
-
-impl Stats {
-    /// Adds them to `metrics`.
-    pub fn new(metrics: &Metrics) -> Self {
-        Self {
-            reports: metrics.counters(
-                "dogwoodhill_usage_reports_total",
-                "Usage reports sent, by outcome",
-                &["outcome"],
-            ),
-            state: metrics.gauges(
-                "dogwoodhill_usage",
-                "Whether this instance holds the duty, windows owed, and windows given up",
-                &["what"],
-            ),
-        }
-    }
-}
-
 impl Reporter {
     /// A reporter for the control instance at `machine`.
     pub fn new(
@@ -289,17 +228,9 @@
         });
         match self.service.submit(&action).await {
             Ok(Reply::Usage(Ok(owed))) => {
-                for counts in &fixed {
-                    let end = self.settings.windows.end(counts.window);
-                    Event::new("usage-fixed")
-                        .field("window", counts.window)
-                        .field("requests", counts.total())
-                        .field("workspaces", counts.counts.len())
-                        .field("entries", open.entries)
-                        .field("expected", *self.entries.borrow())
-                        .field("age_ms", time.saturating_sub(end).as_millis())
-                        .info();
-                }
+                // What another instance had fixed before is not this one's.
+                let own = fixed.iter().filter(|counts| owed.owed.contains(counts));
+                own.for_each(|counts| self.log_fixed(counts, time, open.entries));
                 self.hold(asked, owed);
             }
             Ok(Reply::Usage(Err(left))) => self.other_holds(left),
@@ -313,6 +244,18 @@
         }
     }
 
+    fn log_fixed(&self, counts: &WindowCounts, time: TrueTime, entries: usize) {
+        let end = self.settings.windows.end(counts.window);
+        Event::new("usage-fixed")
+            .field("window", counts.window)
+            .field("requests", counts.total())
+            .field("workspaces", counts.counts.len())
+            .field("entries", entries)
+            .field("expected", *self.entries.borrow())
+            .field("age_ms", time.saturating_sub(end).as_millis())
+            .info();
+    }
+
     fn hold(&mut self, asked: Duration, owed: UsageOwed) {
         if self.holding.is_none_or(|held| held.fence != owed.fence) {
             Event::new("duty-held")
@@ -400,7 +343,8 @@
             self.failing = None;
             self.leaves = now + LEAVES;
             self.usage.set_away(true);
-            self.give_up("unable").await;
+            self.pause = FIRST_PAUSE;
+            return self.give_up("unable").await;
         }
         sleep(self.pause).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
@@ -437,7 +381,7 @@
             Some(ReportError::Busy) => "busy",
             Some(ReportError::Failed { .. }) => "failed",
         };
-        self.stats.reports.with_label_values(&[outcome]).inc();
+        self.stats.reported(outcome);
         let time = self.open().time.unwrap_or_default();
         let end = self.settings.windows.end(window);
         let event = Event::new("usage-report")
@@ -454,13 +398,6 @@
 
     fn publish(&self) {
         let view = self.service.replica().duties.borrow().clone();
-        let values = [
-            ("holds", i64::from(self.holding.is_some())),
-            ("owed", view.owed as i64),
-            ("given_up", view.dropped as i64),
-        ];
-        for (what, value) in values {
-            self.stats.state.with_label_values(&[what]).set(value);
-        }
+        self.stats.show(self.holding.is_some(), &view);
     }
 }
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -1,5 +1,7 @@
 //! A cluster that forms itself from seeds, over loopback and real folders.
 
+mod support;
+
 use dogwoodhill_control::settings::{Seeds, Start};
 use dogwoodhill_control::{Extensions, Settings, run_until_drained};
 use dogwoodhill_core::prelude::*;
@@ -10,30 +12,17 @@
 use dogwoodhill_wire::routes::{
     FetchRoutes, FollowRoutes, PIECE_PATH, ROUTES_PATH, RoutesNews, RoutesPiece,
 };
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, Ordering};
+use support::{SECRET, address};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-const SECRET: &str = "secret";
 /// Far longer than anything takes; only a test that fails waits so long.
 const LONG: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(50);
 
-static NEXT: AtomicU8 = AtomicU8::new(1);
-
-/// Addresses of this test alone: each process and test has loopback numbers of
-/// its own, so a port that was free stays free.
-fn address() -> SocketAddr {
-    let pid = std::process::id();
-    let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    let ip = Ipv4Addr::new(127, 100 + (pid >> 8 & 0x1f) as u8, pid as u8, host);
-    let socket = TcpListener::bind((ip, 0)).expect("a free port");
-    socket.local_addr().expect("is bound")
-}
-
 struct Place {
     settings: Settings,
     running: Option<(Drain, JoinHandle<Result<(), String>>)>,
--- a/crates/control/tests/reporter.rs
+++ b/crates/control/tests/reporter.rs
@@ -1,6 +1,8 @@
 //! Usage reported by a cluster, to a platform that is slow, busy or down, while instances
 //! are killed and stopped.
 
+mod support;
+
 use dogwoodhill_control::reporter::{
     ReportError, Reporting, UsageReport, UsageSettings, UsageSink,
 };
@@ -11,31 +13,21 @@
 use dogwoodhill_policy::usage::{Counted, Ledger};
 use dogwoodhill_wire::client::Caller;
 use dogwoodhill_wire::usage::{TellUsage, USAGE_PATH, UsageHeard};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
+use support::{SECRET, address};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-const SECRET: &str = "secret";
 /// Far longer than anything takes; only a test that fails waits so long.
 const LONG: Duration = Duration::from_secs(90);
 const PAUSE: Duration = Duration::from_millis(30);
 const WINDOW: Duration = Duration::from_millis(400);
 const LEASE: Duration = Duration::from_millis(600);
 
-static NEXT: AtomicU8 = AtomicU8::new(1);
-
-fn address() -> SocketAddr {
-    let pid = std::process::id();
-    let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    let ip = Ipv4Addr::new(127, 140 + (pid >> 8 & 0x1f) as u8, pid as u8, host);
-    let socket = TcpListener::bind((ip, 0)).expect("a free port");
-    socket.local_addr().expect("is bound")
-}
-
 fn wall() -> Duration {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.expect("after 1970")
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -17,7 +17,7 @@
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::quarantine::{
-    LostRequest, MEMORY, Quarantine, Standing, Teller, outlived, term,
+    LostRequest, MEMORY, Quarantine, Standing, Teller, outlived,
 };
 use dogwoodhill_policy::served::Served;
 use dogwoodhill_wire::demand::{RequestLoss, RequestServed, Suspects as Told};
@@ -275,12 +275,7 @@
     /// Blames requests for what this entry met.
     fn judge(&mut self, now: Duration) {
         for found in self.quarantine.judge(now) {
-            Event::new("request-quarantined")
-                .field("content", shown(found.request))
-                .field("crashes", found.crashes)
-                .field("times", found.times)
-                .field("for_s", term(found.times).as_secs())
-                .warn();
+            found.event().warn();
         }
     }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -27,6 +27,7 @@
 mod suspect;
 
 use crash::{Candidate, Crash, contains};
+use dogwoodhill_core::fingerprint::shown;
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
 use suspect::Suspect;
@@ -114,6 +115,17 @@
     pub times: u32,
 }
 
+impl Found {
+    /// The line that tells operators.
+    pub fn event(&self) -> Event {
+        Event::new("request-quarantined")
+            .field("content", shown(self.request))
+            .field("crashes", self.crashes)
+            .field("times", self.times)
+            .field("for_s", term(self.times).as_secs())
+    }
+}
+
 /// Whether an endpoint that was heard from at `heard` did not end at `lost`.
 pub fn outlived(lost: Duration, heard: Duration) -> bool {
     heard > lost + UNREAD
