Sight: what endpoints' answers say of a limit is read and logged

Whether an entry knew of a limit was in no line. Answers' heads are read for it, a change is one line (endpoint-limit), and the gauge of beliefs counts limited endpoints. Nothing follows from it yet.

--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
+pub use dogwoodhill_policy::permits::Limit;
 use dogwoodhill_route::prelude::Rank;
 pub use dogwoodhill_wire::list::Listed;
 use http::{HeaderMap, StatusCode};
@@ -93,6 +94,8 @@
     pub keeps: bool,
     /// How long an idle connection is kept.
     pub idle: Option<Duration>,
+    /// What it takes of all entries together.
+    pub limit: Limit,
 }
 
 /// An endpoint's load, as it tells it with an answer.
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -12,6 +12,7 @@
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
+use dogwoodhill_policy::permits::Limit;
 use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_policy::sightings::{Sight, Verdict};
 use dogwoodhill_policy::trust::{Record, Trust};
@@ -66,6 +67,8 @@
     view: Mutex<View>,
     /// When it was last looked whether its process has ended, and the answer.
     looked: tokio::sync::Mutex<Option<(Instant, bool)>>,
+    /// What its last answer said of a limit.
+    limit: Mutex<Limit>,
 }
 
 /// An endpoint as one decision sees it.
@@ -148,6 +151,7 @@
                 shared: Vec::new(),
             }),
             looked: tokio::sync::Mutex::default(),
+            limit: Mutex::default(),
         }
     }
 
@@ -339,6 +343,25 @@
         view.loaded = now;
     }
 
+    /// An answer of its own said this of a limit.
+    pub fn limited(&self, limit: Limit) {
+        let mut held = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if *held != limit {
+            *held = limit;
+            Event::new("endpoint-limit")
+                .field("endpoint", self.run())
+                .field("service", &self.service)
+                .field("limit", limit)
+                .info();
+        }
+    }
+
+    /// Whether its last answer named a limit.
+    pub fn is_limited(&self) -> bool {
+        let held = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        *held != Limit::Unnamed
+    }
+
     /// What this entry met there since it told the others last, if anything.
     pub(crate) fn sight(&self) -> Option<Sight> {
         let now = self.start.elapsed();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -268,6 +268,10 @@
     if let Some(load) = said.load {
         endpoint.loaded(load);
     }
+    let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if said.request.is_some() && !misdirected {
+        endpoint.limited(said.limit);
+    }
     if said.refused {
         let reason = match parts.status {
             StatusCode::MISDIRECTED_REQUEST => Refusal::Misdirected,
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -181,10 +181,12 @@
 fn note(shared: &Shared) {
     let all = shared.directory.all();
     let leaving = all.iter().filter(|endpoint| endpoint.leaving()).count();
+    let limited = all.iter().filter(|endpoint| endpoint.is_limited()).count();
     let beliefs = &shared.stats.beliefs;
     let set = |what: &str, value: usize| {
         beliefs.with_label_values(&[what]).set(value as i64);
     };
     set("endpoints", all.len());
     set("endpoints-leaving", leaving);
+    set("endpoints-limited", limited);
 }
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -79,7 +79,7 @@
             ),
             beliefs: metrics.gauges(
                 "dogwoodhill_direct_beliefs",
-                "Version of the route set, endpoints known and leaving, control instances",
+                "Version of the route set, endpoints known, leaving and limited, control instances",
                 &["what"],
             ),
             list_age: metrics.seconds(
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -2,7 +2,7 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{
-    Ask, CallerDialect, EndpointDialect, EndpointList, Fetch, Listed, Malformed,
+    Ask, CallerDialect, EndpointDialect, EndpointList, Fetch, Limit, Listed, Malformed,
     PageToken, Said, Tell,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -51,6 +51,7 @@
             load: None,
             keeps: text(headers, "connection").as_deref() != Some("close"),
             idle: None,
+            limit: Limit::named(text(headers, "x-limit").as_deref().into_iter()),
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`rate`]: how fast endpoints read prompts;
 //! * [`incarnations`]: which run of each endpoint is the newest one;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
+//! * [`permits`]: limits on the rate of requests that endpoints name;
 //! * [`sightings`]: what all entries together see of each endpoint;
 //! * [`quarantine`]: which requests crash endpoints, and are not sent on;
 //! * [`served`]: which requests were served lately;
@@ -46,6 +47,7 @@
 pub mod limit;
 pub mod pace;
 pub mod packing;
+pub mod permits;
 pub mod place;
 pub mod quarantine;
 pub mod queue;
