--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -49,6 +49,7 @@
 pub(crate) struct Seen {
     pub(crate) head: String,
     pub(crate) body: String,
+    pub(crate) at: Instant,
 }
 
 impl Seen {
@@ -67,6 +68,8 @@
     acts: Arc<Mutex<Arc<Mutex<VecDeque<Act>>>>>,
     seen: Arc<Mutex<Vec<Seen>>>,
     gone: Arc<Notify>,
+    /// Header lines of all answers.
+    says: Arc<Mutex<String>>,
 }
 
 impl StandIn {
@@ -78,6 +81,7 @@
             acts: Arc::new(Mutex::new(Arc::new(Mutex::new(acts.into())))),
             seen: Arc::default(),
             gone: Arc::default(),
+            says: Arc::default(),
         };
         let own = stand_in.clone();
         tokio::spawn(async move {
@@ -93,6 +97,11 @@
         *self.acts.lock().expect("not poisoned") = Arc::clone(acts);
     }
 
+    /// Says this in the heads of all answers from now on.
+    pub(crate) fn says(&self, lines: &str) {
+        *self.says.lock().expect("not poisoned") = lines.to_string();
+    }
+
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.seen.lock().expect("not poisoned").clone()
     }
@@ -119,9 +128,12 @@
 
     /// Whether the connection goes on.
     async fn act(&self, stream: &mut TcpStream, id: &str, act: Act) -> bool {
+        let says = self.says.lock().expect("not poisoned").clone();
         let text = match act {
-            Act::Answer(status, body) => answer(status, id, "x-proof: 1\r\n", body),
-            Act::Refuse => answer(503, id, "x-not-run: 1\r\n", ""),
+            Act::Answer(status, body) => {
+                answer(status, id, &format!("x-proof: 1\r\n{says}"), body)
+            }
+            Act::Refuse => answer(503, id, &format!("x-not-run: 1\r\n{says}"), ""),
             Act::Misdirect => answer(421, id, "x-not-run: 1\r\n", ""),
             Act::Unfounded => answer(503, id, "x-proof: 1\r\n", ""),
             Act::Foreign => answer(200, "another", "x-proof: 1\r\n", "foreign"),
@@ -222,6 +234,7 @@
     let mut seen = Seen {
         head,
         body: String::new(),
+        at: Instant::now(),
     };
     let length = seen.header("content-length").and_then(|t| t.parse().ok());
     let length: usize = length.unwrap_or(0);
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -235,7 +235,7 @@
 }
 
 /// Endpoints as a list has them.
-fn listed(endpoints: &[&StandIn]) -> Vec<Listed> {
+pub(crate) fn listed(endpoints: &[&StandIn]) -> Vec<Listed> {
     let listed = endpoints.iter().enumerate().map(|(i, endpoint)| Listed {
         run: Incarnation::new(format!("endpoint-{i}"), None),
         service: "service".to_string(),
--- /dev/null
+++ b/crates/direct/tests/all/limited.rs
@@ -0,0 +1,138 @@
+//! An endpoint that names the requests a second that it takes of all entries together.
+//!
+//! Seen: an endpoint named a limit of 1.2 a second and got 15 requests in 4 s, of eight
+//! entries, each of them modest.
+//! Cause: what answers' heads say of a limit was read by nobody; and an entry that keeps to it
+//! by itself knows nothing of the others' requests.
+
+use crate::control::Instance;
+use crate::dialect::Fixed;
+use crate::endpoint::StandIn;
+use crate::entry::{Entry, LONG, listed, set};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_wire::routes::HeldRoutes;
+use std::time::Instant;
+use tokio::time::sleep;
+
+const ENTRIES: usize = 4;
+/// Requests a second that the limited endpoint takes.
+const LIMIT: f64 = 1.0;
+/// Time over which its requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Most requests in a window: half more than the limit allows, and five.
+const MOST: usize = (1.5 * LIMIT * 4.0) as usize + 5;
+/// Time after which an entry that passed an answer on keeps to what it said.
+const TOLD: Duration = Duration::from_millis(500);
+/// How long callers press after that.
+const PRESSED: Duration = Duration::from_secs(6);
+/// Longest wait for something that comes about by itself.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Scene {
+    endpoints: Vec<StandIn>,
+    entries: Vec<Entry>,
+    _control: Instance,
+}
+
+impl Scene {
+    /// Entries that serve, before two endpoints.
+    async fn start() -> Self {
+        let endpoints = vec![
+            StandIn::start(Vec::new()).await,
+            StandIn::start(Vec::new()).await,
+        ];
+        let control = Instance::start(0).await;
+        control
+            .put(HeldRoutes {
+                version: 1,
+                source: serde_json::to_vec(&set()).expect("sets encode"),
+            })
+            .await;
+        let mut entries = Vec::new();
+        for at in 0..ENTRIES {
+            let name = format!("entry-{at}");
+            let all: Vec<&StandIn> = endpoints.iter().collect();
+            let list = Box::new(Fixed(listed(&all)));
+            entries.push(Entry::start(&name, list, LONG, vec![control.address]).await);
+        }
+        let scene = Self {
+            endpoints,
+            entries,
+            _control: control,
+        };
+        for entry in &scene.entries {
+            scene.call_until(entry, async |got| got == 200).await;
+        }
+        scene
+    }
+
+    /// Calls an entry until something holds of an answer's status.
+    async fn call_until(&self, entry: &Entry, holds: impl AsyncFn(u16) -> bool) {
+        let begun = Instant::now();
+        loop {
+            let got = entry.call("GET /safe/", "", "").await;
+            if holds(got.status).await {
+                return;
+            }
+            assert!(begun.elapsed() < PATIENCE, "not in time");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Calls each entry until it takes the first endpoint for limited, or not.
+    async fn known(&self, limited: bool) {
+        for entry in &self.entries {
+            self.call_until(entry, async |_| {
+                let all = entry.shared.directory.all();
+                all.iter().any(|endpoint| endpoint.is_limited()) == limited
+            })
+            .await;
+        }
+    }
+
+    /// Callers press at all entries for a while; the answers' statuses.
+    async fn press(&self, lasting: Duration) -> Vec<u16> {
+        let end = Instant::now() + lasting;
+        let callers = self.entries.iter().map(async |entry| {
+            let mut statuses = Vec::new();
+            while Instant::now() < end {
+                statuses.push(entry.call("GET /safe/", "", "").await.status);
+                sleep(Duration::from_millis(10)).await;
+            }
+            statuses
+        });
+        futures_util::future::join_all(callers).await.concat()
+    }
+
+    /// Times of arrival at the first endpoint since `since`.
+    fn arrived(&self, since: Instant) -> Vec<Instant> {
+        let seen = self.endpoints[0].seen();
+        let times = seen.iter().map(|seen| seen.at);
+        times.filter(|at| *at >= since).collect()
+    }
+}
+
+/// Guards against many entries that each keep to an endpoint's limit, or none that does:
+/// together they send it no more than it takes, and callers are served elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn limited_endpoint_gets_what_it_takes_of_all_entries() {
+    let scene = Scene::start().await;
+    scene.endpoints[0].says(&format!("x-limit: {LIMIT}\r\n"));
+    scene.known(true).await;
+    sleep(TOLD).await;
+    let since = Instant::now();
+    let statuses = scene.press(PRESSED).await;
+    let arrived = scene.arrived(since);
+    let most = arrived.iter().map(|first| {
+        let within = arrived.iter().filter(|at| *at >= first);
+        within.filter(|at| **at - *first < WINDOW).count()
+    });
+    let most = most.max().unwrap_or(0);
+    assert!(
+        most <= MOST,
+        "{most} requests in {WINDOW:?}, allowed {MOST}"
+    );
+    assert!(!arrived.is_empty(), "what it takes it gets");
+    let failed = statuses.iter().filter(|status| **status != 200).count();
+    assert_eq!(failed, 0, "of {}: the other one serves", statuses.len());
+}
