--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
+pub use dogwoodhill_policy::backoff::Retry;
 pub use dogwoodhill_policy::permits::Limit;
 use dogwoodhill_route::prelude::Rank;
 pub use dogwoodhill_wire::list::Listed;
@@ -96,6 +97,8 @@
     pub idle: Option<Duration>,
     /// What it takes of all entries together.
     pub limit: Limit,
+    /// When one that it turns away may come back.
+    pub retry: Retry,
 }
 
 /// An endpoint's load, as it tells it with an answer.
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -12,6 +12,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::{self, Candidate};
+use dogwoodhill_policy::backoff::Retry;
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
 use dogwoodhill_policy::permits::{Limit, LimitNews, Permit, Permits, Word};
@@ -371,6 +372,17 @@
         }
     }
 
+    /// It turned a request away, and said this of when to come back.
+    pub fn asked_rest(&self, retry: Retry) {
+        if retry != Retry::Unsaid {
+            Event::new("endpoint-rest")
+                .field("endpoint", self.run())
+                .field("service", &self.service)
+                .field("retry", retry)
+                .info();
+        }
+    }
+
     /// Control told what all entries know of its limit.
     pub(super) fn told_limit(&self, word: Word) {
         self.change_limit("control", |permits| permits.told(word));
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -289,6 +289,9 @@
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if said.request.is_some() && !misdirected {
         endpoint.heard_limit(said.limit);
+        if turns_away(parts.status) {
+            endpoint.asked_rest(said.retry);
+        }
     }
     if said.refused {
         let reason = match parts.status {
@@ -304,7 +307,8 @@
         return Ended::Refused(reason);
     }
     // These say that a request has not run, and the endpoint did not say so.
-    let unfounded = matches!(parts.status.as_u16(), 408 | 429 | 503);
+    let unfounded =
+        turns_away(parts.status) || parts.status == StatusCode::REQUEST_TIMEOUT;
     let foreign = unfounded
         || said.request.is_none()
         || parts.headers.contains_key(header::CONTENT_ENCODING);
@@ -325,6 +329,14 @@
     }))
 }
 
+/// Whether an endpoint that answers so takes no more now.
+fn turns_away(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 /// Reads a refusal's body to its end, so that its connection can be kept.
 fn keep(body: Incoming, line: Line, said: &Said, endpoint: Arc<Endpoint>) {
     if !said.keeps {
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -3,7 +3,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{
     Ask, CallerDialect, EndpointDialect, EndpointList, Fetch, Limit, Listed, Malformed,
-    PageToken, Said, Tell,
+    PageToken, Retry, Said, Tell,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 
@@ -51,6 +51,7 @@
             load: None,
             keeps: text(headers, "connection").as_deref() != Some("close"),
             idle: None,
+            retry: Retry::seconds(text(headers, "retry-after").as_deref().into_iter()),
             limit: Limit::named(text(headers, "x-limit").as_deref().into_iter()),
         }
     }
--- /dev/null
+++ b/crates/policy/src/backoff.rs
@@ -0,0 +1,40 @@
+//! Endpoints that ask to be left alone for a while.
+
+use derive_more::Display;
+use dogwoodhill_core::prelude::*;
+
+/// Longest time that is believed. An endpoint that asks for a day by mistake is tried again.
+const MOST: Duration = Duration::from_mins(10);
+
+/// What a refusal says of when to come back.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Retry {
+    /// Nothing.
+    #[default]
+    #[display("unsaid")]
+    Unsaid,
+    /// Not before this time has passed.
+    #[display("{}ms", _0.as_millis())]
+    After(Duration),
+    /// Something that can't be read.
+    #[display("unreadable")]
+    Unreadable,
+}
+
+impl Retry {
+    /// What these texts say, each a number of seconds: the longest of them.
+    pub fn seconds<'a>(texts: impl Iterator<Item = &'a str>) -> Self {
+        texts.fold(Self::Unsaid, |retry, text| {
+            let seconds: Option<f64> = text.trim().parse().ok();
+            let seconds = seconds.filter(|seconds| *seconds >= 0.0);
+            let after = seconds
+                .map(|seconds| Duration::try_from_secs_f64(seconds).unwrap_or(MOST));
+            match (retry, after) {
+                (Self::After(known), Some(after)) => Self::After(known.max(after)),
+                (_, Some(after)) => Self::After(after),
+                (Self::Unsaid, None) => Self::Unreadable,
+                (_, None) => retry,
+            }
+        })
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`rate`]: how fast endpoints read prompts;
 //! * [`incarnations`]: which run of each endpoint is the newest one;
 //! * [`reads`]: when an entry reads the list of endpoints by itself;
+//! * [`backoff`]: endpoints that ask to be left alone for a while;
 //! * [`permits`]: limits on the rate of requests that endpoints name;
 //! * [`sightings`]: what all entries together see of each endpoint;
 //! * [`quarantine`]: which requests crash endpoints, and are not sent on;
@@ -38,6 +39,7 @@
 
 pub mod affinity;
 pub mod backlog;
+pub mod backoff;
 pub mod budget;
 pub mod dispatch;
 pub mod disturbance;
