--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod lists;
 mod logged;
 mod outcomes;
+mod rests;
 mod settings;
 mod streams;
 mod usage;
