An endpoint that asks for rest gets none of this entry's requests

What callers and endpoints saw: an endpoint that asked an entry for 3 s of rest got 5 requests from it in that time; 22 to 34 a second were turned away at three of nine endpoints, and callers of short streams were refused for six seconds while six endpoints served.

Cause: what a refusal asks was read by nobody, and the refusal forgotten with the attempt that met it. What is turned away does not run, so such an endpoint looks idle and gets more than the others. Class: as with limits, an answer's head says more than the answer to its request.

Ruled out: the callers' own repeats (the contents differ) and second sends (four of five are first sends).

Now an entry leaves the endpoint alone until the latest end that it named, on all ways that lead there: the gate is before the first byte, where that of limits is. Where all endpoints rest or are at their limits, callers are told so at once (endpoints-held), and to come back once the first of them takes requests again, spread by a quarter of that.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -31,7 +31,7 @@
 }
 
 /// What the causes in the lines mean, and what to look at next.
-const CAUSES: [(&str, &str); 20] = [
+const CAUSES: [(&str, &str); 21] = [
     (
         "no-routes",
         "the entry had no route set yet: it had just started, and no control instance had confirmed one; look at control-lost, leadership-changed and routes-in-force",
@@ -49,6 +49,10 @@
         "endpoints-full",
         "every endpoint that was asked refused, or could not be reached, or no second send was left in the budget; look at the send-failed lines",
     ),
+    (
+        "endpoints-held",
+        "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-rest, endpoint-limit and permits-granted",
+    ),
     ("overload", "the service could not serve it in time"),
     (
         "stopping",
--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -133,6 +133,9 @@
     /// Every endpoint that was asked refused.
     #[display("endpoints-full")]
     Full,
+    /// No endpoint takes more of this entry for now, as they asked it.
+    #[display("endpoints-held")]
+    Held,
     /// This entry is about to stop.
     #[display("stopping")]
     Stopping,
@@ -162,6 +165,7 @@
             Self::NoRoutes
             | Self::NoEndpoint
             | Self::Full
+            | Self::Held
             | Self::Stopping
             | Self::Quarantined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -289,6 +289,15 @@
         })
     }
 
+    /// How long until an endpoint of a service may be sent a request, as far as that is
+    /// known; `None` where it has none.
+    pub fn opens_in(&self, service: &str) -> Option<Duration> {
+        let snapshot = self.snapshot.load();
+        let group = snapshot.group(service)?;
+        let staying = group.iter().filter(|endpoint| !endpoint.leaving());
+        staying.map(|endpoint| endpoint.opens_in()).min()
+    }
+
     /// Looks at endpoints of a range that may be asked.
     fn looks<'a>(
         &self,
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -12,7 +12,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::{self, Candidate};
-use dogwoodhill_policy::backoff::Retry;
+use dogwoodhill_policy::backoff::{Backoff, Retry};
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
 use dogwoodhill_policy::permits::{Limit, LimitNews, Permit, Permits, Word};
@@ -43,6 +43,9 @@
 /// Time until the first event beyond waiting and reading.
 const STEP: Duration = Duration::from_millis(25);
 
+/// Pause after which one without permits may have some: the interval at which entries ask.
+const PERMIT_PAUSE: Duration = Duration::from_millis(500);
+
 /// Why an endpoint is not sent a request that was chosen for it.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Hold {
@@ -52,6 +55,9 @@
     /// It takes no more of this entry now.
     #[display("limited")]
     Limited,
+    /// It asked to be left alone.
+    #[display("resting")]
+    Resting,
 }
 
 /// One endpoint.
@@ -84,6 +90,9 @@
     permits: Mutex<Permits>,
     /// Whether it is sent only what there are permits for.
     limited: AtomicBool,
+    backoff: Mutex<Backoff>,
+    /// Whether it has ever asked to be left alone.
+    rested: AtomicBool,
 }
 
 /// An endpoint as one decision sees it.
@@ -168,6 +177,8 @@
             looked: tokio::sync::Mutex::default(),
             permits: Mutex::default(),
             limited: AtomicBool::new(false),
+            backoff: Mutex::default(),
+            rested: AtomicBool::new(false),
         }
     }
 
@@ -374,13 +385,34 @@
 
     /// It turned a request away, and said this of when to come back.
     pub fn asked_rest(&self, retry: Retry) {
-        if retry != Retry::Unsaid {
-            Event::new("endpoint-rest")
-                .field("endpoint", self.run())
-                .field("service", &self.service)
-                .field("retry", retry)
-                .info();
+        if retry == Retry::Unsaid {
+            return;
         }
+        let now = uptime();
+        let left = {
+            let mut backoff = self.backoff();
+            backoff.ask(now, retry);
+            backoff.left(now).unwrap_or_default()
+        };
+        self.rested.store(true, Ordering::Release);
+        Event::new("endpoint-rest")
+            .field("endpoint", self.run())
+            .field("service", &self.service)
+            .field("retry", retry)
+            .field("left_ms", left.as_millis())
+            .info();
+    }
+
+    /// For how much longer it is left alone, as it asked this entry; `None` where it is not.
+    pub fn rest_left(&self) -> Option<Duration> {
+        if !self.rested.load(Ordering::Acquire) {
+            return None;
+        }
+        self.backoff().left(uptime())
+    }
+
+    fn backoff(&self) -> MutexGuard<'_, Backoff> {
+        self.backoff.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Control told what all entries know of its limit.
@@ -412,19 +444,36 @@
 
     /// Whether it may be sent a request now.
     pub(super) fn open(&self) -> bool {
-        !self.leaving() && (!self.is_limited() || self.permits().open(uptime()))
+        let awake = self.awake().is_ok();
+        awake && (!self.is_limited() || self.permits().open(uptime()))
+    }
+
+    /// How long until it may be sent a request, as far as that is known.
+    pub(super) fn opens_in(&self) -> Duration {
+        let rest = self.rest_left().unwrap_or_default();
+        let ready = !self.is_limited() || self.permits().ready(uptime());
+        rest.max(if ready { Duration::ZERO } else { PERMIT_PAUSE })
+    }
+
+    /// Whether it takes requests of this entry at all now.
+    fn awake(&self) -> Result<(), Hold> {
+        if self.leaving() {
+            return Err(Hold::Leaving);
+        }
+        match self.rest_left() {
+            Some(_) => Err(Hold::Resting),
+            None => Ok(()),
+        }
     }
 
     /// Leave to send a request whose first byte goes out now. What was chosen may have begun
-    /// to leave, or to name a limit, since.
+    /// to leave or rest, or to name a limit, since.
     ///
     /// # Errors
     ///
     /// [`Hold`] where none may go out.
     pub fn admit(&self) -> Result<Permit, Hold> {
-        if self.leaving() {
-            return Err(Hold::Leaving);
-        }
+        self.awake()?;
         if !self.is_limited() {
             return Ok(Permit { until: None });
         }
@@ -437,12 +486,15 @@
     ///
     /// [`Hold`] where none may go out any more.
     pub fn admit_late(&self, permit: Permit) -> Result<(), Hold> {
-        let over = permit.until.is_some_and(|until| until <= uptime());
-        let since = permit.until.is_none() && self.is_limited();
-        if self.leaving() || over || since {
-            self.admit()?;
+        let holds = match permit.until {
+            Some(until) => uptime() < until,
+            None => !self.is_limited(),
+        };
+        if holds {
+            self.awake()
+        } else {
+            self.admit().map(|_| ())
         }
-        Ok(())
     }
 
     /// What control is to be told of its limit, if anything.
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -34,6 +34,8 @@
 /// Endpoints to which no connection could be made, before a request is
 /// refused. None of them got a byte, so they count as no send.
 const MAX_UNSENT: usize = 3;
+/// Part of a wait for endpoints over which callers that come back are spread.
+const SPREAD: f64 = 0.25;
 /// Time without an answer after which an idempotent request is tried elsewhere,
 /// as a multiple of its objective. Callers of streams leave after four.
 const SILENT_OBJECTIVES: f64 = 2.5;
@@ -444,9 +446,11 @@
 
     /// What to say when no endpoint is left to be asked.
     fn exhausted(&self) -> Cause {
-        match (self.may_have_run, self.sends, self.tried.is_empty()) {
+        let opens = self.shared.directory.opens_in(&self.service);
+        match (self.may_have_run, self.tried.is_empty(), opens) {
             (true, _, _) => Cause::Lost,
-            (false, 0, true) => Cause::NoEndpoint,
+            (false, true, None) => Cause::NoEndpoint,
+            (false, _, Some(wait)) if !wait.is_zero() => Cause::Held,
             _ => Cause::Full,
         }
     }
@@ -475,10 +479,20 @@
     }
 
     fn refuse(self, cause: Cause) -> Response<Reply> {
-        let again = (cause.outcome() == Outcome::NotRun).then(soon);
+        let not_run = cause.outcome() == Outcome::NotRun;
+        let again = not_run.then(|| self.back_after());
         self.refuse_for(cause, again)
     }
 
+    /// When its caller may come back: once an endpoint takes requests again, and not all
+    /// callers at once.
+    fn back_after(&self) -> Duration {
+        let opens = self.shared.directory.opens_in(&self.service);
+        let wait = opens.unwrap_or_default();
+        let spread = rand::rng().random_range(0.0..SPREAD);
+        wait + wait.mul_f64(spread) + soon()
+    }
+
     fn refuse_for(mut self, cause: Cause, again: Option<Duration>) -> Response<Reply> {
         self.record().refused(cause, again);
         self.record = None;
--- a/crates/direct/tests/all/rests.rs
+++ b/crates/direct/tests/all/rests.rs
@@ -6,7 +6,7 @@
 //! that met it.
 
 use crate::endpoint::{Act, StandIn};
-use crate::entry::{Entry, Got};
+use crate::entry::{Entry, Got, listed};
 use dogwoodhill_core::prelude::*;
 use std::time::Instant;
 use tokio::time::sleep;
@@ -59,3 +59,53 @@
     );
     assert!(all.iter().all(|got| got.status == 200), "{all:?}");
 }
+
+/// All rest: callers are told truly that nothing ran, and to come back once the first of them
+/// takes requests again.
+#[tokio::test]
+async fn resting_endpoints_refused_until_the_first_is_back() {
+    let (longer, shorter) = (resting("60").await, resting("30").await);
+    let entry = Entry::before(&[&longer, &shorter]).await;
+    turned_away(&entry, &longer).await;
+    turned_away(&entry, &shorter).await;
+    let before = longer.seen().len() + shorter.seen().len();
+    for got in press(&entry).await {
+        assert_eq!(got.status, 503, "{got:?}");
+        assert!(got.body.contains("endpoints-held"), "{got:?}");
+        assert!(got.body.contains("not-run"), "{got:?}");
+        let after = got.header("retry-after").and_then(|text| text.parse().ok());
+        let after: f64 = after.expect("it names a time");
+        assert!((5.0..40.0).contains(&after), "{got:?}");
+    }
+    let more = longer.seen().len() + shorter.seen().len() - before;
+    assert_eq!(more, 0, "both rest");
+}
+
+/// The time is over: it is used again.
+#[tokio::test]
+async fn resting_endpoint_used_again_afterwards() {
+    let endpoint = StandIn::start(vec![Act::Refuse]).await;
+    endpoint.says("retry-after: 0.2\r\n");
+    let entry = Entry::before(&[&endpoint]).await;
+    let begun = Instant::now();
+    while entry.call("GET /safe/", "", "").await.status != 200 {
+        assert!(begun.elapsed() < PATIENCE, "it stays unused");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Another start of the endpoint owes nothing to what the one before asked for.
+#[tokio::test]
+async fn resting_endpoint_started_again_is_used() {
+    let endpoint = StandIn::start(vec![Act::Refuse]).await;
+    endpoint.says("retry-after: 60\r\n");
+    let entry = Entry::before(&[]).await;
+    let mut run = listed(&[&endpoint]);
+    run[0].run.born = Some(1);
+    entry.shared.directory.update(run.clone());
+    turned_away(&entry, &endpoint).await;
+    assert_eq!(entry.call("GET /safe/", "", "").await.status, 503);
+    run[0].run.born = Some(2);
+    entry.shared.directory.update(run);
+    assert_eq!(entry.call("GET /safe/", "", "").await.status, 200);
+}
--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -1,4 +1,14 @@
 //! Endpoints that ask to be left alone for a while.
+//!
+//! The pattern: an endpoint turns everything away. What it turns away does not run there, so
+//! it looks idle, and gets more requests than the others; a request that may be sent once is
+//! lost with each of them.
+//!
+//! Invariants:
+//!
+//! * what an endpoint asks holds for whoever it asked, until the latest end that it named: a
+//!   shorter time in a later refusal takes nothing back;
+//! * it belongs to one start of the endpoint.
 
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
@@ -38,3 +48,23 @@
         })
     }
 }
+
+/// What an endpoint asked one entry for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backoff {
+    until: Duration,
+}
+
+impl Backoff {
+    /// It turned a request away at `now`.
+    pub fn ask(&mut self, now: Duration, retry: Retry) {
+        if let Retry::After(after) = retry {
+            self.until = self.until.max(now + after.min(MOST));
+        }
+    }
+
+    /// For how much longer it is left alone; `None` where it is not.
+    pub fn left(&self, now: Duration) -> Option<Duration> {
+        self.until.checked_sub(now).filter(|left| !left.is_zero())
+    }
+}
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -203,11 +203,20 @@
     /// Whether a request may go there now. Where there is a limit, it is counted as one that
     /// could use a permit.
     pub fn open(&mut self, now: Duration) -> bool {
+        if self.rate().is_some() {
+            self.sought = self.sought.saturating_add(1);
+        }
+        self.ready(now)
+    }
+
+    /// Whether a request may go there now, without counting one.
+    pub fn ready(&self, now: Duration) -> bool {
         let Some(rate) = self.rate() else {
             return true;
         };
-        self.sought = self.sought.saturating_add(1);
-        self.left(now) > 0 || self.alone.is_some_and(|alone| alone.open(now, rate))
+        let holds = |grant: &(Duration, u32)| grant.0 > now && grant.1 > 0;
+        let alone = || self.alone.is_some_and(|alone| alone.open(now, rate));
+        self.granted.iter().any(holds) || alone()
     }
 
     /// Takes the permit for a request whose first byte goes out now.
