An endpoint that says in its answers that it leaves gets nothing new

What endpoints see: requests go on for as long as the list lags, or can't be read, though each answer says it. Cause: as with limits and rest, the head of an answer is read for its request alone.

Now its own word marks it as leaving for this entry, from the answer's head on; it never comes back from that under the same start. What another process says at its address is not believed.

--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -99,6 +99,8 @@
     pub limit: Limit,
     /// When one that it turns away may come back.
     pub retry: Retry,
+    /// Whether it is about to stop.
+    pub leaving: bool,
 }
 
 /// An endpoint's load, as it tells it with an answer.
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -611,9 +611,9 @@
         DISTANCE.mul_f64(4.0 * share * view.slowness)
     }
 
-    /// Takes in whether it is about to stop. It never comes back from that under
+    /// Takes in whether it is about to stop, as the list or its own answers say. It never comes back from that under
     /// the same start: a list that says so is an older one that came late.
-    pub(super) fn mark(&self, leaving: bool) {
+    pub fn mark(&self, leaving: bool) {
         if leaving && !self.leaving.swap(true, Ordering::AcqRel) {
             log_change("endpoint-leaving", &self.run(), &self.service);
         }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -288,6 +288,9 @@
     }
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if said.request.is_some() && !misdirected {
+        if said.leaving {
+            endpoint.mark(true);
+        }
         endpoint.heard_limit(said.limit);
         if turns_away(parts.status) {
             endpoint.asked_rest(said.retry);
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -51,6 +51,7 @@
             load: None,
             keeps: text(headers, "connection").as_deref() != Some("close"),
             idle: None,
+            leaving: headers.contains_key("x-leaving"),
             retry: Retry::seconds(text(headers, "retry-after").as_deref().into_iter()),
             limit: Limit::named(text(headers, "x-limit").as_deref().into_iter()),
         }
--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -136,7 +136,9 @@
             Act::Refuse => answer(503, id, &format!("x-not-run: 1\r\n{says}"), ""),
             Act::Misdirect => answer(421, id, "x-not-run: 1\r\n", ""),
             Act::Unfounded => answer(503, id, "x-proof: 1\r\n", ""),
-            Act::Foreign => answer(200, "another", "x-proof: 1\r\n", "foreign"),
+            Act::Foreign => {
+                answer(200, "another", &format!("x-proof: 1\r\n{says}"), "foreign")
+            }
             Act::Unproved => answer(200, id, "", "unproved"),
             Act::Twice(body) => {
                 let one = answer(200, id, "x-proof: 1\r\n", body);
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod events;
 mod first;
 mod follow;
+mod leaving;
 mod limited;
 mod limits;
 mod lists;
