A holder's own part in a lease is decided in policy, and four faults die there

Cause: when a holder may act, by its own clock, was four points in time in the task that makes the calls; acting past the lease, dating it from the log's answer, keeping others out for no slack, and closing windows right after standing still passed all tests.

Now policy::usage::Tenure decides, and what is sent to the log comes out of a question that is dated when it is made, so that a lease can't be dated later. Tested against a platform that checks no fencing numbers: 1,000,000 steps with machines that stand still, a log that takes and answers questions late, calls that are carried out late; no two machines act in turns within a lease. Mutations by hand, each caught: no end of the lease, no slack, no pause after standing still, a lease dated 1.5 s later.

--- a/crates/control/src/reporter.rs
+++ b/crates/control/src/reporter.rs
@@ -21,7 +21,7 @@
 use crate::usage::{Open, Usage};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_policy::usage::Closing;
+use dogwoodhill_policy::usage::{Closing, Question, Tenure};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,16 +38,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause between two reports of one window.
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
-/// A pause of this instance's own tasks that means that it stood still.
-const STOOD_STILL: Duration = Duration::from_secs(1);
-/// Time after standing still in which no window is closed without all entries: several of
-/// the intervals at which they tell, and news of the log.
-const RECOVERS: Duration = Duration::from_secs(2);
 /// Time without an accepted report after which another instance may try: what keeps this
 /// one from the platform may not keep that one.
 const UNABLE_AFTER: Duration = Duration::from_secs(3);
-/// How long such an instance leaves the duty to others.
-const LEAVES: Duration = Duration::from_secs(10);
 
 /// Settings of the duty.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,14 +75,6 @@
     }
 }
 
-/// A lease, as its holder sees it.
-#[derive(Clone, Copy, Debug)]
-struct Holding {
-    fence: Fence,
-    /// When it stops to act on it, by [`uptime`].
-    until: Duration,
-}
-
 /// Reports usage.
 #[derive(Debug)]
 pub struct Reporter {
@@ -100,21 +85,11 @@
     entries: watch::Receiver<u32>,
     stats: Stats,
     holder: DutyHolder,
-    holding: Option<Holding>,
-    /// The highest fencing number that was refused.
-    refused: Fence,
+    tenure: Tenure,
     /// Fixed windows that this instance is to report.
     owed: VecDeque<WindowCounts>,
     /// Windows before this one are reported.
     sent: Window,
-    /// When it looked last.
-    looked: Duration,
-    /// Until when nothing is closed without all entries.
-    unsure: Duration,
-    /// Until when the duty is left to others.
-    leaves: Duration,
-    /// Until when another machine holds the duty.
-    barred: Duration,
     /// Since when no report was accepted.
     failing: Option<Duration>,
     pause: Duration,
@@ -135,6 +110,7 @@
             machine,
             run: usage.instance(),
         };
+        let tenure = Tenure::new(uptime(), settings.lease, settings.slack);
         Self {
             settings,
             usage,
@@ -143,14 +119,9 @@
             entries,
             stats,
             holder,
-            holding: None,
-            refused: 0,
+            tenure,
             owed: VecDeque::new(),
             sent: 0,
-            looked: uptime(),
-            unsure: Duration::ZERO,
-            leaves: Duration::ZERO,
-            barred: Duration::ZERO,
             failing: None,
             pause: FIRST_PAUSE,
         }
@@ -164,20 +135,18 @@
                 () = sleep(LOOK) => {}
             }
             let now = uptime();
-            if now.saturating_sub(self.looked) > STOOD_STILL {
-                self.unsure = now + RECOVERS;
-            }
+            self.tenure.look(now);
             self.look(now).await;
-            self.looked = uptime();
+            self.tenure.looked(uptime());
         }
         self.usage.set_away(true);
         self.give_up("stop").await;
     }
 
     async fn look(&mut self, now: Duration) {
-        self.usage.set_away(now < self.leaves);
+        self.usage.set_away(self.tenure.is_away(now));
         self.publish();
-        if !self.usage.settled() || now < self.barred {
+        if !self.usage.settled() || !self.tenure.may_ask(now) {
             return;
         }
         let open = self.open();
@@ -203,7 +172,7 @@
         let next = self.next();
         let closing = self.settings.closing();
         let mut open = self.usage.open(next, &closing, expected);
-        if next == 0 || uptime() < self.unsure {
+        if next == 0 || !self.tenure.closes(uptime()) {
             open.complete.clear();
         }
         open
@@ -212,15 +181,15 @@
     /// Fixes what is complete. Whoever holds the duty keeps it.
     async fn fix(&mut self, open: Open) {
         let Some(time) = open.time else { return };
-        let asked = uptime();
+        let question = self.tenure.ask(uptime());
         let fixed = open.complete.clone();
         let action = Action::FixUsage(FixUsage {
             hold: Hold {
                 duty: DUTY.to_string(),
                 subject: String::new(),
                 holder: self.holder,
-                lasting: self.settings.lease + self.settings.slack,
-                refused: self.refused,
+                lasting: question.lasting,
+                refused: question.refused,
             },
             first: self.settings.windows.at(time),
             windows: open.complete,
@@ -231,7 +200,7 @@
                 // What another instance had fixed before is not this one's.
                 let own = fixed.iter().filter(|counts| owed.owed.contains(counts));
                 own.for_each(|counts| self.log_fixed(counts, time, open.entries));
-                self.hold(asked, owed);
+                self.hold(question, owed);
             }
             Ok(Reply::Usage(Err(left))) => self.other_holds(left),
             Ok(_) | Err(_) => {
@@ -256,8 +225,8 @@
             .info();
     }
 
-    fn hold(&mut self, asked: Duration, owed: UsageOwed) {
-        if self.holding.is_none_or(|held| held.fence != owed.fence) {
+    fn hold(&mut self, question: Question, owed: UsageOwed) {
+        if self.tenure.granted(question, owed.fence) {
             Event::new("duty-held")
                 .field("duty", DUTY)
                 .field("fence", owed.fence)
@@ -265,17 +234,13 @@
                 .field("owed", owed.owed.len())
                 .info();
         }
-        self.holding = Some(Holding {
-            fence: owed.fence,
-            until: asked + self.settings.lease,
-        });
         let sent = self.sent;
         let due = owed.owed.into_iter().filter(|counts| counts.window >= sent);
         self.owed = due.collect();
     }
 
     fn other_holds(&mut self, left: Duration) {
-        if self.holding.take().is_some() {
+        if self.tenure.other_holds(uptime(), left) {
             Event::new("duty-lost")
                 .field("duty", DUTY)
                 .field("reason", "another-holds")
@@ -283,25 +248,23 @@
                 .info();
         }
         self.owed.clear();
-        self.barred = uptime() + left;
     }
 
     /// Sends a window. Whether the next one may be sent now.
     async fn report(&mut self, counts: WindowCounts) -> bool {
-        let valid = |held: &Holding| uptime() < held.until;
-        if !self.holding.as_ref().is_some_and(valid) {
+        if self.tenure.may_act(uptime()).is_none() {
             let mut open = self.open();
             open.complete.clear();
             self.fix(open).await;
         }
-        let Some(held) = self.holding.filter(valid) else {
-            return false;
-        };
         let window = counts.window;
         let requests = counts.total();
+        let Some(fence) = self.tenure.may_act(uptime()) else {
+            return false;
+        };
         let report = UsageReport {
             holder: self.settings.reporter.clone(),
-            fence: held.fence,
+            fence,
             counts,
         };
         let sent = timeout(CALL_TIMEOUT, self.sink.report(&report)).await;
@@ -309,7 +272,7 @@
             let problem = "no answer in time".to_string();
             Err(ReportError::Failed { problem })
         });
-        self.log(window, requests, held.fence, sent.as_ref().err());
+        self.log(window, requests, fence, sent.as_ref().err());
         match sent {
             Ok(()) => {
                 self.accepted(window);
@@ -317,8 +280,7 @@
                 true
             }
             Err(ReportError::Fenced) => {
-                self.refused = self.refused.max(held.fence);
-                self.holding = None;
+                self.tenure.fenced(fence);
                 self.owed.clear();
                 false
             }
@@ -341,7 +303,7 @@
         let since = *self.failing.get_or_insert(now);
         if now.saturating_sub(since) >= UNABLE_AFTER {
             self.failing = None;
-            self.leaves = now + LEAVES;
+            self.tenure.leave(now);
             self.usage.set_away(true);
             self.pause = FIRST_PAUSE;
             return self.give_up("unable").await;
@@ -351,7 +313,7 @@
     }
 
     async fn give_up(&mut self, reason: &str) {
-        if self.holding.take().is_none() {
+        if !self.tenure.give_up() {
             return;
         }
         self.owed.clear();
@@ -398,6 +360,6 @@
 
     fn publish(&self) {
         let view = self.service.replica().duties.borrow().clone();
-        self.stats.show(self.holding.is_some(), &view);
+        self.stats.show(self.tenure.holds(), &view);
     }
 }
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -8,6 +8,8 @@
 
 mod ledger;
 mod tally;
+mod tenure;
 
 pub use ledger::{Counted, Instance, Ledger};
 pub use tally::{Closing, Tally, Told};
+pub use tenure::{Question, Tenure};
