--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -4,13 +4,15 @@
 //! worth now is known from the entry's own requests and from the load that
 //! answers carry. Requests read a snapshot; only the list replaces it.
 
+mod admission;
 mod demand;
 mod endpoint;
 mod limits;
 mod snapshot;
 mod standing;
 
-pub use endpoint::{Endpoint, Hold, Sent};
+pub use admission::Hold;
+pub use endpoint::{Endpoint, Sent};
 pub use standing::Standing;
 
 use crate::dialect::{Listed, Prompt};
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -4,18 +4,15 @@
 //! there, how fast it is, which beginnings it has read. It comes from this
 //! entry's own requests, and from the load that answers carry.
 
+use super::admission::Admission;
 use super::standing::Standing;
 use super::{Lane, Want, log_change};
 use crate::dialect::{Listed, Load, Prompt};
 use crate::pool::{self, Pool, Unconnected};
-use derive_more::Display;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::{self, Candidate};
-use dogwoodhill_policy::backoff::{Backoff, Retry};
 use dogwoodhill_policy::pace::Pace;
 use dogwoodhill_policy::packing::Packing;
-use dogwoodhill_policy::permits::{Limit, LimitNews, Permit, Permits, Word};
 use dogwoodhill_policy::rate::ReadRate;
 use dogwoodhill_policy::sightings::{Sight, Verdict};
 use dogwoodhill_policy::trust::{Record, Trust};
@@ -43,23 +40,6 @@
 /// Time until the first event beyond waiting and reading.
 const STEP: Duration = Duration::from_millis(25);
 
-/// Pause after which one without permits may have some: the interval at which entries ask.
-const PERMIT_PAUSE: Duration = Duration::from_millis(500);
-
-/// Why an endpoint is not sent a request that was chosen for it.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Hold {
-    /// It is about to stop, or gone.
-    #[display("leaving")]
-    Leaving,
-    /// It takes no more of this entry now.
-    #[display("limited")]
-    Limited,
-    /// It asked to be left alone.
-    #[display("resting")]
-    Resting,
-}
-
 /// One endpoint.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -87,12 +67,7 @@
     view: Mutex<View>,
     /// When it was last looked whether its process has ended, and the answer.
     looked: tokio::sync::Mutex<Option<(Instant, bool)>>,
-    permits: Mutex<Permits>,
-    /// Whether it is sent only what there are permits for.
-    limited: AtomicBool,
-    backoff: Mutex<Backoff>,
-    /// Whether it has ever asked to be left alone.
-    rested: AtomicBool,
+    pub(super) admission: Admission,
 }
 
 /// An endpoint as one decision sees it.
@@ -175,10 +150,7 @@
                 shared: Vec::new(),
             }),
             looked: tokio::sync::Mutex::default(),
-            permits: Mutex::default(),
-            limited: AtomicBool::new(false),
-            backoff: Mutex::default(),
-            rested: AtomicBool::new(false),
+            admission: Admission::default(),
         }
     }
 
@@ -370,165 +342,6 @@
         view.loaded = now;
     }
 
-    /// An answer of its own said this of a limit.
-    pub fn heard_limit(&self, limit: Limit) {
-        if limit == Limit::Unreadable {
-            Event::new("endpoint-limit-unreadable")
-                .field("endpoint", self.run())
-                .warn();
-        }
-        // Most endpoints name none.
-        if limit != Limit::Unnamed || self.is_limited() {
-            self.change_limit("answer", |permits| permits.hear(uptime(), limit));
-        }
-    }
-
-    /// It turned a request away, and said this of when to come back.
-    pub fn asked_rest(&self, retry: Retry) {
-        if retry == Retry::Unsaid {
-            return;
-        }
-        let now = uptime();
-        let left = {
-            let mut backoff = self.backoff();
-            backoff.ask(now, retry);
-            backoff.left(now).unwrap_or_default()
-        };
-        self.rested.store(true, Ordering::Release);
-        Event::new("endpoint-rest")
-            .field("endpoint", self.run())
-            .field("service", &self.service)
-            .field("retry", retry)
-            .field("left_ms", left.as_millis())
-            .info();
-    }
-
-    /// For how much longer it is left alone, as it asked this entry; `None` where it is not.
-    pub fn rest_left(&self) -> Option<Duration> {
-        if !self.rested.load(Ordering::Acquire) {
-            return None;
-        }
-        self.backoff().left(uptime())
-    }
-
-    fn backoff(&self) -> MutexGuard<'_, Backoff> {
-        self.backoff.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Control told what all entries know of its limit.
-    pub(super) fn told_limit(&self, word: Word) {
-        self.change_limit("control", |permits| permits.told(word));
-    }
-
-    fn change_limit(&self, by: &str, change: impl FnOnce(&mut Permits) -> bool) {
-        let mut permits = self.permits();
-        let changed = change(&mut permits);
-        let rate = permits.rate();
-        self.limited.store(rate.is_some(), Ordering::Release);
-        drop(permits);
-        if changed {
-            let limit = rate.map_or("none".to_string(), |rate| rate.to_string());
-            Event::new("endpoint-limit")
-                .field("endpoint", self.run())
-                .field("service", &self.service)
-                .field("limit", limit)
-                .field("by", by)
-                .info();
-        }
-    }
-
-    /// Whether it is sent only what there are permits for.
-    pub fn is_limited(&self) -> bool {
-        self.limited.load(Ordering::Acquire)
-    }
-
-    /// Whether it may be sent a request now.
-    pub(super) fn open(&self) -> bool {
-        let awake = self.awake().is_ok();
-        awake && (!self.is_limited() || self.permits().open(uptime()))
-    }
-
-    /// How long until it may be sent a request, as far as that is known.
-    pub(super) fn opens_in(&self) -> Duration {
-        let rest = self.rest_left().unwrap_or_default();
-        let ready = !self.is_limited() || self.permits().ready(uptime());
-        rest.max(if ready { Duration::ZERO } else { PERMIT_PAUSE })
-    }
-
-    /// Whether it takes requests of this entry at all now.
-    fn awake(&self) -> Result<(), Hold> {
-        if self.leaving() {
-            return Err(Hold::Leaving);
-        }
-        match self.rest_left() {
-            Some(_) => Err(Hold::Resting),
-            None => Ok(()),
-        }
-    }
-
-    /// Leave to send a request whose first byte goes out now. What was chosen may have begun
-    /// to leave or rest, or to name a limit, since.
-    ///
-    /// # Errors
-    ///
-    /// [`Hold`] where none may go out.
-    pub fn admit(&self) -> Result<Permit, Hold> {
-        self.awake()?;
-        if !self.is_limited() {
-            return Ok(Permit { until: None });
-        }
-        self.permits().take(uptime()).ok_or(Hold::Limited)
-    }
-
-    /// The same for a request that got a permit before and has sent nothing yet.
-    ///
-    /// # Errors
-    ///
-    /// [`Hold`] where none may go out any more.
-    pub fn admit_late(&self, permit: Permit) -> Result<(), Hold> {
-        let holds = match permit.until {
-            Some(until) => uptime() < until,
-            None => !self.is_limited(),
-        };
-        if holds {
-            self.awake()
-        } else {
-            self.admit().map(|_| ())
-        }
-    }
-
-    /// What control is to be told of its limit, if anything.
-    pub(super) fn limit_news(&self, now: Duration) -> Option<LimitNews> {
-        self.permits().news(now)
-    }
-
-    /// Control granted permits, of those that were asked for at `asked`.
-    pub(super) fn granted(&self, asked: Duration, permits: u32, wanted: u32) {
-        self.permits().granted(asked, permits);
-        if permits > 0 {
-            Event::new("permits-granted")
-                .field("endpoint", self.run())
-                .field("permits", permits)
-                .field("wanted", wanted)
-                .field("asked_ms", uptime().saturating_sub(asked).as_millis())
-                .info();
-        }
-    }
-
-    /// No control instance grants any: this entry, one of `entries`, goes by itself.
-    pub(super) fn alone(&self, entries: u32) {
-        self.permits().alone(entries, rand::random());
-    }
-
-    /// A control instance is heard of again.
-    pub(super) fn accompanied(&self) {
-        self.permits().accompanied();
-    }
-
-    fn permits(&self) -> MutexGuard<'_, Permits> {
-        self.permits.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// What this entry met there since it told the others last, if anything.
     pub(crate) fn sight(&self) -> Option<Sight> {
         let now = self.start.elapsed();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::pool::{self, Line, Unconnected};
 use bytes::Bytes;
 use derive_more::Display;
+use dogwoodhill_policy::permits::Permit;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -146,43 +147,11 @@
     let mut sent = endpoint.enter(ask.prompt, ask.standing);
     let request = request(dialect, outbound, tell, endpoint);
     let mut permit = None;
-    let tried = match endpoint.pool.take() {
-        Some(line) => match endpoint.admit() {
-            Ok(admitted) => {
-                permit = Some(admitted);
-                attempt(line, request, ask.until).await
-            }
-            Err(hold) => {
-                endpoint.pool.give_back(line);
-                return Ended::Held(hold);
-            }
-        },
-        None => Attempt::Unsent(request),
-    };
+    let kept = send_kept(endpoint, request, &mut permit, ask.until).await;
     // A kept connection may have been closed before the request began to go
     // out; a new one is tried once.
-    let tried = match tried {
-        Attempt::Unsent(request) => match connect(endpoint, ask.until).await {
-            // The choice may be older than the connection took: the process may have stood
-            // still meanwhile.
-            Ok(line) => {
-                let admitted = match permit {
-                    Some(permit) => endpoint.admit_late(permit),
-                    None => endpoint.admit().map(|_| ()),
-                };
-                if let Err(hold) = admitted {
-                    return Ended::Held(hold);
-                }
-                attempt(line, request, ask.until).await
-            }
-            Err(reason) => {
-                match reason {
-                    Unconnected::Refused => endpoint.unreached(),
-                    Unconnected::Unanswered => endpoint.unanswered(),
-                }
-                return Ended::Unsent;
-            }
-        },
+    let tried = match kept {
+        Attempt::Unsent(request) => send_new(endpoint, request, permit, ask.until).await,
         other => other,
     };
     match tried {
@@ -195,6 +164,8 @@
             endpoint.unreached();
             Ended::Unsent
         }
+        Attempt::Unconnected => Ended::Unsent,
+        Attempt::Held(hold) => Ended::Held(hold),
         Attempt::Lost(Loss::Timeout) => {
             endpoint.timed_out(false);
             Ended::Lost(Loss::Timeout)
@@ -211,9 +182,61 @@
     Head(Response<Incoming>, Line),
     /// Nothing of it went out.
     Unsent(Request<Full<Bytes>>),
+    /// There was no connection, which the endpoint's record has.
+    Unconnected,
+    /// The endpoint takes nothing of this entry now.
+    Held(Hold),
     Lost(Loss),
 }
 
+/// Sends on a kept connection, where there is one.
+async fn send_kept(
+    endpoint: &Endpoint,
+    request: Request<Full<Bytes>>,
+    permit: &mut Option<Permit>,
+    until: Instant,
+) -> Attempt {
+    let Some(line) = endpoint.pool.take() else {
+        return Attempt::Unsent(request);
+    };
+    match endpoint.admit() {
+        Ok(admitted) => *permit = Some(admitted),
+        Err(hold) => {
+            endpoint.pool.give_back(line);
+            return Attempt::Held(hold);
+        }
+    }
+    attempt(line, request, until).await
+}
+
+/// Sends on a new connection. The choice may be older than that took, and the process may have
+/// stood still meanwhile.
+async fn send_new(
+    endpoint: &Endpoint,
+    request: Request<Full<Bytes>>,
+    permit: Option<Permit>,
+    until: Instant,
+) -> Attempt {
+    let line = match connect(endpoint, until).await {
+        Ok(line) => line,
+        Err(reason) => {
+            match reason {
+                Unconnected::Refused => endpoint.unreached(),
+                Unconnected::Unanswered => endpoint.unanswered(),
+            }
+            return Attempt::Unconnected;
+        }
+    };
+    let admitted = match permit {
+        Some(permit) => endpoint.admit_late(permit),
+        None => endpoint.admit().map(|_| ()),
+    };
+    match admitted {
+        Ok(()) => attempt(line, request, until).await,
+        Err(hold) => Attempt::Held(hold),
+    }
+}
+
 async fn attempt(
     mut line: Line,
     request: Request<Full<Bytes>>,
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -7,13 +7,14 @@
 //! under is not sent on (`job::crash`).
 
 mod crash;
+mod refusal;
 
-use crate::answer::{Cause, Reply, refuse};
+use crate::answer::{Cause, Reply};
 use crate::dialect::{Ask, EventId, Tell};
 use crate::directory::{Endpoint, Lane, Standing, Want};
 use crate::exchange::{self, Answer, Asked, Ended, Loss, Outbound, Whole};
 use crate::first::{First, answer_first};
-use crate::request::{Shared, soon};
+use crate::request::Shared;
 use crate::stats::Record;
 use crate::stream::{CHECK, PARTS, Pauses, Piece, Relay, Source};
 use crate::usage::Begun;
@@ -34,8 +35,6 @@
 /// Endpoints to which no connection could be made, before a request is
 /// refused. None of them got a byte, so they count as no send.
 const MAX_UNSENT: usize = 3;
-/// Part of a wait for endpoints over which callers that come back are spread.
-const SPREAD: f64 = 0.25;
 /// Time without an answer after which an idempotent request is tried elsewhere,
 /// as a multiple of its objective. Callers of streams leave after four.
 const SILENT_OBJECTIVES: f64 = 2.5;
@@ -444,26 +443,6 @@
         allowed
     }
 
-    /// What to say when no endpoint is left to be asked.
-    fn exhausted(&self) -> Cause {
-        let opens = self.shared.directory.opens_in(&self.service);
-        match (self.may_have_run, self.tried.is_empty(), opens) {
-            (true, _, _) => Cause::Lost,
-            (false, true, None) => Cause::NoEndpoint,
-            (false, _, Some(wait)) if !wait.is_zero() => Cause::Held,
-            _ => Cause::Full,
-        }
-    }
-
-    /// What to say when the time is over.
-    fn over(&self) -> Cause {
-        if self.may_have_run {
-            Cause::Timeout
-        } else {
-            Cause::Expired
-        }
-    }
-
     /// Notes that a send led to no answer, for the log and for the other entries.
     fn note_failed(&self, endpoint: &Endpoint, result: &str) {
         self.shared.lists.met.notify_one();
@@ -478,27 +457,6 @@
             .warn();
     }
 
-    fn refuse(self, cause: Cause) -> Response<Reply> {
-        let not_run = cause.outcome() == Outcome::NotRun;
-        let again = not_run.then(|| self.back_after());
-        self.refuse_for(cause, again)
-    }
-
-    /// When its caller may come back: once an endpoint takes requests again, and not all
-    /// callers at once.
-    fn back_after(&self) -> Duration {
-        let opens = self.shared.directory.opens_in(&self.service);
-        let wait = opens.unwrap_or_default();
-        let spread = rand::rng().random_range(0.0..SPREAD);
-        wait + wait.mul_f64(spread) + soon()
-    }
-
-    fn refuse_for(mut self, cause: Cause, again: Option<Duration>) -> Response<Reply> {
-        self.record().refused(cause, again);
-        self.record = None;
-        refuse(cause, again)
-    }
-
     fn deliver(mut self, whole: Whole) -> Response<Reply> {
         self.shared.suspects.served(self.fingerprint);
         self.record().answered(whole.status.as_u16());
