--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -48,9 +48,9 @@
     /// What an entry is told that knows the limits of `mark`.
     pub fn news(&self, now: Duration, mark: u64) -> Option<EndpointLimits> {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let limits = known.words(now).map(|(run, word)| {
+        let limits = known.observations(now).map(|(run, observed)| {
             let wanted = 0;
-            EndpointLimit::new(now, run.clone(), LimitNews { word, wanted })
+            EndpointLimit::new(now, run.clone(), LimitNews { observed, wanted })
         });
         let limits: Vec<EndpointLimit> = limits.collect();
         let news = marked(&limits);
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -51,7 +51,7 @@
     ),
     (
         "endpoints-held",
-        "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-rest, endpoint-limit and permits-granted",
+        "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-backoff, endpoint-limit and permits-granted",
     ),
     ("overload", "the service could not serve it in time"),
     (
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -25,7 +25,7 @@
 use dogwoodhill_policy::packing;
 use dogwoodhill_policy::trust::Trust;
 use endpoint::Look;
-use limits::Company;
+use limits::ControlContact;
 use rand::RngExt;
 use snapshot::{Group, Snapshot};
 use std::cmp::{Ordering, Reverse};
@@ -48,7 +48,7 @@
     /// By service; sorted.
     demand: Mutex<Vec<(ServiceId, Demand)>>,
     runs: Mutex<Incarnations>,
-    company: Mutex<Company>,
+    contact: Mutex<ControlContact>,
 }
 
 /// What a request wants of an endpoint.
@@ -103,7 +103,7 @@
             spread: rand::random(),
             demand: Mutex::default(),
             runs: Mutex::default(),
-            company: Mutex::default(),
+            contact: Mutex::default(),
         }
     }
 
@@ -187,8 +187,8 @@
         Arc::new(Endpoint::new(listed, self.start, rate))
     }
 
-    fn company(&self) -> MutexGuard<'_, Company> {
-        self.company.lock().unwrap_or_else(PoisonError::into_inner)
+    fn contact(&self) -> MutexGuard<'_, ControlContact> {
+        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// All endpoints.
--- a/crates/direct/src/directory/admission.rs
+++ b/crates/direct/src/directory/admission.rs
@@ -9,7 +9,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::backoff::{Backoff, Retry};
-use dogwoodhill_policy::permits::{Limit, LimitNews, Permit, Permits, Word};
+use dogwoodhill_policy::permits::{Limit, LimitNews, Observation, Permit, Permits};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -26,8 +26,8 @@
     #[display("limited")]
     Limited,
     /// It asked to be left alone.
-    #[display("resting")]
-    Resting,
+    #[display("backoff")]
+    BackedOff,
 }
 
 /// What an endpoint asked of this entry and of all.
@@ -38,7 +38,7 @@
     limited: AtomicBool,
     backoff: Mutex<Backoff>,
     /// Whether it has ever asked to be left alone.
-    rested: AtomicBool,
+    backed_off: AtomicBool,
 }
 
 impl Endpoint {
@@ -56,7 +56,7 @@
     }
 
     /// It turned a request away, and said this of when to come back.
-    pub fn asked_rest(&self, retry: Retry) {
+    pub fn turned_away(&self, retry: Retry) {
         if retry == Retry::Unsaid {
             return;
         }
@@ -66,8 +66,8 @@
             backoff.ask(now, retry);
             backoff.left(now).unwrap_or_default()
         };
-        self.admission.rested.store(true, Ordering::Release);
-        Event::new("endpoint-rest")
+        self.admission.backed_off.store(true, Ordering::Release);
+        Event::new("endpoint-backoff")
             .field("endpoint", self.run())
             .field("service", &self.service)
             .field("retry", retry)
@@ -76,8 +76,8 @@
     }
 
     /// For how much longer it is left alone, as it asked this entry; `None` where it is not.
-    pub fn rest_left(&self) -> Option<Duration> {
-        if !self.admission.rested.load(Ordering::Acquire) {
+    pub fn backoff_left(&self) -> Option<Duration> {
+        if !self.admission.backed_off.load(Ordering::Acquire) {
             return None;
         }
         self.backoff().left(uptime())
@@ -91,8 +91,8 @@
     }
 
     /// Control told what all entries know of its limit.
-    pub(super) fn told_limit(&self, word: Word) {
-        self.change_limit("control", |permits| permits.told(word));
+    pub(super) fn told_limit(&self, observed: Observation) {
+        self.change_limit("control", |permits| permits.told(observed));
     }
 
     fn change_limit(&self, by: &str, change: impl FnOnce(&mut Permits) -> bool) {
@@ -121,24 +121,24 @@
 
     /// Whether it may be sent a request now.
     pub(super) fn open(&self) -> bool {
-        let awake = self.awake().is_ok();
-        awake && (!self.is_limited() || self.permits().open(uptime()))
+        let accepting = self.accepting().is_ok();
+        accepting && (!self.is_limited() || self.permits().open(uptime()))
     }
 
     /// How long until it may be sent a request, as far as that is known.
     pub(super) fn opens_in(&self) -> Duration {
-        let rest = self.rest_left().unwrap_or_default();
+        let rest = self.backoff_left().unwrap_or_default();
         let ready = !self.is_limited() || self.permits().ready(uptime());
         rest.max(if ready { Duration::ZERO } else { PERMIT_PAUSE })
     }
 
     /// Whether it takes requests of this entry at all now.
-    fn awake(&self) -> Result<(), Hold> {
+    fn accepting(&self) -> Result<(), Hold> {
         if self.leaving() {
             return Err(Hold::Leaving);
         }
-        match self.rest_left() {
-            Some(_) => Err(Hold::Resting),
+        match self.backoff_left() {
+            Some(_) => Err(Hold::BackedOff),
             None => Ok(()),
         }
     }
@@ -150,7 +150,7 @@
     ///
     /// [`Hold`] where none may go out.
     pub fn admit(&self) -> Result<Permit, Hold> {
-        self.awake()?;
+        self.accepting()?;
         if !self.is_limited() {
             return Ok(Permit { until: None });
         }
@@ -168,7 +168,7 @@
             None => !self.is_limited(),
         };
         if holds {
-            self.awake()
+            self.accepting()
         } else {
             self.admit().map(|_| ())
         }
@@ -193,13 +193,13 @@
     }
 
     /// No control instance grants any: this entry, one of `entries`, goes by itself.
-    pub(super) fn alone(&self, entries: u32) {
-        self.permits().alone(entries, rand::random());
+    pub(super) fn begin_autonomy(&self, entries: u32) {
+        self.permits().begin_autonomy(entries, rand::random());
     }
 
     /// A control instance is heard of again.
-    pub(super) fn accompanied(&self) {
-        self.permits().accompanied();
+    pub(super) fn end_autonomy(&self) {
+        self.permits().end_autonomy();
     }
 
     fn permits(&self) -> MutexGuard<'_, Permits> {
--- a/crates/direct/src/directory/limits.rs
+++ b/crates/direct/src/directory/limits.rs
@@ -8,11 +8,11 @@
 
 /// Time without an answer of any control instance after which an entry sends to limited
 /// endpoints by itself: by then another instance has taken over if there is one.
-const ALONE: Duration = Duration::from_secs(2);
+const AUTONOMOUS_AFTER: Duration = Duration::from_secs(2);
 
 /// What this entry knows of the others in matters of limits.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Company {
+pub(super) struct ControlContact {
     /// Mark of the limits that control told.
     mark: u64,
     /// The first time in a row that control did not answer.
@@ -28,7 +28,7 @@
             let news = endpoint.limit_news(now)?;
             Some(EndpointLimit::new(now, endpoint.run(), news))
         });
-        (news.collect(), self.company().mark)
+        (news.collect(), self.contact().mark)
     }
 
     /// Control answered a question that was sent at `asked` and told of the limits in `told`.
@@ -39,16 +39,16 @@
         limits: Option<&EndpointLimits>,
         permits: &[EndpointPermits],
     ) {
-        let company_was_lost = {
-            let mut company = self.company();
+        let was_lost = {
+            let mut contact = self.contact();
             if let Some(limits) = limits {
-                company.mark = limits.mark;
+                contact.mark = limits.mark;
             }
-            company.unheard.take().is_some()
+            contact.unheard.take().is_some()
         };
-        if company_was_lost {
+        if was_lost {
             let all = self.all();
-            all.iter().for_each(|endpoint| endpoint.accompanied());
+            all.iter().for_each(|endpoint| endpoint.end_autonomy());
         }
         for told in told {
             let Some(endpoint) = self.running(&told.run) else {
@@ -61,7 +61,7 @@
         for limit in limits.into_iter().flat_map(|limits| &limits.limits) {
             let endpoint = self.running(&limit.run);
             if let Some((endpoint, news)) = endpoint.zip(limit.read(asked)) {
-                endpoint.told_limit(news.word);
+                endpoint.told_limit(news.observed);
             }
         }
     }
@@ -69,11 +69,11 @@
     /// No control instance answered this entry, which is one of `entries`.
     pub fn miss_limits(&self, entries: u32) {
         let now = uptime();
-        let since = *self.company().unheard.get_or_insert(now);
-        if now.saturating_sub(since) >= ALONE {
+        let since = *self.contact().unheard.get_or_insert(now);
+        if now.saturating_sub(since) >= AUTONOMOUS_AFTER {
             let all = self.all();
             let limited = all.iter().filter(|endpoint| endpoint.is_limited());
-            limited.for_each(|endpoint| endpoint.alone(entries));
+            limited.for_each(|endpoint| endpoint.begin_autonomy(entries));
         }
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -316,7 +316,7 @@
         }
         endpoint.heard_limit(said.limit);
         if turns_away(parts.status) {
-            endpoint.asked_rest(said.retry);
+            endpoint.turned_away(said.retry);
         }
     }
     if said.refused {
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -3,6 +3,7 @@
 
 mod ages;
 mod answers;
+mod backoff;
 mod callers;
 mod control;
 mod crashing;
@@ -18,7 +19,7 @@
 mod lists;
 mod logged;
 mod outcomes;
-mod rests;
+
 mod settings;
 mod streams;
 mod usage;
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -47,7 +47,7 @@
 /// Endpoints whose limits are remembered: eight times the size that the design is made for.
 const MOST_KNOWN: usize = 10_000;
 /// Part of a limit that all entries without control use together.
-const SHARE_ALONE: f64 = 0.5;
+const SHARE_AUTONOMOUS: f64 = 0.5;
 
 /// Largest rate that is told apart from no limit, in requests a second: more than any
 /// endpoint serves.
@@ -104,14 +104,14 @@
 
 /// What is known of an endpoint's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Word {
+pub struct Observation {
     /// The limit; `None` where it names none any more.
     pub rate: Option<Rate>,
     /// When it was said.
     pub at: Duration,
 }
 
-impl Word {
+impl Observation {
     /// Whether it takes the place of what is known.
     fn supersedes(&self, known: Option<&Self>) -> bool {
         match (known, self.rate) {
@@ -125,23 +125,23 @@
 /// One entry's permits for one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Permits {
-    word: Option<Word>,
+    observed: Option<Observation>,
     /// What is left of each grant, and until when it holds.
     granted: Vec<(Duration, u32)>,
     /// Requests that were to be placed since control was told last.
-    sought: u32,
+    demanded: u32,
     /// When control took in what this entry heard.
     told: Option<Duration>,
     /// When an answer said anything about a limit.
     heard: Option<Duration>,
-    alone: Option<Alone>,
+    autonomy: Option<Autonomy>,
 }
 
 /// What an entry tells of an endpoint's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitNews {
     /// What it knows.
-    pub word: Word,
+    pub observed: Observation,
     /// Permits that it could use.
     pub wanted: u32,
 }
@@ -162,26 +162,26 @@
             // One in need that can't say how much stays at what is known.
             Limit::Unnamed | Limit::Unreadable => return false,
         };
-        let word = Word { rate, at: now };
+        let observed = Observation { rate, at: now };
         let before = self.rate();
-        if self.take_in(word) {
+        if self.take_in(observed) {
             self.heard = Some(now);
         }
         self.rate() != before
     }
 
     /// Control told what all entries know; whether its limit is another one now.
-    pub fn told(&mut self, word: Word) -> bool {
+    pub fn told(&mut self, observed: Observation) -> bool {
         let before = self.rate();
-        self.take_in(word);
+        self.take_in(observed);
         self.rate() != before
     }
 
-    fn take_in(&mut self, word: Word) -> bool {
-        let newer = word.supersedes(self.word.as_ref());
+    fn take_in(&mut self, observed: Observation) -> bool {
+        let newer = observed.supersedes(self.observed.as_ref());
         if newer {
-            self.shrink(word.rate);
-            self.word = Some(word);
+            self.shrink(observed.rate);
+            self.observed = Some(observed);
         }
         newer
     }
@@ -202,14 +202,14 @@
 
     /// The limit, where there is one.
     pub fn rate(&self) -> Option<Rate> {
-        self.word.and_then(|word| word.rate)
+        self.observed.and_then(|observed| observed.rate)
     }
 
     /// Whether a request may go there now. Where there is a limit, it is counted as one that
     /// could use a permit.
     pub fn open(&mut self, now: Duration) -> bool {
         if self.rate().is_some() {
-            self.sought = self.sought.saturating_add(1);
+            self.demanded = self.demanded.saturating_add(1);
         }
         self.ready(now)
     }
@@ -220,7 +220,7 @@
             return true;
         };
         let holds = |grant: &(Duration, u32)| grant.0 > now && grant.1 > 0;
-        let alone = || self.alone.is_some_and(|alone| alone.open(now, rate));
+        let alone = || self.autonomy.is_some_and(|alone| alone.open(now, rate));
         self.granted.iter().any(holds) || alone()
     }
 
@@ -235,7 +235,7 @@
             let until = Some(grant.0);
             return Some(Permit { until });
         }
-        self.alone.as_mut()?.take(now, rate)
+        self.autonomy.as_mut()?.take(now, rate)
     }
 
     /// Permits that still hold; forgets the others.
@@ -248,17 +248,17 @@
     /// What control is to be told, if anything: what was heard since, or that permits could
     /// be used.
     pub fn news(&mut self, now: Duration) -> Option<LimitNews> {
-        let word = self.word?;
-        let wanted = std::mem::take(&mut self.sought);
+        let observed = self.observed?;
+        let wanted = std::mem::take(&mut self.demanded);
         let wanted = wanted.saturating_sub(self.left(now));
         let unheard = self.heard > self.told;
-        (unheard || wanted > 0).then_some(LimitNews { word, wanted })
+        (unheard || wanted > 0).then_some(LimitNews { observed, wanted })
     }
 
     /// Control took in what was told at `asked`, and granted `permits`.
     pub fn granted(&mut self, asked: Duration, permits: u32) {
         self.told = Some(asked);
-        self.alone = None;
+        self.autonomy = None;
         if permits > 0 && self.rate().is_some() {
             self.granted.push((asked + VALID, permits));
         }
@@ -266,8 +266,8 @@
 
     /// No control instance was heard of for a while, by this entry as one of `entries`.
     /// `phase`, from 0 to 1, is drawn anew for each endpoint.
-    pub fn alone(&mut self, entries: u32, phase: f64) {
-        self.alone.get_or_insert(Alone {
+    pub fn begin_autonomy(&mut self, entries: u32, phase: f64) {
+        self.autonomy.get_or_insert(Autonomy {
             entries: entries.max(1),
             phase,
             used: None,
@@ -275,25 +275,25 @@
     }
 
     /// A control instance is heard of again.
-    pub fn accompanied(&mut self) {
-        self.alone = None;
+    pub fn end_autonomy(&mut self) {
+        self.autonomy = None;
     }
 }
 
 /// What an entry without control sends: one request in each of its periods, soon after the
 /// period's beginning or not at all, so that entries don't save up and send at once.
 #[derive(Clone, Copy, Debug)]
-struct Alone {
+struct Autonomy {
     entries: u32,
     phase: f64,
     /// The last period in which it sent one.
     used: Option<u64>,
 }
 
-impl Alone {
+impl Autonomy {
     /// The present period, and when its time to send is over.
     fn period(&self, now: Duration, rate: Rate) -> (u64, Duration) {
-        let rate = rate.per_second().max(LEAST) * SHARE_ALONE;
+        let rate = rate.per_second().max(LEAST) * SHARE_AUTONOMOUS;
         let length = f64::from(self.entries) / rate;
         let number = (now.as_secs_f64() / length + self.phase).floor();
         let begun = (number - self.phase) * length;
@@ -326,7 +326,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     run: Incarnation,
-    word: Word,
+    observed: Observation,
     /// When an entry told of it last.
     told: Duration,
     /// For entries that ask this instance first.
@@ -363,10 +363,10 @@
 }
 
 impl Known {
-    fn new(now: Duration, run: Incarnation, word: Word) -> Self {
+    fn new(now: Duration, run: Incarnation, observed: Observation) -> Self {
         Self {
             run,
-            word,
+            observed,
             told: now,
             first: Bucket::empty(now),
             second: Bucket::empty(now),
@@ -374,7 +374,7 @@
     }
 
     fn grant(&mut self, now: Duration, wanted: u32, choice: Choice) -> u32 {
-        let Some(rate) = self.word.rate else {
+        let Some(rate) = self.observed.rate else {
             return 0;
         };
         let rate = rate.per_second();
@@ -412,11 +412,11 @@
             .binary_search_by(|known| known.run.id.cmp(&run.id));
         let at = match found {
             Ok(at) => at,
-            Err(_) if self.known.len() >= MOST_KNOWN || news.word.rate.is_none() => {
+            Err(_) if self.known.len() >= MOST_KNOWN || news.observed.rate.is_none() => {
                 return 0;
             }
             Err(at) => {
-                let known = Known::new(now, run.clone(), news.word);
+                let known = Known::new(now, run.clone(), news.observed);
                 self.known.insert(at, known);
                 at
             }
@@ -424,20 +424,23 @@
         let known = &mut self.known[at];
         match run.cmp_start(&known.run) {
             Ordering::Less => return 0,
-            Ordering::Greater => *known = Known::new(now, run.clone(), news.word),
+            Ordering::Greater => *known = Known::new(now, run.clone(), news.observed),
             Ordering::Equal => {}
         }
         known.told = now;
-        if news.word.supersedes(Some(&known.word)) {
-            known.word = news.word;
+        if news.observed.supersedes(Some(&known.observed)) {
+            known.observed = news.observed;
         }
         known.grant(now, news.wanted, choice)
     }
 
     /// What is known, sorted by name; what nobody told of for long is forgotten.
-    pub fn words(&mut self, now: Duration) -> impl Iterator<Item = (&Incarnation, Word)> {
+    pub fn observations(
+        &mut self,
+        now: Duration,
+    ) -> impl Iterator<Item = (&Incarnation, Observation)> {
         self.known
             .retain(|known| now.saturating_sub(known.told) < MEMORY);
-        self.known.iter().map(|known| (&known.run, known.word))
+        self.known.iter().map(|known| (&known.run, known.observed))
     }
 }
--- a/crates/policy/tests/permits.rs
+++ b/crates/policy/tests/permits.rs
@@ -2,7 +2,7 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::permits::{
-    Choice, Limit, LimitNews, Limits, Permit, Permits, Rate, VALID, Word,
+    Choice, Limit, LimitNews, Limits, Observation, Permit, Permits, Rate, VALID,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -86,7 +86,7 @@
             for (permits, asks, moves) in &mut entries {
                 let alone = control == Control::Gone && now >= *moves;
                 if alone {
-                    permits.alone(self.entries as u32, random.random());
+                    permits.begin_autonomy(self.entries as u32, random.random());
                 } else if *asks <= now {
                     *asks = now + ms(random.random_range(400..600));
                     let changed = control == Control::Changes && now >= *moves;
@@ -198,7 +198,7 @@
     assert!(permits.hear(ms(1_400), Limit::Unnamed));
     assert!(permits.open(ms(1_400)));
     let news = permits.news(ms(1_500)).expect("the others are told");
-    assert_eq!(news.word.rate, None);
+    assert_eq!(news.observed.rate, None);
     permits.granted(ms(1_500), 0);
     assert_eq!(permits.news(ms(1_600)), None, "once");
     assert!(permits.hear(ms(2_000), named(3.0)), "and it may come again");
@@ -216,8 +216,11 @@
         0,
         "no permits yet"
     );
-    let words: Vec<Word> = limits.words(ms(1_200)).map(|known| known.1).collect();
-    assert!(is_told.told(words[0]));
+    let seen: Vec<Observation> = limits
+        .observations(ms(1_200))
+        .map(|known| known.1)
+        .collect();
+    assert!(is_told.told(seen[0]));
     assert!(!is_told.open(ms(1_200)));
     let wants = is_told.news(ms(2_200)).expect("it could use one");
     assert_eq!(wants.wanted, 1);
@@ -225,17 +228,20 @@
     hears.hear(ms(3_000), Limit::Unnamed);
     let news = hears.news(ms(3_100)).expect("it ended");
     limits.tell(ms(3_101), &run(), news, Choice::First);
-    let words: Vec<Word> = limits.words(ms(3_200)).map(|known| known.1).collect();
-    assert!(is_told.told(words[0]));
+    let seen: Vec<Observation> = limits
+        .observations(ms(3_200))
+        .map(|known| known.1)
+        .collect();
+    assert!(is_told.told(seen[0]));
     assert!(is_told.open(ms(3_200)));
 }
 
-/// An older word, as an entry tells it that stood still, changes nothing.
+/// An older observed, as an entry tells it that stood still, changes nothing.
 #[test]
 fn limit_older_word_is_ignored() {
     let mut limits = Limits::default();
     let news = |limit: Option<f64>, at, wanted| LimitNews {
-        word: Word {
+        observed: Observation {
             rate: limit.map(rate),
             at,
         },
@@ -254,21 +260,25 @@
         news(Some(1.0), ms(5_500), 1),
         Choice::First,
     );
-    let known = limits.words(ms(7_000)).next().expect("it is remembered").1;
+    let known = limits
+        .observations(ms(7_000))
+        .next()
+        .expect("it is remembered")
+        .1;
     assert_eq!(known.rate, None);
-    assert_eq!(limits.words(ms(70_000)).count(), 0, "for a while");
+    assert_eq!(limits.observations(ms(70_000)).count(), 0, "for a while");
 }
 
 /// Another start of the same endpoint owes nothing to what was said before.
 #[test]
 fn limit_of_an_earlier_start_is_over() {
     let mut limits = Limits::default();
-    let word = |at| Word {
+    let observed = |at| Observation {
         rate: Some(rate(1.0)),
         at,
     };
     let news = |at, wanted| LimitNews {
-        word: word(at),
+        observed: observed(at),
         wanted,
     };
     let later = Incarnation::new("i-1", Some(2));
@@ -279,7 +289,7 @@
         0
     );
     assert_eq!(
-        limits.words(ms(9_000)).next().map(|known| known.0),
+        limits.observations(ms(9_000)).next().map(|known| known.0),
         Some(&later)
     );
 }
@@ -301,8 +311,8 @@
         let mut granted = Vec::new();
         for (passed, wanted) in asked {
             now += ms(passed);
-            let word = Word { rate: Some(rate(limit)), at: now };
-            let permits = limits.tell(now, &run(), LimitNews { word, wanted }, Choice::First);
+            let observed = Observation { rate: Some(rate(limit)), at: now };
+            let permits = limits.tell(now, &run(), LimitNews { observed, wanted }, Choice::First);
             granted.push((now, permits));
         }
         for (at, first) in granted.iter().enumerate() {
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -1,7 +1,7 @@
 //! Messages about limits that endpoints name, between entries and control instances.
 
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::permits::{LimitNews, Rate, Word};
+use dogwoodhill_policy::permits::{LimitNews, Observation, Rate};
 use serde::{Deserialize, Serialize};
 
 /// What a sender knows of an endpoint's limit.
@@ -23,8 +23,8 @@
     pub fn new(now: Duration, run: Incarnation, news: LimitNews) -> Self {
         Self {
             run,
-            rate: news.word.rate.map(Rate::per_second),
-            age: now.saturating_sub(news.word.at),
+            rate: news.observed.rate.map(Rate::per_second),
+            age: now.saturating_sub(news.observed.at),
             wanted: news.wanted,
         }
     }
@@ -37,9 +37,9 @@
             None => None,
         };
         let at = sent.saturating_sub(self.age);
-        let word = Word { rate, at };
+        let observed = Observation { rate, at };
         let wanted = self.wanted;
-        Some(LimitNews { word, wanted })
+        Some(LimitNews { observed, wanted })
     }
 }
 
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -1,7 +1,7 @@
 //! Messages about limits that endpoints name: sizes, and what comes back from bytes.
 
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::permits::{LimitNews, Rate, Word};
+use dogwoodhill_policy::permits::{LimitNews, Observation, Rate};
 use dogwoodhill_wire::demand::{TellDemand, Totals};
 use dogwoodhill_wire::limits::{EndpointLimit, EndpointLimits, EndpointPermits};
 use serde::Serialize;
@@ -64,7 +64,7 @@
 fn limit_read_by_the_receivers_clock() {
     let now = Duration::from_secs(50);
     let news = LimitNews {
-        word: Word {
+        observed: Observation {
             rate: Rate::new(1.2),
             at: Duration::from_secs(48),
         },
@@ -72,8 +72,8 @@
     };
     let told = EndpointLimit::new(now, run(), news);
     let read = told.read(Duration::from_secs(9)).expect("a limit");
-    assert_eq!(read.word.at, Duration::from_secs(7));
-    assert_eq!((read.word.rate, read.wanted), (Rate::new(1.2), 3));
+    assert_eq!(read.observed.at, Duration::from_secs(7));
+    assert_eq!((read.observed.rate, read.wanted), (Rate::new(1.2), 3));
     let told = EndpointLimit {
         rate: Some(f64::NAN),
         ..told
