Limits that an entry is told of before it has the list are asked for again

Found by reading: an entry that starts hears of limits in the same answer as of the list, and takes the list in after them. Limits of endpoints that it does not know yet were dropped and counted as known, so it sent freely until an answer of its own named the limit. Now it asks for them again. limit_told_before_the_list_is_asked_for_again failed before.

--- a/crates/direct/src/directory/limits.rs
+++ b/crates/direct/src/directory/limits.rs
@@ -39,13 +39,7 @@
         limits: Option<&EndpointLimits>,
         permits: &[EndpointPermits],
     ) {
-        let was_lost = {
-            let mut contact = self.contact();
-            if let Some(limits) = limits {
-                contact.mark = limits.mark;
-            }
-            contact.unheard.take().is_some()
-        };
+        let was_lost = self.contact().unheard.take().is_some();
         if was_lost {
             let all = self.all();
             all.iter().for_each(|endpoint| endpoint.end_autonomy());
@@ -58,12 +52,26 @@
             let granted = granted.map_or(0, |granted| granted.permits);
             endpoint.granted(asked, granted, told.wanted);
         }
-        for limit in limits.into_iter().flat_map(|limits| &limits.limits) {
-            let endpoint = self.running(&limit.run);
-            if let Some((endpoint, news)) = endpoint.zip(limit.read(asked)) {
-                endpoint.told_limit(news.observed);
-            }
+        if let Some(limits) = limits {
+            // What concerns an endpoint that is not listed here yet is asked for again.
+            let applied = limits
+                .limits
+                .iter()
+                .filter(|limit| self.apply(asked, limit));
+            let whole = applied.count() == limits.limits.len();
+            self.contact().mark = if whole { limits.mark } else { 0 };
+        }
+    }
+
+    /// Takes in the limit of an endpoint, as it was known at `asked`. Whether it is listed.
+    fn apply(&self, asked: Duration, limit: &EndpointLimit) -> bool {
+        let Some(endpoint) = self.running(&limit.run) else {
+            return false;
+        };
+        if let Some(news) = limit.read(asked) {
+            endpoint.told_limit(news.observed);
         }
+        true
     }
 
     /// No control instance answered this entry, which is one of `entries`.
--- a/crates/direct/tests/all/limited.rs
+++ b/crates/direct/tests/all/limited.rs
@@ -10,6 +10,10 @@
 use crate::endpoint::StandIn;
 use crate::entry::{Entry, LONG, listed, set};
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
+use dogwoodhill_direct::dialect::Listed;
+use dogwoodhill_direct::directory::Directory;
+use dogwoodhill_wire::limits::{EndpointLimit, EndpointLimits};
 use dogwoodhill_wire::routes::HeldRoutes;
 use std::time::Instant;
 use tokio::time::sleep;
@@ -176,3 +180,32 @@
     }
     assert!(refused > 0, "it was kept to");
 }
+
+/// Guards against limits that an entry is told of before it has the list: they would never be
+/// told again.
+#[test]
+fn limit_told_before_the_list_is_asked_for_again() {
+    let directory = Directory::new("here".to_string());
+    let run = Incarnation::new("i-1", None);
+    let limits = EndpointLimits {
+        mark: 7,
+        limits: vec![EndpointLimit {
+            run: run.clone(),
+            rate: Some(LIMIT),
+            ..EndpointLimit::default()
+        }],
+    };
+    directory.hear_limits(uptime(), &[], Some(&limits), &[]);
+    assert_eq!(directory.limit_news().1, 0, "as if nothing had been told");
+    directory.update(vec![Listed {
+        run,
+        service: "service".to_string(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: "here".to_string(),
+        slots: 8,
+        leaving: false,
+    }]);
+    directory.hear_limits(uptime(), &[], Some(&limits), &[]);
+    assert!(directory.all()[0].is_limited());
+    assert_eq!(directory.limit_news().1, 7);
+}
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -18,7 +18,7 @@
 //!   four seconds;
 //! * permits go on as long as anybody asks, if slowly, also where the limit is zero: an
 //!   endpoint that gets nothing can't say that it takes more again;
-//! * the newest word counts. That a limit has ended is believed only some time after it was
+//! * the newest observation counts. That a limit has ended is believed only some time after it was
 //!   named last, since answers overtake each other;
 //! * an entry that hears of no control instance sends at a rate that stays below the limit if
 //!   all entries do the same, spread over time by chance.
