Interfaces for behaviour under contention, and the workspace in request logs

Cause: the direct path has no place for decisions about contention, and its log lines name no workspace, so nobody can see which callers pay for a full service. Change: settings flags (off by default), declarations of services in the route set (health path, engine), one optional last field in the exchange with control, design notes, and the field workspace in the lines of a request. dispatch.rs and directory/endpoint.rs are split without a change of behaviour, so that the parts that follow do not grow them. Conclusion: no behaviour changes; tests of the touched crates pass.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,22 +1,17 @@
 //! Life cycle of a control instance, from start to drain.
 
-use crate::demand::Demand;
 use crate::forward::{self, ANNOUNCE_PATH, Announcement};
 use crate::internal;
 use crate::internal::{CLUSTER_PATH, InternalApi, JOIN_PATH, MEMBER_PATH};
-use crate::limits::LimitTracker;
-use crate::lists::EndpointLists;
 use crate::operators::{self, OperatorApi};
 use crate::peers::Peers;
 use crate::presence::{INTERVAL, PRESENCE_PATH, Presence};
-use crate::quarantine::QuarantineTracker;
 use crate::replica::{
     Driver, Input, Replica, ReplicaConfig, ReplicaParts, ReplicaStatus, build_replica,
 };
 use crate::reporter::{Reporter, ReporterMetrics, UsageSink};
 use crate::service::Service;
 use crate::settings::{Settings, Start};
-use crate::usage::UsageTracker;
 use axum::Router;
 use derive_more::{Display, Error};
 use dogwoodhill_consensus::NodeId;
@@ -252,23 +247,14 @@
             .field("internal", self.internal())
             .info();
         let service = self.service();
-        let quarantine = QuarantineTracker::with_log(self.replica.quarantined.clone());
         let presence = Presence::default();
-        let usage = UsageTracker::new(self.replica.clone());
         let platform_routes = (extensions.routes)(service.clone());
         let operator_api =
             OperatorApi::new(service.clone(), presence.clone(), &self.settings.teams);
-        let internal_api = InternalApi {
-            service: service.clone(),
-            presence: presence.clone(),
-            demand: Demand::default(),
-            lists: EndpointLists::default(),
-            limits: LimitTracker::default(),
-            quarantine,
-            usage: usage.clone(),
-            cluster: self.cluster,
-            secret: Arc::new(self.settings.secret.clone()),
-        };
+        let secret = self.settings.secret.clone();
+        let internal_api =
+            InternalApi::new(service.clone(), presence.clone(), self.cluster, secret);
+        let usage = internal_api.usage.clone();
         let metrics = Metrics::default();
         let reporter = extensions.usage.zip(self.settings.usage.clone());
         let reporter = reporter.map(|(sink, settings)| {
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -1,6 +1,7 @@
 //! HTTP API for the other processes of the router.
 
 use crate::command::{Action, Reply};
+use crate::contention::ContentionTracker;
 use crate::demand::Demand;
 use crate::limits::LimitTracker;
 use crate::lists::EndpointLists;
@@ -60,6 +61,8 @@
     pub lists: EndpointLists,
     /// Limits that endpoints announce.
     pub limits: LimitTracker,
+    /// Contention for endpoints.
+    pub contention: ContentionTracker,
     /// Requests that crash endpoints.
     pub quarantine: QuarantineTracker,
     /// Usage reported by entries.
@@ -70,6 +73,31 @@
     pub secret: Arc<String>,
 }
 
+impl InternalApi {
+    /// Creates the API of the instance of `replica` in `cluster`; nothing is reported to
+    /// it yet.
+    pub fn new(
+        service: Service,
+        presence: Presence,
+        cluster: u128,
+        secret: String,
+    ) -> Self {
+        let replica = service.replica();
+        Self {
+            presence,
+            demand: Demand::default(),
+            lists: EndpointLists::default(),
+            limits: LimitTracker::default(),
+            contention: ContentionTracker::default(),
+            quarantine: QuarantineTracker::with_log(replica.quarantined.clone()),
+            usage: UsageTracker::new(replica.clone()),
+            cluster,
+            secret: Arc::new(secret),
+            service,
+        }
+    }
+}
+
 /// Routes for other processes of the router; all require the cluster key.
 pub fn routes(api: InternalApi) -> Router {
     let secret = Arc::clone(&api.secret);
@@ -282,6 +310,7 @@
         DemandReply {
             limits: api.limits.current(now, report.limits_mark),
             permits,
+            contention: api.contention.report(now, transit, &report),
             reader: update.reader,
             list: update.newest,
             verdicts: api.lists.verdicts(now),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 //! by its version, a claim and a lease by their holder.
 
 pub mod command;
+pub mod contention;
 pub mod control;
 pub mod demand;
 pub mod forward;
--- a/crates/direct/src/control_sync.rs
+++ b/crates/direct/src/control_sync.rs
@@ -79,6 +79,7 @@
                 shared.suspects.control_failed();
                 let entries = shared.entries.load(Ordering::Relaxed);
                 shared.directory.limits_unavailable(entries);
+                shared.contention.control_failed(uptime(), entries);
             }
         }
     }
@@ -140,6 +141,7 @@
         limits,
         limits_mark,
         preferred: true,
+        contention: shared.contention.report(uptime()),
     };
     let instances = follower.control().instances();
     let call_timeout = if shared.list_tracker.has_read() {
@@ -172,6 +174,7 @@
                     reply.limits.as_ref(),
                     &reply.permits,
                 );
+                shared.contention.apply(sent_at, reply.contention.as_ref());
                 shared
                     .list_tracker
                     .apply_control(&shared.directory, sent_at, &mut reply);
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -1,5 +1,6 @@
 //! Daemon of an entry: startup, tasks and shutdown.
 
+use crate::contention::Contention;
 use crate::control_sync;
 use crate::dialect::{CallerDialect, EndpointDialect, EndpointList};
 use crate::directory::Directory;
@@ -113,6 +114,7 @@
             drain,
             drain_started: OnceLock::new(),
             grace: settings.grace,
+            contention: Contention::new(settings.features),
             allowance: settings.allowance,
             entries: AtomicU32::new(0),
             budgets: Mutex::default(),
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -7,12 +7,15 @@
 mod admission;
 mod demand;
 mod endpoint;
+mod estimates;
+mod in_flight;
 mod limits;
 mod queue_position;
 mod snapshot;
 
 pub use admission::AdmissionError;
-pub use endpoint::{Endpoint, InFlight};
+pub use endpoint::Endpoint;
+pub use in_flight::InFlight;
 pub use queue_position::QueuePosition;
 
 use crate::dialect::{EndpointRecord, Prompt};
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -5,9 +5,9 @@
 //! responses.
 
 use super::admission::Admission;
-use super::queue_position::QueuePosition;
+use super::estimates::Estimates;
 use super::{LatencyClass, PlacementQuery, log_change};
-use crate::dialect::{EndpointRecord, Load, Prompt};
+use crate::dialect::{EndpointRecord, Load};
 use crate::pool::{self, ConnectError, Pool};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
@@ -27,17 +27,6 @@
 const DOMAIN_LATENCY: Duration = Duration::from_millis(3);
 /// Time in which a process that has begun to exit closes its sockets.
 const EXIT_TIME: Duration = Duration::from_millis(20);
-/// Prompt prefixes remembered per endpoint.
-const MAX_PREFIXES: usize = 512;
-/// Time constant of the decay of a reported load, in seconds. An entry gets a report of
-/// each of some endpoints about once in two seconds.
-const LOAD_DECAY_S: f64 = 4.0;
-/// Weight of the newest first event in the moving average of slowness.
-const SLOWNESS_WEIGHT: f64 = 0.1;
-/// Bounds of the estimated slowness.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
-/// Time to the first event in addition to queueing and prefill.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(25);
 
 /// One run of an endpoint.
 #[derive(Debug)]
@@ -60,7 +49,7 @@
     /// Whether another process responds at the address. A run never comes back, even if
     /// an outdated list still has it.
     gone: AtomicBool,
-    start: Instant,
+    pub(super) start: Instant,
     /// Prefill rate, shared by the endpoints of the service.
     prefill_rate: Arc<Mutex<PrefillRate>>,
     estimates: Mutex<Estimates>,
@@ -84,44 +73,6 @@
     pub(super) event_gap: Option<Duration>,
 }
 
-/// Estimated state of an endpoint.
-#[derive(Debug)]
-struct Estimates {
-    record: HealthRecord,
-    load: Load,
-    load_time: Duration,
-    own_active: u32,
-    queue_wait: QueueWait,
-    slowness: f64,
-    event_gap: EventGap,
-    prefixes: Vec<(u64, Duration)>,
-}
-
-impl Estimates {
-    /// Requests running or queued: the decayed reported load, but at least the entry's
-    /// own.
-    fn active_requests(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.load_time).as_secs_f64();
-        let reported = f64::from(self.load.running + self.load.waiting);
-        (reported * (-age / LOAD_DECAY_S).exp()).max(f64::from(self.own_active))
-    }
-
-    /// Time until prefill of a prompt sent now would begin.
-    fn predicted_wait(
-        &self,
-        now: Duration,
-        rate: PrefillRate,
-        background: bool,
-    ) -> Duration {
-        let own = self.prefill_time(rate, self.queue_wait.tokens_ahead(background));
-        own.max(self.queue_wait.predicted(now))
-    }
-
-    fn prefill_time(&self, rate: PrefillRate, tokens: f64) -> Duration {
-        rate.prefill_time(tokens).mul_f64(self.slowness)
-    }
-}
-
 impl Endpoint {
     pub(super) fn new(
         listed: EndpointRecord,
@@ -205,43 +156,6 @@
         self.mark_replaced();
     }
 
-    /// Counts a request as active until the guard is dropped.
-    pub fn begin_request(
-        self: &Arc<Self>,
-        prompt: &Prompt,
-        position: &QueuePosition,
-    ) -> InFlight {
-        let now = self.start.elapsed();
-        let rate = self.prefill_rate();
-        let mut estimates = self.estimates();
-        estimates.record.sent(now);
-        estimates.own_active += 1;
-        let suffix_tokens = prompt.tokens.saturating_sub(prompt.prefix_tokens);
-        let cached = prompt
-            .prefix
-            .is_some_and(|key| estimates.remember_prefix(key, now));
-        let tokens = if cached { suffix_tokens } else { prompt.tokens };
-        let ahead = estimates.queue_wait.tokens_ahead(position.background);
-        let expected =
-            estimates.prefill_time(rate, ahead + f64::from(tokens)) + FIRST_EVENT_TIME;
-        estimates
-            .queue_wait
-            .sent(now, f64::from(tokens), position.background);
-        drop(estimates);
-        position.sent(now, f64::from(tokens));
-        InFlight {
-            endpoint: Arc::clone(self),
-            position: position.clone(),
-            uncached_tokens: f64::from(tokens),
-            tokens_exact: cached || prompt.prefix_tokens == 0,
-            expected,
-            sent_at: now,
-            awaiting_prefill: true,
-            responded: false,
-            active: true,
-        }
-    }
-
     /// Records that bytes arrived.
     pub fn record_activity(&self) {
         let now = self.start.elapsed();
@@ -449,138 +363,20 @@
         }
     }
 
-    fn prefill_rate(&self) -> PrefillRate {
+    pub(super) fn prefill_rate(&self) -> PrefillRate {
         *self.lock_rate()
     }
 
-    fn lock_rate(&self) -> MutexGuard<'_, PrefillRate> {
+    pub(super) fn lock_rate(&self) -> MutexGuard<'_, PrefillRate> {
         self.prefill_rate
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn estimates(&self) -> MutexGuard<'_, Estimates> {
+    pub(super) fn estimates(&self) -> MutexGuard<'_, Estimates> {
         // Estimates stay valid even if a thread panicked while it held the lock.
         self.estimates
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl Estimates {
-    /// Remembers a prefix; returns whether it was already remembered.
-    fn remember_prefix(&mut self, key: u64, now: Duration) -> bool {
-        match self.prefixes.binary_search_by_key(&key, |item| item.0) {
-            Ok(index) => {
-                self.prefixes[index].1 = now;
-                true
-            }
-            Err(index) => {
-                self.prefixes.insert(index, (key, now));
-                if self.prefixes.len() > MAX_PREFIXES {
-                    self.evict_oldest_prefix();
-                }
-                false
-            }
-        }
-    }
-
-    fn evict_oldest_prefix(&mut self) {
-        let oldest = self
-            .prefixes
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, item)| item.1);
-        if let Some(index) = oldest.map(|(index, _)| index) {
-            self.prefixes.remove(index);
-        }
-    }
-}
-
-/// A request in flight at an endpoint; dropping it ends the accounting.
-#[derive(Debug)]
-pub struct InFlight {
-    endpoint: Arc<Endpoint>,
-    position: QueuePosition,
-    uncached_tokens: f64,
-    /// Whether `uncached_tokens` is exact: no other entry's request can have put the
-    /// prefix into the cache.
-    tokens_exact: bool,
-    expected: Duration,
-    sent_at: Duration,
-    awaiting_prefill: bool,
-    responded: bool,
-    active: bool,
-}
-
-impl InFlight {
-    /// The endpoint that the request was sent to.
-    pub fn endpoint(&self) -> &Arc<Endpoint> {
-        &self.endpoint
-    }
-
-    /// Prompt tokens that are not expected to be in the endpoint's prefix cache.
-    pub fn uncached_tokens(&self) -> u32 {
-        self.uncached_tokens as u32
-    }
-
-    /// Records the first bytes of the response, which imply that prefill is complete.
-    pub fn record_first_byte(&mut self) {
-        let now = self.endpoint.start.elapsed();
-        if !std::mem::take(&mut self.awaiting_prefill) {
-            return;
-        }
-        self.responded = true;
-        self.position.dequeued(self.sent_at, self.uncached_tokens);
-        self.position.prefilled(now, self.uncached_tokens);
-        let took = now.saturating_sub(self.sent_at);
-        let mut estimates = self.endpoint.estimates();
-        let background = self.position.background;
-        estimates
-            .queue_wait
-            .dequeued(self.sent_at, self.uncached_tokens, background);
-        estimates.record.record_first_byte(took);
-        if background {
-            return;
-        }
-        let rate = {
-            let mut rate = self.endpoint.lock_rate();
-            if self.tokens_exact {
-                rate.observe(self.uncached_tokens, took.saturating_sub(FIRST_EVENT_TIME));
-            }
-            *rate
-        };
-        let prefill =
-            estimates.prefill_time(rate, self.uncached_tokens) + FIRST_EVENT_TIME;
-        let waited = took.saturating_sub(prefill);
-        estimates.queue_wait.record(now, waited);
-        self.position.record_wait(now, waited);
-        let ratio = took.as_secs_f64() / self.expected.as_secs_f64();
-        let slowness =
-            estimates.slowness * (1.0 + (ratio.min(10.0) - 1.0) * SLOWNESS_WEIGHT);
-        estimates.slowness = slowness.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
-    }
-
-    /// Ends the accounting of the request.
-    pub fn finish(&mut self) {
-        if !std::mem::take(&mut self.active) {
-            return;
-        }
-        let mut estimates = self.endpoint.estimates();
-        estimates.record.ended(self.responded);
-        estimates.own_active = estimates.own_active.saturating_sub(1);
-        if std::mem::take(&mut self.awaiting_prefill) {
-            let background = self.position.background;
-            estimates
-                .queue_wait
-                .dequeued(self.sent_at, self.uncached_tokens, background);
-            self.position.dequeued(self.sent_at, self.uncached_tokens);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.finish();
-    }
-}
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -7,7 +7,9 @@
 //! (`dispatch::crash`).
 
 mod crash;
+mod moving;
 mod refusal;
+mod stream_start;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
 use crate::directory::{Endpoint, LatencyClass, PlacementQuery, QueuePosition};
@@ -19,11 +21,8 @@
 use crate::request::SharedState;
 use crate::response::{RefusalCause, ResponseBody};
 use crate::stats::RequestRecord;
-use crate::stream::{
-    CHANNEL_CAPACITY, CHECK_INTERVAL, EventSource, Pauses, Relay, StreamItem,
-};
+use crate::stream::EventSource;
 use crate::usage::StartCounter;
-use bytes::Bytes;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
@@ -34,17 +33,12 @@
 use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use stream_start::StreamStart;
+use tokio::time::Instant;
 
 /// Failed connection attempts, at different endpoints, after which a request is refused.
 /// No byte was sent, so they do not count as sends.
 const MAX_CONNECT_FAILURES: usize = 3;
-/// Time without a response after which an idempotent request is sent to another endpoint,
-/// as a multiple of its response-time objective. Callers of streams time out after four
-/// times the objective.
-const MOVE_AFTER_OBJECTIVES: f64 = 2.5;
-
 /// An admitted request.
 #[derive(Debug)]
 pub(crate) struct AdmittedRequest {
@@ -119,6 +113,9 @@
         let service = pick_service(&admitted.route);
         record.route.clone_from(&admitted.route.name);
         record.service.clone_from(&service);
+        if let Some(workspace) = &admitted.workspace {
+            record.workspace.clone_from(workspace);
+        }
         record.tier = admitted.tier;
         record.prompt_tokens = meta.prompt.tokens;
         record.max_output = meta.prompt.max_output;
@@ -396,74 +393,6 @@
         outcome
     }
 
-    /// Completes when a request that was sent at `started` should move to another
-    /// endpoint. Before that, it debits the resend from the budget: if no resend were
-    /// possible, abandoning the response, which may still arrive, would waste the work
-    /// done for it.
-    async fn wait_until_move(&self, endpoint: &Endpoint, started: Instant) {
-        let last = self.sends + 1 >= self.admitted.route.tries;
-        if !self.is_idempotent() || last || self.suspected {
-            return std::future::pending().await;
-        }
-        let move_at = self.move_delay().map(|delay| started + delay);
-        loop {
-            let now = Instant::now();
-            let next_check = now + CHECK_INTERVAL;
-            sleep_until(
-                move_at
-                    .filter(|at| *at > now)
-                    .map_or(next_check, |at| at.min(next_check)),
-            )
-            .await;
-            let slow = move_at.is_some_and(|at| at <= Instant::now());
-            let abandoned = endpoint.should_abandon(started.elapsed());
-            if (slow || abandoned) && self.prepay_resend() {
-                if abandoned {
-                    endpoint.mark_unreachable();
-                }
-                return;
-            }
-        }
-    }
-
-    /// Debits a resend from the budget if another endpoint is available.
-    fn prepay_resend(&self) -> bool {
-        let placement = self.shared.directory.place(&self.query());
-        placement.is_some() && self.shared.debit_resend(&self.service)
-    }
-
-    /// How long an idempotent request waits for the first byte before it moves to another
-    /// endpoint. `None` for a stream that is not latency-sensitive: it is not moved,
-    /// since it may be next in the queue, and another endpoint would have to repeat the
-    /// prefill.
-    fn move_delay(&self) -> Option<Duration> {
-        let route = &self.admitted.route;
-        let keeps_endpoint =
-            route.events.is_some() && self.class == LatencyClass::Tolerant;
-        (!keeps_endpoint).then(|| route.objective.mul_f64(MOVE_AFTER_OBJECTIVES))
-    }
-
-    /// Whether a broken stream may resume and an endpoint is available for it. If so, the
-    /// next send is debited from the budget.
-    pub fn prepare_resume(&mut self) -> bool {
-        let allowed = self.is_resumable() && self.sends < self.admitted.route.tries;
-        self.prepaid = allowed && self.below_crash_limit() && self.prepay_resend();
-        self.prepaid
-    }
-
-    /// Debits a resend from the budget, unless it is already debited. Returns whether
-    /// another send is allowed by the route, the crash limit and the budget.
-    fn try_begin_resend(&mut self) -> bool {
-        let prepaid = std::mem::take(&mut self.prepaid);
-        let allowed = self.sends < self.admitted.route.tries;
-        let allowed = allowed && (!self.may_have_run || self.below_crash_limit());
-        let allowed = allowed && (prepaid || self.shared.debit_resend(&self.service));
-        if allowed {
-            self.shared.stats.resend(&self.service, "send");
-        }
-        allowed
-    }
-
     /// Logs a send without a usable response and triggers an early report to control.
     fn log_failed_send(&self, endpoint: &Endpoint, result: &str) {
         self.shared.list_tracker.endpoint_lost.notify_one();
@@ -491,54 +420,6 @@
             ResponseBody::complete(complete.bytes),
         )
     }
-
-    /// Waits for the first event of a stream, then responds with the stream.
-    async fn start_stream(mut self, mut source: EventSource) -> StreamStart {
-        let first = timeout_at(self.deadline, source.next()).await;
-        let events = match first {
-            Err(_) => return StreamStart::Responded(self.refuse(RefusalCause::Timeout)),
-            Ok(StreamItem::Broken(loss)) => {
-                self.log_endpoint_abandoned(source.endpoint(), loss);
-                let endpoint = Arc::clone(source.endpoint());
-                self.record_loss(&endpoint, loss).await;
-                if !self.is_idempotent() {
-                    return StreamStart::Responded(self.refuse(loss_cause(loss)));
-                }
-                return StreamStart::Lost(Box::new(self));
-            }
-            Ok(StreamItem::End) => {
-                self.start_counter.count();
-                let (status, headers) = response_head(&source);
-                source.release();
-                let bytes = Bytes::new();
-                return StreamStart::Responded(self.deliver(CompleteResponse {
-                    status,
-                    headers,
-                    bytes,
-                }));
-            }
-            Ok(StreamItem::Events(events)) => events,
-        };
-        self.start_counter.count();
-        let (status, headers) = response_head(&source);
-        self.record().answered(status.as_u16());
-        let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
-        let record = self.record.take().expect("record already taken");
-        let relay = Relay {
-            last: None,
-            dispatch: self,
-            source: Some(source),
-            sender,
-            record,
-            pauses: Pauses::start(),
-        };
-        tokio::spawn(relay.run(events));
-        StreamStart::Responded(build_response(
-            status,
-            headers,
-            ResponseBody::stream(receiver),
-        ))
-    }
 }
 
 impl Drop for Dispatch {
@@ -553,19 +434,6 @@
     }
 }
 
-/// Result of waiting for the first event of a stream.
-enum StreamStart {
-    /// A response for the caller.
-    Responded(Response<ResponseBody>),
-    /// The endpoint was lost before the first event; another one may be tried.
-    Lost(Box<Dispatch>),
-}
-
-fn response_head(source: &EventSource) -> (StatusCode, HeaderMap) {
-    let response = source.response();
-    (response.status, response.headers.clone())
-}
-
 fn loss_cause(loss: Loss) -> RefusalCause {
     match loss {
         Loss::Timeout => RefusalCause::Timeout,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 //! [`dialect`] defines the traits that adapt the headers of callers and endpoints and the
 //! format of the endpoint list; [`direct`] assembles the daemon.
 
+pub mod contention;
 pub mod control_sync;
 pub mod dialect;
 pub mod direct;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -3,6 +3,7 @@
 //! A request is read completely before any decision, so that a refusal reaches the caller
 //! on an intact connection. An admitted request becomes a [`Dispatch`].
 
+use crate::contention::Contention;
 use crate::dialect::{CallerDialect, EndpointDialect, Prompt, RequestMeta};
 use crate::directory::Directory;
 use crate::dispatch::{AdmittedRequest, Dispatch};
@@ -83,6 +84,8 @@
     pub suspects: Suspects,
     /// Usage counts, if the deployment reports usage.
     pub usage: Option<Arc<Usage>>,
+    /// Optional behaviour under contention.
+    pub contention: Contention,
     /// Resends allowed by the settings.
     pub allowance: Allowance,
     /// Largest number of entries reported by control; they share the allowance.
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -53,6 +53,22 @@
     pub grace: Duration,
     /// Windows of usage counting, if control reports usage.
     pub usage: Option<Windows>,
+    /// What the entry does beyond placing each request by itself.
+    pub features: Features,
+}
+
+/// Optional behaviour under contention. Each takes effect only for services whose
+/// configuration and endpoints provide what it needs. All are off by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Share a service that is short of room among workspaces.
+    pub shares: bool,
+    /// Ask endpoints whose pace varies for it before choosing one.
+    pub pace: bool,
+    /// Send to endpoints with few slots within places lent by control.
+    pub lending: bool,
+    /// Fetch cached prefixes from other endpoints.
+    pub prefixes: bool,
 }
 
 /// Name of the duty that requires usage counting.
@@ -101,6 +117,12 @@
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
         grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
         usage: usage(s),
+        features: Features {
+            shares: s.flag("shares", false),
+            pace: s.flag("pace", false),
+            lending: s.flag("lending", false),
+            prefixes: s.flag("prefixes", false),
+        },
     };
     if settings.list_interval > longest {
         let problem =
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -138,6 +138,8 @@
     pub route: String,
     /// Service; `-` until chosen.
     pub service: ServiceId,
+    /// Workspace of the caller; `-` until known, and for public routes.
+    pub workspace: WorkspaceId,
     /// Tier of the request.
     pub tier: Tier,
     /// Length of the prompt, in tokens.
@@ -171,6 +173,7 @@
             fingerprint: String::from("-"),
             route: String::from("-"),
             service: String::from("-"),
+            workspace: String::from("-"),
             tier: 0,
             prompt_tokens: 0,
             max_output: 0,
@@ -272,6 +275,7 @@
             .field("content", &self.fingerprint)
             .field("route", &self.route)
             .field("service", &self.service)
+            .field("workspace", &self.workspace)
             .field("tier", self.tier)
             .field("routes_version", self.routes_version)
             .field("endpoint", &self.endpoint)
--- a/crates/direct/tests/all/control.rs
+++ b/crates/direct/tests/all/control.rs
@@ -2,13 +2,9 @@
 
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_control::command::Action;
-use dogwoodhill_control::demand::Demand;
 use dogwoodhill_control::internal::{self, InternalApi};
-use dogwoodhill_control::limits;
-use dogwoodhill_control::lists::EndpointLists;
 use dogwoodhill_control::peers::Peers;
 use dogwoodhill_control::presence::Presence;
-use dogwoodhill_control::quarantine::QuarantineTracker;
 use dogwoodhill_control::replica::{ReplicaConfig, build_replica};
 use dogwoodhill_control::service::Service;
 use dogwoodhill_control::usage::UsageTracker;
@@ -19,7 +15,6 @@
 use dogwoodhill_wire::client::PeerClient;
 use dogwoodhill_wire::routes::StoredRoutes;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 /// A control instance with its own log, to which any route set can be submitted.
 pub(crate) struct ControlInstance {
@@ -67,20 +62,14 @@
             seat: true,
         });
         tokio::spawn(parts.driver.run());
-        let quarantine = QuarantineTracker::with_log(parts.replica.quarantined.clone());
-        let usage = UsageTracker::new(parts.replica.clone());
         let service = Service::new(parts.replica, caller);
-        let api = InternalApi {
-            service: service.clone(),
-            presence: Presence::default(),
-            demand: Demand::default(),
-            lists: EndpointLists::default(),
-            limits: limits::LimitTracker::default(),
-            quarantine,
-            usage: usage.clone(),
-            cluster: identity.cluster,
-            secret: Arc::new("secret".to_string()),
-        };
+        let api = InternalApi::new(
+            service.clone(),
+            Presence::default(),
+            identity.cluster,
+            "secret".to_string(),
+        );
+        let usage = api.usage.clone();
         let routes = internal::routes(api);
         tokio::spawn(listener.serve(routes, Drain::default(), Duration::ZERO));
         Self {
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -7,6 +7,7 @@
 use dogwoodhill_direct::dialect::{EndpointList, EndpointRecord};
 use dogwoodhill_direct::direct::Dialects;
 use dogwoodhill_direct::request::SharedState;
+use dogwoodhill_direct::settings::Features;
 use dogwoodhill_direct::{Direct, Settings};
 use dogwoodhill_policy::budget::Allowance;
 use dogwoodhill_route::prelude::*;
@@ -62,6 +63,7 @@
             route("resumable", Repeat::Allowed, events(true)),
         ],
         services: vec!["service".to_string()],
+        declared: Vec::new(),
         ..RouteSet::default()
     }
 }
@@ -167,6 +169,7 @@
             linger: Duration::from_millis(50),
             grace,
             usage,
+            features: Features::default(),
         };
         let dialects = Dialects {
             callers: Box::new(PlainHeaders),
--- a/crates/direct/tests/all/settings.rs
+++ b/crates/direct/tests/all/settings.rs
@@ -2,6 +2,7 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::Settings;
+use dogwoodhill_direct::settings::Features;
 
 fn parse(extra_fields: &str) -> Result<Settings, String> {
     let text = format!(
@@ -27,3 +28,14 @@
         "{text}"
     );
 }
+
+/// The behaviour under contention is off unless the settings name it.
+#[test]
+fn parse_features_off_by_default() {
+    let settings = parse("").expect("defaults are valid");
+    assert_eq!(settings.features, Features::default());
+    let settings = parse(r#""shares": true, "lending": true"#).expect("valid flags");
+    assert!(settings.features.shares && settings.features.lending);
+    assert!(!settings.features.pace && !settings.features.prefixes);
+    parse(r#""pace": 3"#).expect_err("a number is no flag");
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,7 +16,10 @@
 /// Re-exports of the names that most modules use.
 pub mod prelude {
     pub use crate::check::InvalidRouteSet;
-    pub use crate::set::{Events, Limits, Route, RouteSet, RouteWorkspace, Target};
+    pub use crate::set::{
+        Engine, Events, Limits, Route, RouteSet, RouteWorkspace, ServiceDeclaration,
+        Target,
+    };
     pub use crate::table::{Admitted, Denied, RouteTable};
     pub use dogwoodhill_policy::urgency::Rank;
 }
--- a/crates/route/src/set.rs
+++ b/crates/route/src/set.rs
@@ -22,6 +22,10 @@
     pub routes: Vec<Route>,
     /// Services that targets may name.
     pub services: Vec<ServiceId>,
+    /// What is declared of single services, sorted by service; services without an entry
+    /// have the defaults.
+    #[serde(default)]
+    pub declared: Vec<ServiceDeclaration>,
     /// Limits for all requests and connections.
     #[serde(default)]
     pub limits: Limits,
@@ -30,6 +34,36 @@
     pub workspaces: Option<Vec<RouteWorkspace>>,
 }
 
+/// Properties of the endpoints of one service, as declared by the operator.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDeclaration {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Path of the health check, which reports the endpoint's load; `None` without one.
+    #[serde(default)]
+    pub health_path: Option<String>,
+    /// Model engine behind each endpoint; `None` for services that run no model.
+    #[serde(default)]
+    pub engine: Option<Engine>,
+}
+
+/// The model engine behind each endpoint of a service. All numbers are positive.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens of running requests and cached prefixes that fit into memory together.
+    pub memory_tokens: u64,
+    /// Size of one cached token, in bytes.
+    pub token_bytes: u64,
+    /// Bandwidth between engines, in bytes per second.
+    pub link_rate: f64,
+    /// Whether an engine can fetch cached prefixes from another one.
+    pub fetches: bool,
+    /// Pending calls for cache events that one engine accepts from all callers together.
+    pub watchers: u32,
+}
+
 /// Rules for the requests with one host and path prefix.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,6 +1,6 @@
 //! Lookup of routes and keys.
 
-use crate::set::{Limits, Route, RouteSet};
+use crate::set::{Limits, Route, RouteSet, ServiceDeclaration};
 use dogwoodhill_core::keys::{KeyHash, KeyRing};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::urgency::Rank;
@@ -12,6 +12,8 @@
     version: Version,
     /// Sorted by host and prefix, for binary search.
     routes: Vec<Arc<Route>>,
+    /// Sorted by service.
+    declared: Vec<ServiceDeclaration>,
     limits: Limits,
     /// `None` if callers need no key.
     keys: Option<KeyRing<Holder>>,
@@ -59,6 +61,8 @@
         let mut routes: Vec<Arc<Route>> = set.routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|a, b| match_key(a).cmp(&match_key(b)));
         let pauses = pauses(&routes);
+        let mut declared = set.declared;
+        declared.sort_by(|a, b| a.service.cmp(&b.service));
         let route_tiers = distinct(routes.iter().map(|route| route.tier));
         let workspaces = set.workspaces.iter().flatten();
         let workspace_tiers = workspaces.filter_map(|workspace| workspace.tier);
@@ -78,6 +82,7 @@
         Self {
             version: set.version,
             routes,
+            declared,
             limits: set.limits,
             keys,
             tiers,
@@ -96,6 +101,19 @@
         &self.limits
     }
 
+    /// What the set declares of a service, if anything.
+    pub fn declaration(&self, service: &str) -> Option<&ServiceDeclaration> {
+        let found = self
+            .declared
+            .binary_search_by(|item| item.service.as_str().cmp(service));
+        found.ok().map(|at| &self.declared[at])
+    }
+
+    /// Whether callers are identified by workspace.
+    pub fn has_workspaces(&self) -> bool {
+        self.keys.is_some()
+    }
+
     /// Shortest and longest pause that the routes to a service allow between events;
     /// `None` if no route with event streams leads to it.
     pub fn pauses(&self, service: &str) -> Option<(Duration, Duration)> {
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -28,6 +28,7 @@
         version: 3,
         routes,
         services: vec!["voice".to_string()],
+        declared: Vec::new(),
         ..RouteSet::default()
     }
 }
--- /dev/null
+++ b/crates/wire/src/contention.rs
@@ -0,0 +1,45 @@
+//! The part of the exchange between entries and control that concerns contention for
+//! endpoints: shares of workspaces and places at endpoints with few slots.
+//!
+//! Both messages are absent from the exchange while they are empty, so deployments
+//! without contention send the same bytes as without these features.
+
+use crate::lending::{PlaceDemand, PlaceGrant};
+use crate::shares::{ServiceShares, ServiceUse};
+use serde::{Deserialize, Serialize};
+
+/// What an entry reports about contention.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ContentionReport {
+    /// Use of services by workspace, sorted by service.
+    #[serde(default)]
+    pub shares: Vec<ServiceUse>,
+    /// Demand for places, sorted by endpoint.
+    #[serde(default)]
+    pub places: Vec<PlaceDemand>,
+}
+
+impl ContentionReport {
+    /// The report, or `None` if it is empty.
+    pub fn non_empty(self) -> Option<Self> {
+        (self != Self::default()).then_some(self)
+    }
+}
+
+/// Answer to a [`ContentionReport`].
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ContentionReply {
+    /// Shares of the services that are short of room, sorted by service.
+    #[serde(default)]
+    pub shares: Vec<ServiceShares>,
+    /// Places lent to the entry, sorted by endpoint.
+    #[serde(default)]
+    pub places: Vec<PlaceGrant>,
+}
+
+impl ContentionReply {
+    /// The reply, or `None` if it is empty.
+    pub fn non_empty(self) -> Option<Self> {
+        (self != Self::default()).then_some(self)
+    }
+}
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -5,6 +5,7 @@
 //! answers with the merged state of all entries. Endpoints are identified by their index
 //! in a list that both sides have, identified by its [mark](crate::list::Mark).
 
+use crate::contention::{ContentionReply, ContentionReport};
 use crate::limits::{EndpointLimit, EndpointLimits, EndpointPermits};
 use crate::list::ListRead;
 use dogwoodhill_core::prelude::*;
@@ -80,6 +81,10 @@
     /// Whether this instance is the entry's first choice among the control instances.
     #[serde(default)]
     pub preferred: bool,
+    /// Contention for endpoints; absent where there is nothing to report. It has to stay
+    /// the last field, since an absent field is not sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub contention: Option<ContentionReport>,
 }
 
 /// Outcomes of an entry's requests to one endpoint since its last report.
@@ -183,6 +188,10 @@
     /// The entry's permits for the endpoints named in [`DemandReport::limits`].
     #[serde(default)]
     pub permits: Vec<EndpointPermits>,
+    /// Shares and places; absent where there are none. It has to stay the last field,
+    /// since an absent field is not sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub contention: Option<ContentionReply>,
 }
 
 /// A request that was lost with an endpoint.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,14 +16,17 @@
 pub mod client;
 pub mod codec;
 pub mod compress;
+pub mod contention;
 pub mod control;
 pub mod control_client;
 pub mod demand;
 pub mod document_watch;
 pub mod frame;
+pub mod lending;
 pub mod limits;
 pub mod list;
 pub mod routes;
+pub mod shares;
 pub mod usage;
 
 /// Re-exports of the names that most modules use.
--- /dev/null
+++ b/crates/wire/tests/contention.rs
@@ -0,0 +1,50 @@
+//! The part of the exchange that is absent without contention.
+
+use dogwoodhill_wire::contention::{ContentionReply, ContentionReport};
+use dogwoodhill_wire::demand::{DemandReply, DemandReport};
+use dogwoodhill_wire::shares::ServiceUse;
+use serde::Serialize;
+
+/// Number of elements of the encoded message, an array of at most 15 fields.
+fn fields(message: &impl Serialize) -> u8 {
+    let bytes = rmp_serde::to_vec(message).expect("a message encodes");
+    assert_eq!(bytes[0] & 0xf0, 0x90, "an array of at most 15 fields");
+    bytes[0] & 0x0f
+}
+
+/// An empty report adds no field, and a message without the field decodes.
+#[test]
+fn report_without_contention_not_sent() {
+    let without = DemandReport::default();
+    assert_eq!(ContentionReport::default().non_empty(), None);
+    let bytes = rmp_serde::to_vec(&without).expect("a report encodes");
+    let decoded: DemandReport = rmp_serde::from_slice(&bytes).expect("it decodes");
+    assert_eq!(decoded, without);
+    let used = ContentionReport {
+        shares: vec![ServiceUse::default()],
+        ..ContentionReport::default()
+    };
+    let with = DemandReport {
+        contention: used.non_empty(),
+        ..without.clone()
+    };
+    assert_eq!(fields(&with), fields(&without) + 1);
+    let bytes = rmp_serde::to_vec(&with).expect("a report encodes");
+    let decoded: DemandReport = rmp_serde::from_slice(&bytes).expect("it decodes");
+    assert_eq!(decoded, with);
+}
+
+/// The same for the reply.
+#[test]
+fn reply_without_contention_not_sent() {
+    let without = DemandReply::default();
+    assert_eq!(ContentionReply::default().non_empty(), None);
+    let with = DemandReply {
+        contention: Some(ContentionReply::default()),
+        ..without.clone()
+    };
+    assert_eq!(fields(&with), fields(&without) + 1);
+    let bytes = rmp_serde::to_vec(&without).expect("a reply encodes");
+    let decoded: DemandReply = rmp_serde::from_slice(&bytes).expect("it decodes");
+    assert_eq!(decoded, without);
+}
