Prefixes fetched between endpoints instead of being prefilled again

Cause: a prompt that is placed away from the endpoint with its prefix prefills the shared part again, though another engine holds it and can send it in a fraction of the time.

Ruled out: a reader of the cache events of each engine, which needs a message to every entry for every change; control that orders copies, a call for each.

Change: policy::prefixes decides from the link of the engine block, the prefill time and what the entry knows of the endpoints whether to fetch and from which one: the home by rendezvous hashing, or one that answered a prompt with the prefix recently; never one that is leaving, silent, failing, backed off, slow or busy with four transfers of this entry. Placement charges the cheaper of prefill and fetch for a missing prefix. The endpoint gets the address of the source with the request; each send has its own decision. The fetched part is not counted as prefill, and neither rate nor slowness are learned from such a request. Metrics by outcome, with estimated bytes; a log line where the link of a service changes. Without the setting or an engine that fetches, nothing changes.

--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -11,6 +11,7 @@
 pub use dogwoodhill_wire::list::EndpointRecord;
 use http::{HeaderMap, StatusCode};
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::pin::Pin;
 
 /// Metadata of a caller's request, parsed from its headers.
@@ -79,6 +80,8 @@
     pub background: bool,
     /// Last event received by the caller; the stream resumes after it.
     pub resume_after: Option<EventId>,
+    /// Endpoint from which to fetch the cached part of the prompt first.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Metadata parsed from the head of an endpoint's response.
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -6,6 +6,7 @@
 use crate::directory::Directory;
 use crate::list_reader;
 use crate::list_tracker::ListTracker;
+use crate::prefixes::Prefixes;
 use crate::request::SharedState;
 use crate::route_follower::{ControlAddresses, FetchState, RouteFollower};
 use crate::routes::RouteActivator;
@@ -98,6 +99,8 @@
             .change_context_lazy(|| BindError { address })?;
         let metrics = Metrics::default();
         let stats = Stats::new(&metrics);
+        let prefixes = settings.features.prefixes;
+        let prefixes = prefixes.then(|| Prefixes::new(&metrics));
         let usage = settings.usage;
         let usage = usage.map(|windows| Arc::new(Usage::new(windows, stats.clone())));
         let shared = Arc::new(SharedState {
@@ -115,6 +118,7 @@
             drain_started: OnceLock::new(),
             grace: settings.grace,
             contention: Contention::new(settings.features),
+            prefixes,
             allowance: settings.allowance,
             entries: AtomicU32::new(0),
             budgets: Mutex::default(),
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod endpoint;
 mod estimates;
+mod fetch;
 mod in_flight;
 mod limits;
 mod queue_position;
@@ -15,6 +16,7 @@
 
 pub use admission::AdmissionError;
 pub use endpoint::Endpoint;
+pub use fetch::PrefixFetch;
 pub use in_flight::InFlight;
 pub use queue_position::QueuePosition;
 
@@ -27,7 +29,9 @@
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::incarnations::{Incarnations, RunAge};
 use dogwoodhill_policy::packing;
+use dogwoodhill_policy::prefixes::Link;
 use endpoint::Evaluation;
+use fetch::{CacheState, Offers};
 use limits::LimitSync;
 use rand::RngExt;
 use snapshot::{Group, Snapshot};
@@ -73,6 +77,8 @@
     /// Fingerprint of a request suspected of crashing endpoints. It is placed away from
     /// similar requests, so that the culprit among them can be identified.
     pub isolate: Option<Fingerprint>,
+    /// Link over which endpoints can fetch prefixes; `None` if they do not.
+    pub link: Option<Link>,
 }
 
 /// An endpoint chosen for a request, with the inputs of the choice.
@@ -86,6 +92,8 @@
     pub known: usize,
     /// Those of them that are reserved for latency-sensitive streams.
     pub reserved: usize,
+    /// Prefix that the endpoint should fetch first.
+    pub fetch: Option<PrefixFetch>,
 }
 
 /// Latency class of a request, which determines the endpoints preferred for it.
@@ -187,7 +195,14 @@
             log_change("endpoint-listed", run, &listed.service);
         }
         let rate = self.shared_prefill_rate(&listed.service);
-        Arc::new(Endpoint::new(listed, self.start, rate))
+        // The endpoints of the first list may have been running for long.
+        let started = (!old.is_empty()).then(|| self.start.elapsed());
+        Arc::new(Endpoint::new(
+            listed,
+            self.start,
+            CacheState::new(started),
+            rate,
+        ))
     }
 
     fn limit_sync(&self) -> MutexGuard<'_, LimitSync> {
@@ -261,12 +276,13 @@
             let evaluations = evaluations
                 .iter()
                 .filter(|evaluation| evaluation.health == health);
-            let endpoint = choose(query, evaluations.collect())?;
+            let (endpoint, fetch) = choose(query, evaluations.collect())?;
             Some(Placement {
                 endpoint: Arc::clone(endpoint),
                 health,
                 known,
                 reserved,
+                fetch,
             })
         })
     }
@@ -298,6 +314,7 @@
             health: endpoint.health(),
             known: group.len(),
             reserved: 0,
+            fetch: None,
         })
     }
 
@@ -376,21 +393,29 @@
     }
 }
 
-/// Chooses among equally healthy endpoints.
+/// Chooses among equally healthy endpoints, and a prefix that the chosen one should fetch.
 fn choose<'a>(
     query: &PlacementQuery<'_>,
     evaluations: Vec<&Evaluation<'a>>,
-) -> Option<&'a Arc<Endpoint>> {
+) -> Option<(&'a Arc<Endpoint>, Option<PrefixFetch>)> {
     match query.class {
-        LatencyClass::Sensitive => choose_packed(evaluations),
+        LatencyClass::Sensitive => Some((choose_packed(evaluations)?, None)),
         LatencyClass::Tolerant => {
+            let offers = Offers::new(query, &evaluations);
             let candidates: Vec<Candidate> = evaluations
                 .iter()
-                .map(|evaluation| evaluation.candidate)
+                .enumerate()
+                .map(|(at, evaluation)| Candidate {
+                    fetch: offers.time(at),
+                    ..evaluation.candidate
+                })
                 .collect();
             let key = query.prompt.prefix.unwrap_or_else(rand::random);
             let at = affinity::choose(key, &candidates)?;
-            Some(evaluations[at].endpoint)
+            Some((
+                evaluations[at].endpoint,
+                offers.fetch(at, query, &evaluations),
+            ))
         }
     }
 }
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -6,16 +6,15 @@
 
 use super::admission::Admission;
 use super::estimates::Estimates;
+use super::fetch::CacheState;
 use super::{LatencyClass, PlacementQuery, log_change};
 use crate::dialect::{EndpointRecord, Load};
 use crate::pool::{self, ConnectError, Pool};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
-use dogwoodhill_policy::event_gap::EventGap;
-use dogwoodhill_policy::health::{Health, HealthRecord};
+use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::packing::Occupancy;
 use dogwoodhill_policy::prefill_rate::PrefillRate;
-use dogwoodhill_policy::queue_wait::QueueWait;
 use dogwoodhill_policy::shared_health::{HealthReport, Verdict};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -50,6 +49,8 @@
     /// an outdated list still has it.
     gone: AtomicBool,
     pub(super) start: Instant,
+    /// Start of the prefix cache, and transfers from it.
+    pub(super) cache: CacheState,
     /// Prefill rate, shared by the endpoints of the service.
     prefill_rate: Arc<Mutex<PrefillRate>>,
     estimates: Mutex<Estimates>,
@@ -77,6 +78,7 @@
     pub(super) fn new(
         listed: EndpointRecord,
         start: Instant,
+        cache: CacheState,
         prefill_rate: Arc<Mutex<PrefillRate>>,
     ) -> Self {
         Self {
@@ -93,17 +95,9 @@
             gone: AtomicBool::new(false),
             pool: Pool::default(),
             start,
+            cache,
             prefill_rate,
-            estimates: Mutex::new(Estimates {
-                record: HealthRecord::default(),
-                load: Load::default(),
-                load_time: Duration::ZERO,
-                own_active: 0,
-                queue_wait: QueueWait::default(),
-                slowness: 1.0,
-                event_gap: EventGap::default(),
-                prefixes: Vec::new(),
-            }),
+            estimates: Mutex::default(),
             last_check: tokio::sync::Mutex::default(),
             admission: Admission::default(),
         }
@@ -321,13 +315,9 @@
         rate: PrefillRate,
     ) -> Candidate {
         let prompt = query.prompt;
-        let last_sent = prompt.prefix.and_then(|key| {
-            let index = estimates
-                .prefixes
-                .binary_search_by_key(&key, |item| item.0)
-                .ok()?;
-            Some(now.saturating_sub(estimates.prefixes[index].1))
-        });
+        let last_sent = prompt
+            .prefix
+            .and_then(|key| estimates.prefix_sent(key, now));
         let needs_prefill = prompt.tokens > 0 && query.class == LatencyClass::Tolerant;
         let wait = if needs_prefill {
             estimates.predicted_wait(now, rate, query.background)
@@ -344,6 +334,7 @@
                 DOMAIN_LATENCY
             },
             last_sent,
+            fetch: None,
         }
     }
 
--- a/crates/direct/src/directory/estimates.rs
+++ b/crates/direct/src/directory/estimates.rs
@@ -23,7 +23,32 @@
     pub(super) queue_wait: QueueWait,
     pub(super) slowness: f64,
     pub(super) event_gap: EventGap,
-    pub(super) prefixes: Vec<(u64, Duration)>,
+    /// Sorted by key.
+    pub(super) prefixes: Vec<SentPrefix>,
+}
+
+/// A prompt prefix that this entry sent to the endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentPrefix {
+    key: u64,
+    sent: Duration,
+    /// When the endpoint last began to answer a prompt with the prefix.
+    answered: Option<Duration>,
+}
+
+impl Default for Estimates {
+    fn default() -> Self {
+        Self {
+            record: HealthRecord::default(),
+            load: Load::default(),
+            load_time: Duration::ZERO,
+            own_active: 0,
+            queue_wait: QueueWait::default(),
+            slowness: 1.0,
+            event_gap: EventGap::default(),
+            prefixes: Vec::new(),
+        }
+    }
 }
 
 impl Estimates {
@@ -52,13 +77,18 @@
 
     /// Remembers a prefix; returns whether it was already remembered.
     pub(super) fn remember_prefix(&mut self, key: u64, now: Duration) -> bool {
-        match self.prefixes.binary_search_by_key(&key, |item| item.0) {
+        match self.find_prefix(key) {
             Ok(index) => {
-                self.prefixes[index].1 = now;
+                self.prefixes[index].sent = now;
                 true
             }
             Err(index) => {
-                self.prefixes.insert(index, (key, now));
+                let sent = SentPrefix {
+                    key,
+                    sent: now,
+                    answered: None,
+                };
+                self.prefixes.insert(index, sent);
                 if self.prefixes.len() > MAX_PREFIXES {
                     self.evict_oldest_prefix();
                 }
@@ -67,12 +97,36 @@
         }
     }
 
+    /// Records that the endpoint began to answer a prompt with the prefix.
+    pub(super) fn record_prefix_answered(&mut self, key: u64, now: Duration) {
+        if let Ok(index) = self.find_prefix(key) {
+            self.prefixes[index].answered = Some(now);
+        }
+    }
+
+    /// Time since a prompt with the prefix was sent to the endpoint.
+    pub(super) fn prefix_sent(&self, key: u64, now: Duration) -> Option<Duration> {
+        let index = self.find_prefix(key).ok()?;
+        Some(now.saturating_sub(self.prefixes[index].sent))
+    }
+
+    /// Time since the endpoint began to answer a prompt with the prefix.
+    pub(super) fn prefix_answered(&self, key: u64, now: Duration) -> Option<Duration> {
+        let index = self.find_prefix(key).ok()?;
+        let answered = self.prefixes[index].answered?;
+        Some(now.saturating_sub(answered))
+    }
+
+    fn find_prefix(&self, key: u64) -> Result<usize, usize> {
+        self.prefixes.binary_search_by_key(&key, |item| item.key)
+    }
+
     fn evict_oldest_prefix(&mut self) {
         let oldest = self
             .prefixes
             .iter()
             .enumerate()
-            .min_by_key(|(_, item)| item.1);
+            .min_by_key(|(_, item)| item.sent);
         if let Some(index) = oldest.map(|(index, _)| index) {
             self.prefixes.remove(index);
         }
--- a/crates/direct/src/directory/in_flight.rs
+++ b/crates/direct/src/directory/in_flight.rs
@@ -1,6 +1,7 @@
 //! Accounting of a request in flight at an endpoint.
 
 use super::endpoint::Endpoint;
+use super::fetch::{PrefixFetch, Transfer};
 use super::queue_position::QueuePosition;
 use crate::dialect::Prompt;
 use dogwoodhill_core::prelude::*;
@@ -19,6 +20,17 @@
         self: &Arc<Self>,
         prompt: &Prompt,
         position: &QueuePosition,
+    ) -> InFlight {
+        self.begin_fetching(prompt, position, None)
+    }
+
+    /// Counts a request as active until the guard is dropped; the endpoint makes `fetch`
+    /// first. What it fetches is not counted as prefill.
+    pub fn begin_fetching(
+        self: &Arc<Self>,
+        prompt: &Prompt,
+        position: &QueuePosition,
+        fetch: Option<&PrefixFetch>,
     ) -> InFlight {
         let now = self.start.elapsed();
         let rate = self.prefill_rate();
@@ -29,10 +41,18 @@
         let cached = prompt
             .prefix
             .is_some_and(|key| estimates.remember_prefix(key, now));
-        let tokens = if cached { suffix_tokens } else { prompt.tokens };
+        let transfer = fetch.map(PrefixFetch::begin);
+        let transfer_time = transfer.as_ref().map_or(Duration::ZERO, |t| t.time);
+        let skips_prefix = cached || transfer.is_some();
+        let tokens = if skips_prefix {
+            suffix_tokens
+        } else {
+            prompt.tokens
+        };
         let ahead = estimates.queue_wait.tokens_ahead(position.background);
         let expected =
             estimates.prefill_time(rate, ahead + f64::from(tokens)) + FIRST_EVENT_TIME;
+        let expected = expected + transfer_time;
         estimates
             .queue_wait
             .sent(now, f64::from(tokens), position.background);
@@ -42,6 +62,9 @@
             endpoint: Arc::clone(self),
             position: position.clone(),
             uncached_tokens: f64::from(tokens),
+            prompt_tokens: f64::from(prompt.tokens),
+            prefix: prompt.prefix,
+            transfer,
             tokens_exact: cached || prompt.prefix_tokens == 0,
             expected,
             sent_at: now,
@@ -58,6 +81,10 @@
     pub(super) endpoint: Arc<Endpoint>,
     pub(super) position: QueuePosition,
     pub(super) uncached_tokens: f64,
+    pub(super) prompt_tokens: f64,
+    pub(super) prefix: Option<u64>,
+    /// Transfer of the prefix, until the first byte.
+    pub(super) transfer: Option<Transfer>,
     /// Whether `uncached_tokens` is exact: no other entry's request can have put the
     /// prefix into the cache.
     pub(super) tokens_exact: bool,
@@ -89,6 +116,7 @@
         self.position.dequeued(self.sent_at, self.uncached_tokens);
         self.position.prefilled(now, self.uncached_tokens);
         let took = now.saturating_sub(self.sent_at);
+        let transfer = self.transfer.take();
         let mut estimates = self.endpoint.estimates();
         let background = self.position.background;
         estimates
@@ -100,22 +128,38 @@
         }
         let rate = {
             let mut rate = self.endpoint.lock_rate();
-            if self.tokens_exact {
+            if self.tokens_exact && transfer.is_none() {
                 rate.observe(self.uncached_tokens, took.saturating_sub(FIRST_EVENT_TIME));
             }
             *rate
         };
-        let prefill =
-            estimates.prefill_time(rate, self.uncached_tokens) + FIRST_EVENT_TIME;
+        // The source may have sent less than expected: time in which the whole prompt
+        // could have been prefilled is no evidence of a queue.
+        let tokens = match &transfer {
+            Some(_) => self.prompt_tokens,
+            None => self.uncached_tokens,
+        };
+        let prefill = estimates.prefill_time(rate, tokens) + FIRST_EVENT_TIME;
         let waited = took.saturating_sub(prefill);
         estimates.queue_wait.record(now, waited);
         self.position.record_wait(now, waited);
+        if transfer.is_some() {
+            return;
+        }
         let ratio = took.as_secs_f64() / self.expected.as_secs_f64();
         let slowness =
             estimates.slowness * (1.0 + (ratio.min(10.0) - 1.0) * SLOWNESS_WEIGHT);
         estimates.slowness = slowness.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
     }
 
+    /// Records that the endpoint answers the request, and so holds its prefix.
+    pub fn record_prefix(&self) {
+        let now = self.endpoint.start.elapsed();
+        if let Some(key) = self.prefix {
+            self.endpoint.estimates().record_prefix_answered(key, now);
+        }
+    }
+
     /// Ends the accounting of the request.
     pub fn finish(&mut self) {
         if !std::mem::take(&mut self.active) {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -7,12 +7,13 @@
 //! (`dispatch::crash`).
 
 mod crash;
+mod fetching;
 mod moving;
 mod refusal;
 mod stream_start;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
-use crate::directory::{Endpoint, LatencyClass, PlacementQuery, QueuePosition};
+use crate::directory::{Endpoint, LatencyClass, Placement, PrefixFetch, QueuePosition};
 use crate::exchange::{
     self, CompleteResponse, EndpointResponse, Loss, OutboundRequest, SendContext,
     SendOutcome,
@@ -26,6 +27,7 @@
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_policy::prefixes::Link;
 use dogwoodhill_policy::quarantine::SUSPECT_CRASHES;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
@@ -68,6 +70,8 @@
     fingerprint: Fingerprint,
     service: ServiceId,
     separate_classes: bool,
+    /// Link over which the service's endpoints fetch prefixes.
+    link: Option<Link>,
     class: LatencyClass,
     position: QueuePosition,
     tried: Vec<Incarnation>,
@@ -129,11 +133,13 @@
         let events = admitted.route.events;
         let sensitive =
             separate_classes && events.is_some_and(|events| events.pause <= min_pause);
+        let prefixes = shared.prefixes.as_ref();
         let usage = shared.usage.clone();
         let start_counter =
             Arc::new(StartCounter::new(usage, admitted.workspace.clone()));
         let mut dispatch = Self {
             separate_classes,
+            link: prefixes.and_then(|prefixes| prefixes.link(&table, &service)),
             class: if sensitive {
                 LatencyClass::Sensitive
             } else {
@@ -176,19 +182,6 @@
         dispatch
     }
 
-    /// Placement requirements.
-    fn query(&self) -> PlacementQuery<'_> {
-        PlacementQuery {
-            service: &self.service,
-            prompt: &self.meta.prompt,
-            class: self.class,
-            background: self.position.background,
-            separate_classes: self.separate_classes,
-            tried: &self.tried,
-            isolate: self.suspected.then_some(self.fingerprint),
-        }
-    }
-
     /// Records that the request's stream is complete, with its longest pause.
     pub fn stream_completed(&self, longest: Duration) {
         self.shared.suspects.record_served(self.fingerprint);
@@ -315,7 +308,7 @@
                 record.placed(&placement, sends, list_age);
             }
             self.tried.push(endpoint.run());
-            match self.send(&endpoint).await {
+            match self.send(&placement).await {
                 SendOutcome::Answered(response) => {
                     self.sends += 1;
                     self.may_have_run = true;
@@ -352,7 +345,8 @@
         }
     }
 
-    async fn send(&mut self, endpoint: &Arc<Endpoint>) -> SendOutcome {
+    async fn send(&mut self, placement: &Placement) -> SendOutcome {
+        let (endpoint, fetch) = (&placement.endpoint, placement.fetch.as_ref());
         let started = Instant::now();
         self.sent_at = uptime();
         let forward = ForwardMeta {
@@ -362,11 +356,13 @@
             rank: self.admitted.rank,
             background: self.position.background,
             resume_after: self.resume_after,
+            fetch_from: fetch.map(PrefixFetch::address),
         };
         let context = SendContext {
             id: &self.meta.id,
             prompt: &self.meta.prompt,
             position: &self.position,
+            fetch,
             deadline: self.deadline,
         };
         let dialect = self.shared.endpoints.as_ref();
@@ -387,6 +383,7 @@
                 SendOutcome::Lost(loss)
             }
         };
+        self.record_fetch(fetch, &outcome);
         if matches!(outcome, SendOutcome::Lost(Loss::Timeout)) {
             endpoint.record_timeout(true);
         }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Sending one request to one endpoint.
 
 use crate::dialect::{EndpointDialect, ForwardMeta, Prompt, ResponseMeta};
-use crate::directory::{AdmissionError, Endpoint, InFlight, QueuePosition};
+use crate::directory::{AdmissionError, Endpoint, InFlight, PrefixFetch, QueuePosition};
 use crate::pool::{self, ConnectError, Connection};
 use bytes::Bytes;
 use derive_more::Display;
@@ -149,7 +149,8 @@
     forward: &ForwardMeta<'_>,
     context: SendContext<'_>,
 ) -> SendOutcome {
-    let mut in_flight = endpoint.begin_request(context.prompt, context.position);
+    let mut in_flight =
+        endpoint.begin_fetching(context.prompt, context.position, context.fetch);
     let request = build_request(dialect, outbound, forward, endpoint);
     let mut permit = None;
     let pooled = send_pooled(endpoint, request, &mut permit, context.deadline).await;
@@ -269,6 +270,8 @@
     pub prompt: &'a Prompt,
     /// Position in the service's queue.
     pub position: &'a QueuePosition,
+    /// Prefix that the endpoint fetches first.
+    pub fetch: Option<&'a PrefixFetch>,
     /// Deadline.
     pub deadline: Instant,
 }
@@ -353,6 +356,9 @@
         return SendOutcome::Lost(Loss::Invalid);
     }
     endpoint.record_outcome(parts.status.is_server_error());
+    if parts.status.is_success() {
+        in_flight.record_prefix();
+    }
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     SendOutcome::Answered(Box::new(EndpointResponse {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod list_reader;
 pub mod list_tracker;
 pub mod pool;
+pub mod prefixes;
 pub mod race;
 pub mod request;
 pub mod response;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::{AdmittedRequest, Dispatch};
 use crate::exchange::{self, OutboundRequest};
 use crate::list_tracker::ListTracker;
+use crate::prefixes::Prefixes;
 use crate::response::{RefusalCause, ResponseBody, refuse};
 use crate::stats::{RequestRecord, Stats};
 use crate::suspects::Suspects;
@@ -86,6 +87,8 @@
     pub usage: Option<Arc<Usage>>,
     /// Optional behaviour under contention.
     pub contention: Contention,
+    /// Fetching of cached prefixes, if the settings switch it on.
+    pub prefixes: Option<Prefixes>,
     /// Resends allowed by the settings.
     pub allowance: Allowance,
     /// Largest number of entries reported by control; they share the allowance.
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -3,7 +3,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{
     CallerDialect, EndpointDialect, EndpointList, EndpointRecord, FetchFuture,
-    ForwardMeta, Limit, Malformed, PageToken, RequestMeta, ResponseMeta, Retry,
+    ForwardMeta, Limit, Malformed, PageToken, Prompt, RequestMeta, ResponseMeta, Retry,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 
@@ -23,15 +23,31 @@
             max_wait: max_wait.map(Duration::from_millis),
             key: text(headers, "x-key"),
             resume_after: text(headers, "x-resume").and_then(|t| t.parse().ok()),
-            ..RequestMeta::default()
+            prompt: prompt(headers),
         })
     }
 }
 
+/// A prompt of `x-prefix: KEY TOKENS` and as many tokens of its own.
+fn prompt(headers: &HeaderMap) -> Prompt {
+    let text = text(headers, "x-prefix").unwrap_or_default();
+    let mut numbers = text.split(' ').map(str::parse);
+    let (Some(Ok(key)), Some(Ok(tokens))) = (numbers.next(), numbers.next()) else {
+        return Prompt::default();
+    };
+    Prompt {
+        prefix: Some(key),
+        prefix_tokens: tokens as u32,
+        tokens: 2 * tokens as u32,
+        max_output: 10,
+    }
+}
+
 impl EndpointDialect for PlainHeaders {
     fn write(&self, headers: &mut HeaderMap, meta: &ForwardMeta<'_>) {
         headers.remove("x-key");
         headers.remove("x-resume");
+        headers.remove("x-fetch");
         let mut put = |name: &'static str, value: String| {
             headers.insert(name, HeaderValue::from_str(&value).expect("plain text"));
         };
@@ -41,6 +57,9 @@
         if let Some(last) = meta.resume_after {
             put("x-resume", last.to_string());
         }
+        if let Some(source) = meta.fetch_from {
+            put("x-fetch", source.to_string());
+        }
     }
 
     fn read(&self, _status: StatusCode, headers: &HeaderMap) -> ResponseMeta {
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -150,6 +150,34 @@
         grace: Duration,
         control: Vec<SocketAddr>,
         usage: Option<Windows>,
+    ) -> Self {
+        let features = Features::default();
+        Self::run_with(name, list, grace, control, usage, features).await
+    }
+
+    /// An entry with these endpoints, routes and optional features.
+    pub(crate) async fn with_features(
+        endpoints: &[&ScriptedEndpoint],
+        set: RouteSet,
+        features: Features,
+    ) -> Self {
+        let listed = listed(endpoints);
+        let list = Box::new(FixedList(listed.clone()));
+        let control = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
+        let grace = LONG_TIMEOUT;
+        let entry = Self::run_with("entry", list, grace, control, None, features).await;
+        entry.shared.directory.update(listed);
+        entry.shared.activate_routes(RouteTable::new(set));
+        entry
+    }
+
+    async fn run_with(
+        name: &str,
+        list: Box<dyn EndpointList>,
+        grace: Duration,
+        control: Vec<SocketAddr>,
+        usage: Option<Windows>,
+        features: Features,
     ) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
@@ -169,7 +197,7 @@
             linger: Duration::from_millis(50),
             grace,
             usage,
-            features: Features::default(),
+            features,
         };
         let dialects = Dialects {
             callers: Box::new(PlainHeaders),
--- a/crates/direct/tests/all/list_tracker.rs
+++ b/crates/direct/tests/all/list_tracker.rs
@@ -167,6 +167,7 @@
         separate_classes: false,
         tried,
         isolate: None,
+        link: None,
     }
 }
 
@@ -407,6 +408,7 @@
                 separate_classes: false,
                 tried: &[],
                 isolate: None,
+                link: None,
             };
             match directory.place(&query) {
                 Some(placed) => {
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod outcomes;
 mod placement;
+mod prefixes;
 mod quarantine;
 mod race;
 mod rate_limits;
--- a/crates/direct/tests/all/placement.rs
+++ b/crates/direct/tests/all/placement.rs
@@ -41,6 +41,7 @@
         separate_classes: true,
         tried,
         isolate: None,
+        link: None,
     }
 }
 
--- a/crates/direct/tests/all/staleness.rs
+++ b/crates/direct/tests/all/staleness.rs
@@ -160,11 +160,13 @@
         },
         background: false,
         resume_after: None,
+        fetch_from: None,
     };
     let context = SendContext {
         id: "r-1",
         prompt: &prompt,
         position: &QueuePosition::default(),
+        fetch: None,
         deadline: tokio::time::Instant::now() + Duration::from_secs(30),
     };
     let outcome = exchange::send(&chosen, &PlainHeaders, &outbound, &meta, context).await;
--- a/crates/load/src/slopes/placement.rs
+++ b/crates/load/src/slopes/placement.rs
@@ -63,6 +63,7 @@
             separate_classes: true,
             tried: &[],
             isolate: None,
+            link: None,
         };
         directory.record_demand(&query);
         let started = Instant::now();
--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -23,11 +23,14 @@
     pub distance: Duration,
     /// Time since this entry last sent the same prefix there; `None` if it never did.
     pub last_sent: Option<Duration>,
+    /// Time to fetch the shared prefix from another endpoint ([`crate::prefixes`]);
+    /// `None` where that is not possible.
+    pub fetch: Option<Duration>,
 }
 
 /// How long a prefix is assumed to stay in the cache of an endpoint. Under full load the
 /// cache is replaced in about ten seconds.
-const CACHE_LIFETIME: Duration = Duration::from_secs(20);
+pub const CACHE_LIFETIME: Duration = Duration::from_secs(20);
 /// Share of the prefill time that is charged by rank: the first endpoint is assumed to
 /// have the prefix cached, the second to have it half of the time, all others never.
 const RANK_COST: [f64; 2] = [0.0, 0.5];
@@ -53,14 +56,17 @@
     best.map(|(_, at)| at)
 }
 
-/// Cost in seconds: wait, network latency and weighted prefill time.
+/// Cost in seconds: wait, network latency and the weighted time to prefill or fetch what
+/// the cache lacks.
 fn cost(rank: usize, candidate: &Candidate) -> f64 {
     let by_rank = RANK_COST.get(rank).copied().unwrap_or(1.0);
     let cached = candidate.last_sent.is_some_and(|age| age < CACHE_LIFETIME);
     let share = if cached { 0.0 } else { by_rank };
+    let missing = candidate.fetch.unwrap_or(Duration::MAX);
+    let missing = missing.min(candidate.prefill);
     candidate.wait.as_secs_f64()
         + candidate.distance.as_secs_f64()
-        + candidate.prefill.as_secs_f64() * share * PREFILL_WEIGHT
+        + missing.as_secs_f64() * share * PREFILL_WEIGHT
 }
 
 /// Spreads the bits of a hash (the finalizer of SplitMix64).
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`budget`]: the retries that a service may add to its load;
 //! * [`backlog`] and [`queue_wait`]: the time until a prompt is prefilled;
 //! * [`affinity`]: the choice of an endpoint for a prompt with a shared prefix;
+//! * [`prefixes`]: fetching a cached prefix from another endpoint;
 //! * [`interference`]: whether latency-sensitive streams need endpoints of their own;
 //! * [`reservation`]: how many endpoints are reserved for latency-sensitive streams;
 //! * [`packing`]: how many of the reserved endpoints are used;
@@ -52,6 +53,7 @@
 pub mod permits;
 pub mod placement;
 pub mod prefill_rate;
+pub mod prefixes;
 pub mod quarantine;
 pub mod queue;
 pub mod queue_wait;
