--- a/crates/direct/src/contention.rs
+++ b/crates/direct/src/contention.rs
@@ -4,8 +4,10 @@
 //! it with control. It depends on no other module of the request path, which passes in
 //! what the parts need to know.
 
+use crate::pace::Prober;
 use crate::settings::Features;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_wire::contention::{ContentionReply, ContentionReport};
 
 /// State of the parts that are switched on.
@@ -13,12 +15,17 @@
 pub struct Contention {
     /// What the settings switch on.
     pub features: Features,
+    /// Asks endpoints for their pace, if that is switched on.
+    pub prober: Option<Prober>,
 }
 
 impl Contention {
     /// Creates the state of an entry.
-    pub fn new(features: Features) -> Self {
-        Self { features }
+    pub fn new(features: Features, metrics: &Metrics) -> Self {
+        Self {
+            features,
+            prober: features.pace.then(|| Prober::new(metrics)),
+        }
     }
 
     /// The report to control at `now`; `None` without anything to report.
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
 pub use dogwoodhill_policy::backoff::Retry;
+use dogwoodhill_policy::pace::Named;
 pub use dogwoodhill_policy::permits::Limit;
 use dogwoodhill_route::prelude::Rank;
 pub use dogwoodhill_wire::list::EndpointRecord;
@@ -113,6 +114,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes there at the moment.
+    pub pace: Named,
 }
 
 /// Writes the headers of requests to endpoints and parses those of responses.
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -103,10 +103,11 @@
         let shared = Arc::new(SharedState {
             routes: ArcSwapOption::empty(),
             routes_changed: Notify::new(),
-            directory: Directory::new(settings.domain.clone()),
+            directory: Directory::new(settings.domain.clone())
+                .with_pace(settings.features.pace),
             list_tracker: ListTracker::new(settings.leaving_within),
             callers: dialects.callers,
-            endpoints: dialects.endpoints,
+            endpoints: dialects.endpoints.into(),
             fingerprinter: Fingerprinter::new(&settings.secret),
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
@@ -114,7 +115,7 @@
             drain,
             drain_started: OnceLock::new(),
             grace: settings.grace,
-            contention: Contention::new(settings.features),
+            contention: Contention::new(settings.features, &metrics),
             allowance: settings.allowance,
             entries: AtomicU32::new(0),
             budgets: Mutex::default(),
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -10,6 +10,7 @@
 mod estimates;
 mod in_flight;
 mod limits;
+mod pace;
 mod queue_position;
 mod snapshot;
 
@@ -52,6 +53,7 @@
     demand: Mutex<Vec<(ServiceId, DemandState)>>,
     runs: Mutex<Incarnations>,
     limit_sync: Mutex<LimitSync>,
+    uses_pace: bool,
 }
 
 /// Placement requirements of a request.
@@ -109,6 +111,7 @@
             demand: Mutex::default(),
             runs: Mutex::default(),
             limit_sync: Mutex::default(),
+            uses_pace: false,
         }
     }
 
@@ -187,7 +190,8 @@
             log_change("endpoint-listed", run, &listed.service);
         }
         let rate = self.shared_prefill_rate(&listed.service);
-        Arc::new(Endpoint::new(listed, self.start, rate))
+        let pace = self.shared_pace(&listed.service);
+        Arc::new(Endpoint::new(listed, self.start, rate, pace))
     }
 
     fn limit_sync(&self) -> MutexGuard<'_, LimitSync> {
@@ -312,18 +316,29 @@
             .min()
     }
 
-    /// Evaluates the usable endpoints of a range.
+    /// Evaluates the endpoints of a range that admit a request.
     fn evaluate_range<'a>(
         &self,
         query: &PlacementQuery<'_>,
         group: &'a Group,
         range: Range<usize>,
+    ) -> Vec<Evaluation<'a>> {
+        self.evaluate_where(query, group, range, Endpoint::admits)
+    }
+
+    /// Evaluates the untried endpoints of a range that are `usable`.
+    fn evaluate_where<'a>(
+        &self,
+        query: &PlacementQuery<'_>,
+        group: &'a Group,
+        range: Range<usize>,
+        usable: impl Fn(&Endpoint) -> bool,
     ) -> Vec<Evaluation<'a>> {
         let now = self.start.elapsed();
         let rate = self.prefill_rate(query.service);
         let evaluate = |endpoint: &'a Arc<Endpoint>| {
             let tried = query.tried.iter().any(|run| endpoint.runs_as(run));
-            let usable = !tried && endpoint.admits();
+            let usable = !tried && usable(endpoint);
             usable.then(|| endpoint.evaluate(query, &self.domain, now, rate))
         };
         match query.class {
@@ -399,17 +414,13 @@
 /// as are needed. The less busy of two random candidates wins: if all entries took the
 /// first endpoint with a free slot, they would all take the same one.
 fn choose_packed<'a>(mut evaluations: Vec<&Evaluation<'a>>) -> Option<&'a Arc<Endpoint>> {
-    let slow_threshold = event_gap::slow_threshold(
-        evaluations
-            .iter()
-            .filter_map(|evaluation| evaluation.event_gap),
-    );
-    evaluations.sort_by_key(|evaluation| {
-        evaluation.event_gap.is_some_and(|gap| gap > slow_threshold)
-    });
-    let fast = evaluations.partition_point(|evaluation| {
-        evaluation.event_gap.is_none_or(|gap| gap <= slow_threshold)
-    });
+    let by_pace = evaluations.iter().all(|e| e.lasting.is_some());
+    let step = |e: &Evaluation<'a>| if by_pace { e.lasting } else { e.event_gap };
+    let slow_threshold =
+        event_gap::slow_threshold(evaluations.iter().filter_map(|e| step(e)));
+    let is_slow = |e: &Evaluation<'a>| step(e).is_some_and(|gap| gap > slow_threshold);
+    evaluations.sort_by_key(|e| is_slow(e));
+    let fast = evaluations.partition_point(|e| !is_slow(e));
     let used = packing::endpoints_used(
         evaluations.iter().map(|evaluation| evaluation.occupancy),
         fast,
@@ -417,7 +428,7 @@
     let mut random = rand::rng();
     let mut draw = || (used > 0).then(|| evaluations[random.random_range(0..used)]);
     let (a, b) = (draw()?, draw()?);
-    let less_busy = if a.occupancy.busy <= b.occupancy.busy {
+    let less_busy = if a.occupancy.busy * a.factor <= b.occupancy.busy * b.factor {
         a
     } else {
         b
--- a/crates/direct/src/directory/demand.rs
+++ b/crates/direct/src/directory/demand.rs
@@ -1,6 +1,7 @@
 //! Demand, stream disturbance and prefill rate per service, from this entry's
 //! observations and from the sums over all entries.
 
+use super::pace::SharedPace;
 use super::{Directory, LatencyClass, PlacementQuery};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::backlog::Backlog;
@@ -21,6 +22,7 @@
     pub(super) interference: Interference,
     pub(super) backlog: Arc<Mutex<Backlog>>,
     pub(super) rate: Arc<Mutex<PrefillRate>>,
+    pub(super) pace: SharedPace,
 }
 
 impl DemandState {
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -6,6 +6,7 @@
 
 use super::admission::Admission;
 use super::estimates::Estimates;
+use super::pace::SharedPace;
 use super::{LatencyClass, PlacementQuery, log_change};
 use crate::dialect::{EndpointRecord, Load};
 use crate::pool::{self, ConnectError, Pool};
@@ -13,6 +14,7 @@
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::event_gap::EventGap;
 use dogwoodhill_policy::health::{Health, HealthRecord};
+use dogwoodhill_policy::pace::Track;
 use dogwoodhill_policy::packing::Occupancy;
 use dogwoodhill_policy::prefill_rate::PrefillRate;
 use dogwoodhill_policy::queue_wait::QueueWait;
@@ -44,7 +46,7 @@
     /// Idle connections.
     pub pool: Pool,
     pub(super) hash: u64,
-    slots: u32,
+    pub(super) slots: u32,
     leaving: AtomicBool,
     /// Whether another process responds at the address. A run never comes back, even if
     /// an outdated list still has it.
@@ -52,6 +54,8 @@
     pub(super) start: Instant,
     /// Prefill rate, shared by the endpoints of the service.
     prefill_rate: Arc<Mutex<PrefillRate>>,
+    /// Pace of the service's endpoints; `None` if it is not used.
+    pub(super) service_pace: Option<SharedPace>,
     estimates: Mutex<Estimates>,
     /// Time and result of the last check whether the process has exited.
     last_check: tokio::sync::Mutex<Option<(Instant, bool)>>,
@@ -71,6 +75,10 @@
     pub(super) occupancy: Occupancy,
     /// Usual time between two events of a stream.
     pub(super) event_gap: Option<Duration>,
+    /// Lasting time of a millisecond of work, where the endpoint names its pace.
+    pub(super) lasting: Option<Duration>,
+    /// Multiple of the usual time that work takes at the moment.
+    pub(super) factor: f64,
 }
 
 impl Endpoint {
@@ -78,6 +86,7 @@
         listed: EndpointRecord,
         start: Instant,
         prefill_rate: Arc<Mutex<PrefillRate>>,
+        service_pace: Option<SharedPace>,
     ) -> Self {
         Self {
             // By name only, so that prefixes map to the same endpoint after its restart,
@@ -94,6 +103,7 @@
             pool: Pool::default(),
             start,
             prefill_rate,
+            service_pace,
             estimates: Mutex::new(Estimates {
                 record: HealthRecord::default(),
                 load: Load::default(),
@@ -103,6 +113,9 @@
                 slowness: 1.0,
                 event_gap: EventGap::default(),
                 prefixes: Vec::new(),
+                pace: Track::default(),
+                pace_unreadable: false,
+                prompt_tokens: 0.0,
             }),
             last_check: tokio::sync::Mutex::default(),
             admission: Admission::default(),
@@ -262,14 +275,6 @@
         self.estimates().event_gap.record(now, pause);
     }
 
-    /// Records a load reported by the endpoint.
-    pub fn set_load(&self, load: Load) {
-        let now = self.start.elapsed();
-        let mut estimates = self.estimates();
-        estimates.load = load;
-        estimates.load_time = now;
-    }
-
     /// Observations since the last report to control, if any.
     pub(crate) fn take_health_report(&self) -> Option<HealthReport> {
         let now = self.start.elapsed();
@@ -309,6 +314,11 @@
                 slots: f64::from(self.slots),
             },
             event_gap: estimates.event_gap.mean(now),
+            lasting: estimates
+                .pace
+                .lasting()
+                .map(|pace| Duration::from_millis(1).mul_f64(pace.factor())),
+            factor: estimates.pace_factor(now),
         }
     }
 
@@ -337,13 +347,14 @@
         Candidate {
             hash: self.hash,
             wait,
-            prefill: estimates.prefill_time(rate, f64::from(prompt.prefix_tokens)),
+            prefill: estimates.prefill_time(now, rate, f64::from(prompt.prefix_tokens)),
             distance: if self.domain == domain {
                 Duration::ZERO
             } else {
                 DOMAIN_LATENCY
             },
             last_sent,
+            share: estimates.share(now),
         }
     }
 
@@ -352,7 +363,8 @@
     /// the latency to another failure domain.
     fn contention_cost(&self, estimates: &Estimates, now: Duration) -> Duration {
         let share = estimates.active_requests(now) / f64::from(self.slots);
-        DOMAIN_LATENCY.mul_f64(4.0 * share * estimates.slowness)
+        let own = self.plain_time(estimates, now).unwrap_or_default();
+        own + DOMAIN_LATENCY.mul_f64(4.0 * share * estimates.slowness)
     }
 
     /// Updates whether the endpoint is shutting down, from the list or from its own
--- a/crates/direct/src/directory/estimates.rs
+++ b/crates/direct/src/directory/estimates.rs
@@ -4,6 +4,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::event_gap::EventGap;
 use dogwoodhill_policy::health::HealthRecord;
+use dogwoodhill_policy::pace::Track;
 use dogwoodhill_policy::prefill_rate::PrefillRate;
 use dogwoodhill_policy::queue_wait::QueueWait;
 
@@ -12,6 +13,11 @@
 /// Time constant of the decay of a reported load, in seconds. An entry gets a report of
 /// each of some endpoints about once in two seconds.
 const LOAD_DECAY_S: f64 = 4.0;
+/// Time constant of the decay of a reported queue as a predicted wait, in seconds: the
+/// time in which a queue of some prompts drains.
+const REPORT_DECAY_S: f64 = 1.0;
+/// Weight of the newest prompt in the mean number of tokens.
+const PROMPT_WEIGHT: f64 = 0.1;
 
 /// Estimated state of an endpoint.
 #[derive(Debug)]
@@ -24,6 +30,11 @@
     pub(super) slowness: f64,
     pub(super) event_gap: EventGap,
     pub(super) prefixes: Vec<(u64, Duration)>,
+    pub(super) pace: Track,
+    /// Whether the endpoint's last pace was invalid.
+    pub(super) pace_unreadable: bool,
+    /// Mean number of uncached tokens of prompts sent there; 0 before the first.
+    pub(super) prompt_tokens: f64,
 }
 
 impl Estimates {
@@ -42,12 +53,47 @@
         rate: PrefillRate,
         background: bool,
     ) -> Duration {
-        let own = self.prefill_time(rate, self.queue_wait.tokens_ahead(background));
-        own.max(self.queue_wait.predicted(now))
+        let own = self.prefill_time(now, rate, self.queue_wait.tokens_ahead(background));
+        let reported = self.reported_wait(now, rate);
+        own.max(self.queue_wait.predicted(now)).max(reported)
     }
 
-    pub(super) fn prefill_time(&self, rate: PrefillRate, tokens: f64) -> Duration {
-        rate.prefill_time(tokens).mul_f64(self.slowness)
+    /// Time to prefill the prompts that the endpoint last reported as waiting, which
+    /// counts less as the report ages; zero where endpoints name no pace.
+    fn reported_wait(&self, now: Duration, rate: PrefillRate) -> Duration {
+        let Some(age) = self.pace.age(now) else {
+            return Duration::ZERO;
+        };
+        let decay = (-age.as_secs_f64() / REPORT_DECAY_S).exp();
+        let tokens = f64::from(self.load.waiting) * self.prompt_tokens * decay;
+        self.prefill_time(now, rate, tokens)
+    }
+
+    pub(super) fn prefill_time(
+        &self,
+        now: Duration,
+        rate: PrefillRate,
+        tokens: f64,
+    ) -> Duration {
+        rate.prefill_time(tokens)
+            .mul_f64(self.slowness * self.pace_factor(now))
+    }
+
+    /// Multiple of the usual time that work takes; 1 where endpoints name no pace.
+    pub(super) fn pace_factor(&self, now: Duration) -> f64 {
+        self.pace.factor(now).unwrap_or(1.0)
+    }
+
+    /// Records the uncached tokens of a prompt that is sent.
+    pub(super) fn record_prompt(&mut self, tokens: f64) {
+        if tokens > 0.0 {
+            let mean = if self.prompt_tokens > 0.0 {
+                self.prompt_tokens
+            } else {
+                tokens
+            };
+            self.prompt_tokens = mean + (tokens - mean) * PROMPT_WEIGHT;
+        }
     }
 
     /// Remembers a prefix; returns whether it was already remembered.
--- a/crates/direct/src/directory/in_flight.rs
+++ b/crates/direct/src/directory/in_flight.rs
@@ -31,8 +31,9 @@
             .is_some_and(|key| estimates.remember_prefix(key, now));
         let tokens = if cached { suffix_tokens } else { prompt.tokens };
         let ahead = estimates.queue_wait.tokens_ahead(position.background);
-        let expected =
-            estimates.prefill_time(rate, ahead + f64::from(tokens)) + FIRST_EVENT_TIME;
+        let expected = estimates.prefill_time(now, rate, ahead + f64::from(tokens))
+            + FIRST_EVENT_TIME;
+        estimates.record_prompt(f64::from(tokens));
         estimates
             .queue_wait
             .sent(now, f64::from(tokens), position.background);
@@ -98,15 +99,20 @@
         if background {
             return;
         }
+        let factor = estimates.pace_factor(now);
+        if self.uncached_tokens == 0.0 {
+            self.endpoint.record_work(took, factor);
+        }
         let rate = {
             let mut rate = self.endpoint.lock_rate();
             if self.tokens_exact {
-                rate.observe(self.uncached_tokens, took.saturating_sub(FIRST_EVENT_TIME));
+                let tokens = self.uncached_tokens * factor;
+                rate.observe(tokens, took.saturating_sub(FIRST_EVENT_TIME));
             }
             *rate
         };
         let prefill =
-            estimates.prefill_time(rate, self.uncached_tokens) + FIRST_EVENT_TIME;
+            estimates.prefill_time(now, rate, self.uncached_tokens) + FIRST_EVENT_TIME;
         let waited = took.saturating_sub(prefill);
         estimates.queue_wait.record(now, waited);
         self.position.record_wait(now, waited);
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -304,8 +304,7 @@
                 return DispatchResult::Refuse(self.exhausted_cause());
             }
             self.shared.list_tracker.await_unexpired().await;
-            let placement = self.shared.directory.place(&self.query());
-            let Some(placement) = placement else {
+            let Some(placement) = self.place().await else {
                 return DispatchResult::Refuse(self.exhausted_cause());
             };
             let endpoint = Arc::clone(&placement.endpoint);
--- a/crates/direct/src/dispatch/moving.rs
+++ b/crates/direct/src/dispatch/moving.rs
@@ -1,9 +1,11 @@
 //! Moving a request to another endpoint, within the resend budget.
 
 use super::Dispatch;
-use crate::directory::{Endpoint, LatencyClass};
+use crate::directory::{Endpoint, LatencyClass, Placement};
+use crate::pace::Prober;
 use crate::stream::CHECK_INTERVAL;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::pace::probe_wait;
 use tokio::time::{Instant, sleep_until};
 
 /// Time without a response after which an idempotent request is sent to another endpoint,
@@ -12,6 +14,38 @@
 const MOVE_AFTER_OBJECTIVES: f64 = 2.5;
 
 impl Dispatch {
+    /// Chooses an endpoint, after asking the likely ones for their pace if that is of
+    /// use.
+    pub(super) async fn place(&self) -> Option<Placement> {
+        let prober = self.shared.contention.prober.as_ref();
+        if let Some(prober) = prober {
+            self.refresh_candidates(prober).await;
+        }
+        let placement = self.shared.directory.place(&self.query());
+        if let (Some(prober), Some(placement)) = (prober, &placement) {
+            prober.record_age(&placement.endpoint);
+        }
+        placement
+    }
+
+    async fn refresh_candidates(&self, prober: &Prober) {
+        let routes = self.shared.routes.load_full();
+        let declaration = routes
+            .as_ref()
+            .and_then(|set| set.declaration(&self.service));
+        let Some(path) = declaration.and_then(|one| one.health_path.as_deref()) else {
+            return;
+        };
+        let objective = self.admitted.route.objective;
+        let directory = &self.shared.directory;
+        let endpoints = directory.probe_candidates(&self.query(), objective);
+        if !endpoints.is_empty() {
+            let wait = probe_wait(objective);
+            let dialect = &self.shared.endpoints;
+            prober.ask(endpoints, dialect, path, wait).await;
+        }
+    }
+
     /// Completes when a request that was sent at `started` should move to another
     /// endpoint. Before that, it debits the resend from the budget: if no resend were
     /// possible, abandoning the response, which may still arrive, would waste the work
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod exchange;
 pub mod list_reader;
 pub mod list_tracker;
+pub mod pace;
 pub mod pool;
 pub mod race;
 pub mod request;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -69,7 +69,7 @@
     /// Parser of callers' headers.
     pub callers: Box<dyn CallerDialect>,
     /// Adapter to endpoints' headers.
-    pub endpoints: Box<dyn EndpointDialect>,
+    pub endpoints: Arc<dyn EndpointDialect>,
     /// Hashes requests, to recognize those with the same content.
     pub fingerprinter: Fingerprinter,
     /// Metrics.
--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -8,6 +8,7 @@
 //! to a lower rank if the wait at the top is longer than prefilling the prefix again
 //! elsewhere.
 
+use crate::pace::weight::{Share, score};
 use std::time::Duration;
 
 /// An endpoint that may be chosen.
@@ -23,6 +24,8 @@
     pub distance: Duration,
     /// Time since this entry last sent the same prefix there; `None` if it never did.
     pub last_sent: Option<Duration>,
+    /// The endpoint's part of the work; `None` if endpoints count as equally fast.
+    pub share: Option<Share>,
 }
 
 /// How long a prefix is assumed to stay in the cache of an endpoint. Under full load the
@@ -39,18 +42,50 @@
 /// Returns the index of the candidate with the lowest cost for `key`, the hash of the
 /// shared prefix; `None` without candidates.
 pub fn choose(key: u64, candidates: &[Candidate]) -> Option<usize> {
-    let mut ranked: Vec<(u64, usize)> = candidates
+    let best = costs(key, candidates).into_iter();
+    let best = best.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, at)| at)
+}
+
+/// Indexes of the candidates by cost for `key`, the lowest first.
+pub fn by_cost(key: u64, candidates: &[Candidate]) -> Vec<usize> {
+    let mut costs = costs(key, candidates);
+    costs.sort_by(|a, b| a.0.total_cmp(&b.0));
+    costs.into_iter().map(|(_, at)| at).collect()
+}
+
+/// Costs and indexes of the candidates by rank, without those that have more than their
+/// bounded part of the work unless all have.
+fn costs(key: u64, candidates: &[Candidate]) -> Vec<(f64, usize)> {
+    let total = Share::total(candidates.iter().filter_map(|candidate| candidate.share));
+    let is_full = |at: &usize| {
+        let share = candidates[*at].share;
+        share.is_some_and(|share| share.is_full(&total))
+    };
+    let mut ranked = ranked(key, candidates, total.weight > 0.0);
+    if !ranked.iter().all(is_full) {
+        ranked.retain(|at| !is_full(at));
+    }
+    let costs = ranked.iter().enumerate();
+    costs
+        .map(|(rank, at)| (cost(rank, &candidates[*at]), *at))
+        .collect()
+}
+
+/// Indexes of the candidates by their rank for `key`, the highest first.
+fn ranked(key: u64, candidates: &[Candidate], weighted: bool) -> Vec<usize> {
+    let mut ranked: Vec<(f64, u64, usize)> = candidates
         .iter()
         .enumerate()
-        .map(|(at, candidate)| (mix(key ^ candidate.hash), at))
+        .map(|(at, candidate)| {
+            let hash = mix(key ^ candidate.hash);
+            let weight = candidate.share.map_or(1.0, |share| share.weight);
+            let score = if weighted { score(hash, weight) } else { 0.0 };
+            (score, hash, at)
+        })
         .collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let costs = ranked.iter().enumerate().map(|(rank, (_, at))| {
-        let candidate = &candidates[*at];
-        (cost(rank, candidate), *at)
-    });
-    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map(|(_, at)| at)
+    ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
+    ranked.into_iter().map(|(_, _, at)| at).collect()
 }
 
 /// Cost in seconds: wait, network latency and weighted prefill time.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`reservation`]: how many endpoints are reserved for latency-sensitive streams;
 //! * [`packing`]: how many of the reserved endpoints are used;
 //! * [`event_gap`]: which endpoints are too slow for latency-sensitive streams;
+//! * [`pace`]: how long work takes at an endpoint at the moment;
 //! * [`prefill_rate`]: the prefill rate of endpoints;
 //! * [`incarnations`]: the newest run of each endpoint;
 //! * [`list_reads`]: when an entry reads the list of endpoints by itself;
@@ -48,6 +49,7 @@
 pub mod interference;
 pub mod limit;
 pub mod list_reads;
+pub mod pace;
 pub mod packing;
 pub mod permits;
 pub mod placement;
