--- a/crates/direct/src/directory/in_flight.rs
+++ b/crates/direct/src/directory/in_flight.rs
@@ -50,9 +50,10 @@
             prompt.tokens
         };
         let ahead = estimates.queue_wait.tokens_ahead(position.background);
-        let expected =
-            estimates.prefill_time(rate, ahead + f64::from(tokens)) + FIRST_EVENT_TIME;
-        let expected = expected + transfer_time;
+        let expected = estimates.prefill_time(now, rate, ahead + f64::from(tokens))
+            + FIRST_EVENT_TIME
+            + transfer_time;
+        estimates.record_prompt(f64::from(tokens));
         estimates
             .queue_wait
             .sent(now, f64::from(tokens), position.background);
@@ -126,10 +127,15 @@
         if background {
             return;
         }
+        let factor = estimates.pace_factor(now);
+        if self.uncached_tokens == 0.0 {
+            self.endpoint.record_work(took, factor);
+        }
         let rate = {
             let mut rate = self.endpoint.lock_rate();
             if self.tokens_exact && transfer.is_none() {
-                rate.observe(self.uncached_tokens, took.saturating_sub(FIRST_EVENT_TIME));
+                let tokens = self.uncached_tokens * factor;
+                rate.observe(tokens, took.saturating_sub(FIRST_EVENT_TIME));
             }
             *rate
         };
@@ -139,7 +145,7 @@
             Some(_) => self.prompt_tokens,
             None => self.uncached_tokens,
         };
-        let prefill = estimates.prefill_time(rate, tokens) + FIRST_EVENT_TIME;
+        let prefill = estimates.prefill_time(now, rate, tokens) + FIRST_EVENT_TIME;
         let waited = took.saturating_sub(prefill);
         estimates.queue_wait.record(now, waited);
         self.position.record_wait(now, waited);
--- a/crates/policy/src/prefixes/source.rs
+++ b/crates/policy/src/prefixes/source.rs
@@ -21,6 +21,8 @@
 pub struct Holder {
     /// Hash of the endpoint's identity.
     pub hash: u64,
+    /// w
+    pub weight: f64,
     /// Whether the endpoint works and takes requests: neither leaving, silent, failing
     /// nor backed off.
     pub usable: bool,
@@ -74,9 +76,8 @@
     holders: &[Holder],
 ) -> Vec<Option<Offer>> {
     let mut ranked: Vec<usize> = (0..holders.len()).collect();
-    ranked.sort_unstable_by_key(|at| {
-        std::cmp::Reverse((mix(key ^ holders[*at].hash), *at))
-    });
+    let rank = |at: &usize| crate::pace::weight::score(mix(key ^ holders[*at].hash), holders[*at].weight);
+    ranked.sort_unstable_by(|a, b| rank(b).total_cmp(&rank(a)));
     let home = ranked.iter().copied().find(|at| !holders[*at].is_fresh());
     let has_prefix = |at: usize| Some(at) == home || holders[at].has_answered();
     let usual = usual_slowness(holders);
