--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limits;
 pub mod lists;
 pub mod operators;
+pub mod pace;
 pub mod peers;
 pub mod presence;
 pub mod quarantine;
--- a/crates/direct/src/control_sync.rs
+++ b/crates/direct/src/control_sync.rs
@@ -13,6 +13,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_wire::client::CallError;
+use dogwoodhill_wire::contention::ContentionReport;
 use dogwoodhill_wire::demand::{DEMAND_PATH, DemandReply, DemandReport, Echo, Stamp};
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -119,6 +120,12 @@
     }
 }
 
+fn contention_report(shared: &SharedState) -> Option<ContentionReport> {
+    let report = shared.contention.report(uptime()).unwrap_or_default();
+    let paces = shared.directory.pace_report();
+    ContentionReport { paces, ..report }.non_empty()
+}
+
 async fn sync(
     follower: &RouteFollower,
     shared: &SharedState,
@@ -141,7 +148,7 @@
         limits,
         limits_mark,
         preferred: true,
-        contention: shared.contention.report(uptime()),
+        contention: contention_report(shared),
     };
     let instances = follower.control().instances();
     let call_timeout = if shared.list_tracker.has_read() {
@@ -175,6 +182,9 @@
                     &reply.permits,
                 );
                 shared.contention.apply(sent_at, reply.contention.as_ref());
+                let paces = reply.contention.as_ref();
+                let paces = paces.and_then(|contention| contention.paces.as_ref());
+                shared.directory.apply_paces(paces);
                 shared
                     .list_tracker
                     .apply_control(&shared.directory, sent_at, &mut reply);
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -5,6 +5,7 @@
 //! a snapshot that only a new list replaces.
 
 mod admission;
+mod agreed;
 mod demand;
 mod endpoint;
 mod estimates;
@@ -38,6 +39,7 @@
 use snapshot::{Group, Snapshot};
 use std::cmp::{Ordering, Reverse};
 use std::ops::Range;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -58,6 +60,8 @@
     runs: Mutex<Incarnations>,
     limit_sync: Mutex<LimitSync>,
     uses_pace: bool,
+    /// Mark of the lasting paces last received from control.
+    agreed_mark: AtomicU64,
 }
 
 /// Placement requirements of a request.
@@ -120,6 +124,7 @@
             runs: Mutex::default(),
             limit_sync: Mutex::default(),
             uses_pace: false,
+            agreed_mark: AtomicU64::new(0),
         }
     }
 
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -9,7 +9,7 @@
 use super::fetch::CacheState;
 use super::pace::SharedPace;
 use super::{LatencyClass, PlacementQuery, log_change};
-use crate::dialect::{EndpointRecord, Load};
+use crate::dialect::EndpointRecord;
 use crate::pool::{self, ConnectError, Pool};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
--- a/crates/direct/src/directory/estimates.rs
+++ b/crates/direct/src/directory/estimates.rs
@@ -4,7 +4,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::event_gap::EventGap;
 use dogwoodhill_policy::health::HealthRecord;
-use dogwoodhill_policy::pace::Track;
+use dogwoodhill_policy::pace::{Pace, Track};
 use dogwoodhill_policy::prefill_rate::PrefillRate;
 use dogwoodhill_policy::queue_wait::QueueWait;
 
@@ -32,6 +32,10 @@
     /// Sorted by key.
     pub(super) prefixes: Vec<SentPrefix>,
     pub(super) pace: Track,
+    /// Newest named pace that was not reported to control.
+    pub(super) unreported_pace: Option<Pace>,
+    /// Lasting pace by which all entries rank the endpoint.
+    pub(super) agreed_pace: Option<Pace>,
     /// Whether the endpoint's last pace was invalid.
     pub(super) pace_unreadable: bool,
     /// Mean number of uncached tokens of prompts sent there; 0 before the first.
@@ -59,6 +63,8 @@
             event_gap: EventGap::default(),
             prefixes: Vec::new(),
             pace: Track::default(),
+            unreported_pace: None,
+            agreed_pace: None,
             pace_unreadable: false,
             prompt_tokens: 0.0,
         }
--- a/crates/direct/src/directory/pace.rs
+++ b/crates/direct/src/directory/pace.rs
@@ -54,6 +54,7 @@
                 estimates.pace_unreadable = false;
                 let lasting = estimates.pace.lasting();
                 estimates.pace.record(now, pace);
+                estimates.unreported_pace = Some(pace);
                 drop(estimates);
                 self.record_variation(service, now, pace, lasting);
             }
@@ -122,9 +123,10 @@
 impl Estimates {
     /// The endpoint's part of the work; `None` if its pace is unknown.
     pub(super) fn share(&self, now: Duration) -> Option<Share> {
-        let lasting = self.pace.lasting()?;
+        self.agreed_pace.or(self.pace.lasting())?;
+        let weight = self.agreed_pace.map_or(1.0, |pace| 1.0 / pace.factor());
         Some(Share {
-            weight: 1.0 / lasting.factor(),
+            weight,
             busy: self.active_requests(now),
         })
     }
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -7,6 +7,7 @@
 //! an entry asks the endpoints that may get a request ([`plan`]) if their pace varies
 //! ([`variation`]).
 
+pub mod agreed;
 pub mod plan;
 pub mod track;
 pub mod variation;
@@ -38,6 +39,11 @@
         })
     }
 
+    /// Percentage of the usual time.
+    pub fn percent(self) -> u32 {
+        self.percent
+    }
+
     /// Multiple of the usual time.
     pub fn factor(self) -> f64 {
         f64::from(self.percent) / 100.0
--- a/crates/wire/src/contention.rs
+++ b/crates/wire/src/contention.rs
@@ -5,6 +5,7 @@
 //! without contention send the same bytes as without these features.
 
 use crate::lending::{PlaceDemand, PlaceGrant};
+use crate::pace::{LastingPaces, PaceReadings};
 use crate::shares::{ServiceShares, ServiceUse};
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +18,9 @@
     /// Demand for places, sorted by endpoint.
     #[serde(default)]
     pub places: Vec<PlaceDemand>,
+    /// Paces that endpoints named; `None` where their pace is not used.
+    #[serde(default)]
+    pub paces: Option<PaceReadings>,
 }
 
 impl ContentionReport {
@@ -35,6 +39,9 @@
     /// Places lent to the entry, sorted by endpoint.
     #[serde(default)]
     pub places: Vec<PlaceGrant>,
+    /// Lasting paces; `None` if the entry has them.
+    #[serde(default)]
+    pub paces: Option<LastingPaces>,
 }
 
 impl ContentionReply {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod lending;
 pub mod limits;
 pub mod list;
+pub mod pace;
 pub mod routes;
 pub mod shares;
 pub mod usage;
