--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -115,7 +115,6 @@
                 prefixes: Vec::new(),
                 pace: Track::default(),
                 pace_unreadable: false,
-                prompt_tokens: 0.0,
             }),
             last_check: tokio::sync::Mutex::default(),
             admission: Admission::default(),
--- a/crates/direct/src/directory/estimates.rs
+++ b/crates/direct/src/directory/estimates.rs
@@ -13,11 +13,6 @@
 /// Time constant of the decay of a reported load, in seconds. An entry gets a report of
 /// each of some endpoints about once in two seconds.
 const LOAD_DECAY_S: f64 = 4.0;
-/// Time constant of the decay of a reported queue as a predicted wait, in seconds: the
-/// time in which a queue of some prompts drains.
-const REPORT_DECAY_S: f64 = 1.0;
-/// Weight of the newest prompt in the mean number of tokens.
-const PROMPT_WEIGHT: f64 = 0.1;
 
 /// Estimated state of an endpoint.
 #[derive(Debug)]
@@ -33,8 +28,6 @@
     pub(super) pace: Track,
     /// Whether the endpoint's last pace was invalid.
     pub(super) pace_unreadable: bool,
-    /// Mean number of uncached tokens of prompts sent there; 0 before the first.
-    pub(super) prompt_tokens: f64,
 }
 
 impl Estimates {
@@ -54,19 +47,7 @@
         background: bool,
     ) -> Duration {
         let own = self.prefill_time(now, rate, self.queue_wait.tokens_ahead(background));
-        let reported = self.reported_wait(now, rate);
-        own.max(self.queue_wait.predicted(now)).max(reported)
-    }
-
-    /// Time to prefill the prompts that the endpoint last reported as waiting, which
-    /// counts less as the report ages; zero where endpoints name no pace.
-    fn reported_wait(&self, now: Duration, rate: PrefillRate) -> Duration {
-        let Some(age) = self.pace.age(now) else {
-            return Duration::ZERO;
-        };
-        let decay = (-age.as_secs_f64() / REPORT_DECAY_S).exp();
-        let tokens = f64::from(self.load.waiting) * self.prompt_tokens * decay;
-        self.prefill_time(now, rate, tokens)
+        own.max(self.queue_wait.predicted(now))
     }
 
     pub(super) fn prefill_time(
@@ -84,18 +65,6 @@
         self.pace.factor(now).unwrap_or(1.0)
     }
 
-    /// Records the uncached tokens of a prompt that is sent.
-    pub(super) fn record_prompt(&mut self, tokens: f64) {
-        if tokens > 0.0 {
-            let mean = if self.prompt_tokens > 0.0 {
-                self.prompt_tokens
-            } else {
-                tokens
-            };
-            self.prompt_tokens = mean + (tokens - mean) * PROMPT_WEIGHT;
-        }
-    }
-
     /// Remembers a prefix; returns whether it was already remembered.
     pub(super) fn remember_prefix(&mut self, key: u64, now: Duration) -> bool {
         match self.prefixes.binary_search_by_key(&key, |item| item.0) {
--- a/crates/direct/src/directory/in_flight.rs
+++ b/crates/direct/src/directory/in_flight.rs
@@ -33,7 +33,6 @@
         let ahead = estimates.queue_wait.tokens_ahead(position.background);
         let expected = estimates.prefill_time(now, rate, ahead + f64::from(tokens))
             + FIRST_EVENT_TIME;
-        estimates.record_prompt(f64::from(tokens));
         estimates
             .queue_wait
             .sent(now, f64::from(tokens), position.background);
--- a/crates/direct/src/directory/pace.rs
+++ b/crates/direct/src/directory/pace.rs
@@ -8,7 +8,7 @@
 use dogwoodhill_policy::affinity;
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::pace::{
-    self, Named, Pace, ProbeBudget, Request, Share, Variation,
+    self, Likely, Named, Pace, ProbeBudget, Request, Share, Variation,
 };
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -166,9 +166,12 @@
             service.work
         };
         let likely = self.likely(query, pace::plan::MAX_PROBES);
-        let tracks: Vec<_> = likely
+        let candidates: Vec<Likely> = likely
             .iter()
-            .map(|endpoint| endpoint.estimates().pace.clone())
+            .map(|(cost, endpoint)| Likely {
+                cost: *cost,
+                track: endpoint.estimates().pace.clone(),
+            })
             .collect();
         let request = self.probed_request(query, objective, work);
         let now = self.start.elapsed();
@@ -176,10 +179,10 @@
         let ServicePace {
             variation, budget, ..
         } = &mut *service;
-        let asked = pace::plan(&request, now, variation, tracks.iter(), budget);
+        let asked = pace::plan(&request, now, variation, &candidates, budget);
         asked
             .into_iter()
-            .map(|at| Arc::clone(&likely[at]))
+            .map(|at| Arc::clone(&likely[at].1))
             .collect()
     }
 
@@ -205,8 +208,13 @@
         }
     }
 
-    /// The sound endpoints that the request is most likely to be sent to.
-    fn likely(&self, query: &PlacementQuery<'_>, limit: usize) -> Vec<Arc<Endpoint>> {
+    /// The sound endpoints that the request is most likely to be sent to, with their
+    /// costs.
+    fn likely(
+        &self,
+        query: &PlacementQuery<'_>,
+        limit: usize,
+    ) -> Vec<(f64, Arc<Endpoint>)> {
         let snapshot = self.snapshot.load();
         let Some(group) = snapshot.group(query.service) else {
             return Vec::new();
@@ -220,7 +228,7 @@
         let key = query.prompt.prefix.unwrap_or_else(rand::random);
         let order = affinity::by_cost(key, &candidates).into_iter().take(limit);
         order
-            .map(|at| Arc::clone(evaluations[at].endpoint))
+            .map(|(cost, at)| (cost, Arc::clone(evaluations[at].endpoint)))
             .collect()
     }
 }
--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -47,11 +47,11 @@
     best.map(|(_, at)| at)
 }
 
-/// Indexes of the candidates by cost for `key`, the lowest first.
-pub fn by_cost(key: u64, candidates: &[Candidate]) -> Vec<usize> {
+/// Costs in seconds and indexes of the candidates for `key`, the lowest first.
+pub fn by_cost(key: u64, candidates: &[Candidate]) -> Vec<(f64, usize)> {
     let mut costs = costs(key, candidates);
     costs.sort_by(|a, b| a.0.total_cmp(&b.0));
-    costs.into_iter().map(|(_, at)| at).collect()
+    costs
 }
 
 /// Costs and indexes of the candidates by rank, without those that have more than their
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -12,7 +12,7 @@
 pub mod variation;
 pub mod weight;
 
-pub use plan::{ProbeBudget, Request, plan, probe_wait};
+pub use plan::{Likely, ProbeBudget, Request, plan, probe_wait};
 pub use track::Track;
 pub use variation::Variation;
 pub use weight::Share;
--- a/crates/policy/src/pace/plan.rs
+++ b/crates/policy/src/pace/plan.rs
@@ -28,18 +28,28 @@
     pub limit: usize,
 }
 
+/// An endpoint that a request may be sent to.
+#[derive(Clone, Debug)]
+pub struct Likely {
+    /// Cost of choosing it by what is known, in seconds.
+    pub cost: f64,
+    /// Paces that it named.
+    pub track: Track,
+}
+
 /// Longest wait for the answers to the probes of a request.
 pub fn probe_wait(objective: Duration) -> Duration {
     objective.mul_f64(WAIT_SHARE).min(MAX_WAIT)
 }
 
-/// Indexes of the candidates to ask, from the tracks of those that the request is most
-/// likely to be sent to, the likeliest first.
-pub fn plan<'a>(
+/// Indexes of the candidates to ask, from those with the lowest costs, the lowest first.
+/// None are asked whose answer could not change the choice: because their cost is higher
+/// than the lowest one by more than the pace varies, or their last value is still fresh.
+pub fn plan(
     request: &Request,
     now: Duration,
     variation: &Variation,
-    candidates: impl Iterator<Item = &'a Track>,
+    candidates: &[Likely],
     budget: &mut ProbeBudget,
 ) -> Vec<usize> {
     let wait = probe_wait(request.objective);
@@ -47,16 +57,24 @@
         return Vec::new();
     }
     let limit = request.limit.min(MAX_PROBES);
-    let stale = candidates.take(limit).enumerate().filter(|(_, track)| {
-        let unknown = track.readings() == 0 && variation.differs();
-        unknown || variation.varies() && !track.is_current(now)
+    let lowest = candidates.first().map_or(0.0, |likely| likely.cost);
+    let reach = lowest * variation.span();
+    let open = candidates
+        .partition_point(|likely| likely.cost <= reach)
+        .min(limit);
+    if open < 2 {
+        return Vec::new();
+    }
+    let stale = candidates[..open].iter().enumerate().filter(|(_, likely)| {
+        let unknown = likely.track.readings() == 0 && variation.differs();
+        unknown || variation.varies() && !likely.track.is_current(now)
     });
     let asked: Vec<usize> = stale.map(|(at, _)| at).collect();
-    // A single candidate has nothing to be compared with.
-    if limit < 2 || !budget.take(asked.len()) {
-        return Vec::new();
+    if budget.take(asked.len()) {
+        asked
+    } else {
+        Vec::new()
     }
-    asked
 }
 
 /// Bounds the probes of an entry for one service by its requests.
--- a/crates/policy/src/pace/variation.rs
+++ b/crates/policy/src/pace/variation.rs
@@ -20,6 +20,8 @@
     values: f64,
     /// Decayed sum of their deviations.
     deviations: f64,
+    /// Decayed largest deviation.
+    largest: f64,
     /// Decayed number of all values, and sums of their logarithms and squares of them.
     all: [f64; 3],
     at: Duration,
@@ -39,9 +41,12 @@
         }
         self.values *= kept;
         self.deviations *= kept;
+        self.largest *= kept;
         let Some(lasting) = lasting else { return false };
         self.values += 1.0;
-        self.deviations += (pace.factor() / lasting.factor()).ln().abs();
+        let deviation = (pace.factor() / lasting.factor()).ln().abs();
+        self.deviations += deviation;
+        self.largest = self.largest.max(deviation);
         let before = self.varies;
         if self.values >= MIN_VALUES {
             let deviation = self.deviation();
@@ -63,6 +68,11 @@
         count >= MIN_VALUES && variance >= VARIES_FROM.powi(2)
     }
 
+    /// Factor by which the pace of an endpoint may differ from what is expected of it.
+    pub fn span(&self) -> f64 {
+        self.largest.exp()
+    }
+
     /// Mean relative deviation of the endpoints' values from their lasting pace.
     pub fn deviation(&self) -> f64 {
         if self.values > 0.0 {
--- a/crates/policy/src/pace/weight.rs
+++ b/crates/policy/src/pace/weight.rs
@@ -1,9 +1,10 @@
 //! Placement of prefixes by lasting pace: weighted rendezvous hashing with bounded load.
 
 /// Largest multiple of its fair part of the requests that an endpoint takes.
-pub const LOAD_BOUND: f64 = 2.0;
-/// Requests that an endpoint may always have, since parts of few requests are not whole.
-const MIN_BOUND: f64 = 4.0;
+pub const LOAD_BOUND: f64 = 4.0;
+/// Requests that an endpoint may always have: a dozen prompts of some thousand tokens are
+/// prefilled within about a second.
+pub const MIN_BOUND: f64 = 12.0;
 
 /// Part of the work of a service that belongs to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
