--- a/crates/direct/src/directory/in_flight.rs
+++ b/crates/direct/src/directory/in_flight.rs
@@ -53,7 +53,6 @@
         let expected = estimates.prefill_time(now, rate, ahead + f64::from(tokens))
             + FIRST_EVENT_TIME
             + transfer_time;
-        estimates.record_prompt(f64::from(tokens));
         estimates
             .queue_wait
             .sent(now, f64::from(tokens), position.background);
