Prefix sources: former homes, refused endpoints, slowness relative to others

Change: an entry knows the ranges of endpoints that prompts were placed on within the lifetime of a cache. A home that left the range is a source, and one that joined it fetches like one that started. An endpoint that was tried can be a source while it is sound, stays and asks for no pause. Slowness is compared with the median.

Ruled out: too few fetches for lack of transfers in parallel.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -29,7 +29,7 @@
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::incarnations::{Incarnations, RunAge};
 use dogwoodhill_policy::packing;
-use dogwoodhill_policy::prefixes::Link;
+use dogwoodhill_policy::prefixes::{Link, Ranges};
 use endpoint::Evaluation;
 use fetch::{CacheState, Offers};
 use limits::LimitSync;
@@ -234,6 +234,7 @@
             return self.place_isolated(query, group, request);
         }
         let reserved = self.reserved(query, known);
+        let ranges = self.recent_ranges(query, reserved);
         let (sensitive, rest) = (0..reserved, reserved..known);
         let (own, others) = match query.class {
             LatencyClass::Sensitive => (sensitive, rest),
@@ -276,7 +277,8 @@
             let evaluations = evaluations
                 .iter()
                 .filter(|evaluation| evaluation.health == health);
-            let (endpoint, fetch) = choose(query, evaluations.collect())?;
+            let (endpoint, fetch) =
+                choose(query, (group, &ranges), evaluations.collect())?;
             Some(Placement {
                 endpoint: Arc::clone(endpoint),
                 health,
@@ -396,12 +398,13 @@
 /// Chooses among equally healthy endpoints, and a prefix that the chosen one should fetch.
 fn choose<'a>(
     query: &PlacementQuery<'_>,
+    known: (&'a Group, &Ranges),
     evaluations: Vec<&Evaluation<'a>>,
 ) -> Option<(&'a Arc<Endpoint>, Option<PrefixFetch>)> {
     match query.class {
         LatencyClass::Sensitive => Some((choose_packed(evaluations)?, None)),
         LatencyClass::Tolerant => {
-            let offers = Offers::new(query, &evaluations);
+            let offers = Offers::new(query, known, &evaluations);
             let candidates: Vec<Candidate> = evaluations
                 .iter()
                 .enumerate()
@@ -412,10 +415,7 @@
                 .collect();
             let key = query.prompt.prefix.unwrap_or_else(rand::random);
             let at = affinity::choose(key, &candidates)?;
-            Some((
-                evaluations[at].endpoint,
-                offers.fetch(at, query, &evaluations),
-            ))
+            Some((evaluations[at].endpoint, offers.fetch(at, query)))
         }
     }
 }
--- a/crates/direct/src/directory/demand.rs
+++ b/crates/direct/src/directory/demand.rs
@@ -6,6 +6,7 @@
 use dogwoodhill_policy::backlog::Backlog;
 use dogwoodhill_policy::interference::Interference;
 use dogwoodhill_policy::prefill_rate::PrefillRate;
+use dogwoodhill_policy::prefixes::Ranges;
 use dogwoodhill_policy::reservation::Reservation;
 use dogwoodhill_wire::demand::{DemandReply, ServiceDemand};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,6 +22,8 @@
     pub(super) interference: Interference,
     pub(super) backlog: Arc<Mutex<Backlog>>,
     pub(super) rate: Arc<Mutex<PrefillRate>>,
+    /// Endpoints used for prompts, where prefixes are fetched.
+    pub(super) ranges: Ranges,
 }
 
 impl DemandState {
--- a/crates/direct/src/directory/fetch.rs
+++ b/crates/direct/src/directory/fetch.rs
@@ -1,11 +1,13 @@
 //! Fetching of cached prefixes: offers for a placement, and transfers in flight.
 
-use super::PlacementQuery;
+use super::demand::DemandState;
 use super::endpoint::{Endpoint, Evaluation};
+use super::snapshot::Group;
+use super::{Directory, LatencyClass, PlacementQuery};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity;
 use dogwoodhill_policy::health::Health;
-use dogwoodhill_policy::prefixes::{self, Holder, Offer};
+use dogwoodhill_policy::prefixes::{self, Holder, Offer, Ranges};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -72,15 +74,41 @@
     }
 }
 
+impl Directory {
+    /// Records the endpoints that prompts are placed on, and returns those of late; none
+    /// where the request's service does not fetch.
+    pub(super) fn recent_ranges(
+        &self,
+        query: &PlacementQuery<'_>,
+        reserved: usize,
+    ) -> Ranges {
+        if query.link.is_none() || query.class == LatencyClass::Sensitive {
+            return Ranges::default();
+        }
+        let now = self.start.elapsed();
+        let mut all = self.demand();
+        let ranges = &mut DemandState::entry(&mut all, query.service).ranges;
+        ranges.record(now, reserved);
+        ranges.clone()
+    }
+}
+
 /// Where each of some endpoints can fetch the prefix of a request from.
 #[derive(Debug, Default)]
-pub(super) struct Offers(Vec<Option<Offer>>);
+pub(super) struct Offers<'a> {
+    offers: Vec<Option<Offer>>,
+    /// Endpoints that the sources are numbers of.
+    endpoints: Vec<&'a Arc<Endpoint>>,
+}
 
-impl Offers {
+impl<'a> Offers<'a> {
     /// The offers for `evaluations`; none where the request's service does not fetch.
+    /// Endpoints that were tried, and the home of the prefix before more endpoints were
+    /// reserved, are no targets, but may be sources: they still have their caches.
     pub(super) fn new(
         query: &PlacementQuery<'_>,
-        evaluations: &[&Evaluation<'_>],
+        (group, ranges): (&'a Group, &Ranges),
+        evaluations: &[&Evaluation<'a>],
     ) -> Self {
         let prompt = query.prompt;
         let (Some(link), Some(key)) = (&query.link, prompt.prefix) else {
@@ -89,9 +117,31 @@
         if prompt.prefix_tokens < prefixes::MIN_TOKENS {
             return Self::default();
         }
-        let holders: Vec<Holder> =
-            evaluations.iter().map(|one| holder(one, key)).collect();
-        Self(prefixes::offers(key, prompt.prefix_tokens, link, &holders))
+        let targets = evaluations.iter().map(|one| {
+            let prefill = one.candidate.prefill;
+            let holder = holder(one.endpoint, key, one.health, prefill);
+            (one.endpoint, holder)
+        });
+        let (mut endpoints, mut holders): (Vec<_>, Vec<_>) = targets.unzip();
+        let tried = query.tried.iter().filter_map(|run| group.find_run(run));
+        let former = group.home(ranges.lowest()..group.len(), key);
+        for endpoint in tried.chain(former) {
+            let known = endpoints.iter().any(|other| Arc::ptr_eq(other, endpoint));
+            if !known && can_be_asked(endpoint) {
+                let health = endpoint.health();
+                endpoints.push(endpoint);
+                holders.push(holder(endpoint, key, health, Duration::ZERO));
+            }
+        }
+        for (endpoint, holder) in endpoints.iter().zip(&mut holders) {
+            let index = group.index(endpoint.hash);
+            let used = index.and_then(|at| ranges.age(endpoint.start.elapsed(), at));
+            holder.started = holder.started.into_iter().chain(used).min();
+        }
+        Self {
+            offers: prefixes::offers(key, prompt.prefix_tokens, link, &holders),
+            endpoints,
+        }
     }
 
     /// Time to fetch the prefix to the endpoint with this index.
@@ -104,12 +154,11 @@
         &self,
         at: usize,
         query: &PlacementQuery<'_>,
-        evaluations: &[&Evaluation<'_>],
     ) -> Option<PrefixFetch> {
         let (offer, link) = (self.get(at)?, query.link?);
         let tokens = query.prompt.prefix_tokens;
         Some(PrefixFetch {
-            source: Arc::clone(evaluations[offer.source].endpoint),
+            source: Arc::clone(self.endpoints[offer.source]),
             tokens,
             bytes: link.bytes(tokens),
             time: offer.time,
@@ -117,23 +166,27 @@
     }
 
     fn get(&self, at: usize) -> Option<&Offer> {
-        self.0.get(at)?.as_ref()
+        self.offers.get(at)?.as_ref()
     }
 }
 
-/// What is known of an evaluated endpoint, which admits requests, as holder of a prefix.
-fn holder(evaluation: &Evaluation<'_>, key: u64) -> Holder {
-    let endpoint = evaluation.endpoint;
+/// Whether an endpoint that a request was sent to is neither leaving nor backed off.
+fn can_be_asked(endpoint: &Endpoint) -> bool {
+    !endpoint.leaving() && endpoint.remaining_backoff().is_none()
+}
+
+/// What is known of an endpoint that admits requests, as holder of a prefix.
+fn holder(endpoint: &Endpoint, key: u64, health: Health, prefill: Duration) -> Holder {
     let now = endpoint.start.elapsed();
     let estimates = endpoint.estimates();
     Holder {
         hash: endpoint.hash,
-        usable: evaluation.health == Health::Sound,
+        usable: health == Health::Sound,
         slowness: estimates.slowness,
         transfers: endpoint.cache.transfers.load(Ordering::Relaxed),
         answered: estimates.prefix_answered(key, now),
         started: endpoint.cache.started.map(|at| now.saturating_sub(at)),
         domain: affinity::hash(endpoint.domain.as_bytes()),
-        prefill: evaluation.candidate.prefill,
+        prefill,
     }
 }
--- a/crates/direct/src/directory/snapshot.rs
+++ b/crates/direct/src/directory/snapshot.rs
@@ -2,7 +2,7 @@
 
 use super::endpoint::Endpoint;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::affinity::mix;
+use dogwoodhill_policy::affinity::{self, mix};
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -71,6 +71,23 @@
         self.endpoints.iter()
     }
 
+    /// The endpoint that `run` is a run of.
+    pub(super) fn find_run(&self, run: &Incarnation) -> Option<&Arc<Endpoint>> {
+        let at = self.index(affinity::hash(run.id.as_bytes()))?;
+        Some(&self.endpoints[at]).filter(|endpoint| endpoint.runs_as(run))
+    }
+
+    /// Index of the endpoint with this hash.
+    pub(super) fn index(&self, hash: u64) -> Option<usize> {
+        self.hashes.binary_search(&hash).ok()
+    }
+
+    /// The endpoint in `range` that rendezvous hashing ranks highest for `key`.
+    pub(super) fn home(&self, range: Range<usize>, key: u64) -> Option<&Arc<Endpoint>> {
+        let endpoints = self.endpoints.get(range)?.iter();
+        endpoints.max_by_key(|endpoint| mix(key ^ endpoint.hash))
+    }
+
     /// The endpoints in `range` that rendezvous hashing ranks highest for `key`, in group
     /// order. All entries get the same endpoints for a key.
     pub(super) fn ranked(
--- a/crates/policy/src/prefixes.rs
+++ b/crates/policy/src/prefixes.rs
@@ -7,7 +7,9 @@
 //! prefilled, so a wrong guess costs one round trip.
 
 pub mod link;
+pub mod range;
 pub mod source;
 
 pub use link::{Link, MIN_TOKENS};
+pub use range::Ranges;
 pub use source::{Holder, Offer, offers};
--- a/crates/policy/src/prefixes/source.rs
+++ b/crates/policy/src/prefixes/source.rs
@@ -11,8 +11,9 @@
 /// Largest number of transfers from one source that an entry starts at a time, so that a
 /// hot prefix does not fill the link of its home with the requests of one entry.
 pub const MAX_TRANSFERS: u32 = 4;
-/// Largest estimated slowness of a source, as a multiple of the usual response time. A
-/// slow endpoint may be slow to send as well.
+/// Largest estimated slowness of a source, as a multiple of the median of the endpoints
+/// where that is above the usual response time: under load all of them respond late. A
+/// slower endpoint may be slow to send as well.
 pub const MAX_SLOWNESS: f64 = 2.0;
 
 /// What an entry knows of an endpoint that may hold a prefix.
@@ -29,8 +30,8 @@
     pub transfers: u32,
     /// Time since the endpoint answered a prompt of this entry with the prefix.
     pub answered: Option<Duration>,
-    /// Time since the endpoint started, if it started while the entry was running: its
-    /// cache was empty then.
+    /// Time since prompts have been placed on the endpoint, if it started or was reserved
+    /// for other requests while the entry was running: it held no prefix then.
     pub started: Option<Duration>,
     /// Hash of the name of the failure domain.
     pub domain: u64,
@@ -48,7 +49,7 @@
 }
 
 impl Holder {
-    /// Whether the endpoint started too recently to hold what entries expect of it.
+    /// Whether the endpoint has been in use for too short a time to hold what entries expect of it.
     fn is_fresh(&self) -> bool {
         self.started.is_some_and(|age| age < CACHE_LIFETIME)
     }
@@ -57,8 +58,8 @@
         self.answered.is_some_and(|age| age < CACHE_LIFETIME)
     }
 
-    fn can_send(&self) -> bool {
-        let quick = self.slowness <= MAX_SLOWNESS;
+    fn can_send(&self, usual: f64) -> bool {
+        let quick = self.slowness <= MAX_SLOWNESS * usual;
         self.usable && quick && self.transfers < MAX_TRANSFERS
     }
 }
@@ -78,9 +79,10 @@
     });
     let home = ranked.iter().copied().find(|at| !holders[*at].is_fresh());
     let has_prefix = |at: usize| Some(at) == home || holders[at].has_answered();
+    let usual = usual_slowness(holders);
     let sources: Vec<usize> = ranked
         .into_iter()
-        .filter(|at| has_prefix(*at) && holders[*at].can_send())
+        .filter(|at| has_prefix(*at) && holders[*at].can_send(usual))
         .collect();
     let offer = |target: usize| {
         if has_prefix(target) {
@@ -102,3 +104,11 @@
     };
     (0..holders.len()).map(offer).collect()
 }
+
+/// Median slowness of endpoints, at least 1.
+fn usual_slowness(holders: &[Holder]) -> f64 {
+    let mut all: Vec<f64> = holders.iter().map(|holder| holder.slowness).collect();
+    all.sort_unstable_by(f64::total_cmp);
+    let median = all.get(all.len().saturating_sub(1) / 2).copied();
+    median.unwrap_or(1.0).max(1.0)
+}
