--- a/crates/policy/src/prefixes/link.rs
+++ b/crates/policy/src/prefixes/link.rs
@@ -7,7 +7,7 @@
 pub const SETUP_TIME: Duration = Duration::from_millis(5);
 /// Shortest prefix that is fetched, in tokens. A shorter one is prefilled in about the
 /// set-up time.
-pub const MIN_TOKENS: u32 = 512;
+pub const MIN_TOKENS: u32 = 256;
 /// A prefix is fetched only if prefilling it takes this many times as long. The estimate
 /// of the prefill rate may be wrong by a factor of two.
 pub const MARGIN: u32 = 2;
