Lasting paces agreed among entries by control

Cause: entries rank endpoints for a prefix by lasting pace. Each learned it from its own requests, so they ranked differently, and a prefix was prefilled at several endpoints.

--- a/crates/direct/src/directory/fetch.rs
+++ b/crates/direct/src/directory/fetch.rs
@@ -181,7 +181,7 @@
     let estimates = endpoint.estimates();
     Holder {
         hash: endpoint.hash,
-        weight: estimates.share(now).map_or(1.0, |s| s.weight),
+        weight: estimates.share(now).map_or(1.0, |share| share.weight),
         usable: health == Health::Sound,
         slowness: estimates.slowness,
         transfers: endpoint.cache.transfers.load(Ordering::Relaxed),
--- a/crates/direct/tests/all/placement.rs
+++ b/crates/direct/tests/all/placement.rs
@@ -1,9 +1,11 @@
 //! Placement of requests, without sockets.
 
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_direct::dialect::{EndpointRecord, Prompt};
+use dogwoodhill_direct::dialect::{EndpointRecord, Load, Prompt};
 use dogwoodhill_direct::directory::{Directory, LatencyClass, PlacementQuery};
+use dogwoodhill_policy::pace::Named;
 use dogwoodhill_wire::demand::{DemandReply, ServiceDemand};
+use dogwoodhill_wire::pace::LastingPaces;
 use std::collections::BTreeSet;
 use std::time::Instant;
 
@@ -189,3 +191,63 @@
         place(&directory, &query(&prompt, LatencyClass::Tolerant, &[])).expect("some");
     assert!(!reserved.contains(&chosen));
 }
+
+/// Entries that read different paces of the same endpoints place a prefix at the same
+/// endpoint once control has told them the lasting paces: a prefix with two homes is
+/// prefilled twice. Endpoints that are three times as slow hold fewer prefixes.
+#[test]
+fn place_shared_prefix_by_agreed_pace() {
+    let lasting = |at: usize| if at < 6 { 60 } else { 180 };
+    let entries: Vec<Directory> = (0..3)
+        .map(|entry| {
+            let directory = Directory::new("here".to_string()).with_pace(true);
+            directory.update(listed(12));
+            for (at, endpoint) in directory.all().iter().enumerate() {
+                let percent = if (at + entry) % 5 == 0 {
+                    400
+                } else {
+                    lasting(at)
+                };
+                endpoint.set_load(Load {
+                    pace: Named::parse(Some(&percent.to_string())),
+                    ..Load::default()
+                });
+            }
+            let report = directory.pace_report().expect("paces were named");
+            assert_eq!(report.readings.len(), 12);
+            let mut paces = report.readings;
+            let all = directory.all();
+            for (at, pace) in paces.iter_mut().enumerate() {
+                pace.percent = lasting(at);
+                assert_eq!(all[at].run().id, listed(12)[at].run.id);
+            }
+            paces.sort_by_key(|pace| pace.run);
+            directory.apply_paces(Some(&LastingPaces { mark: 5, paces }));
+            let next = directory.pace_report().expect("the mark is reported");
+            assert_eq!((next.mark, next.readings), (5, Vec::new()));
+            directory
+        })
+        .collect();
+    let mut slow = 0;
+    for key in 0..400 {
+        let prompt = prompt(key, 9_000);
+        let query = PlacementQuery {
+            separate_classes: false,
+            ..query(&prompt, LatencyClass::Tolerant, &[])
+        };
+        let snapshot = entries[0].all();
+        let homes: BTreeSet<String> = entries
+            .iter()
+            .filter_map(|entry| place(entry, &query))
+            .collect();
+        assert_eq!(homes.len(), 1, "prefix {key}: {homes:?}");
+        let home = homes.first().expect("a home");
+        let at = snapshot.iter().position(|endpoint| endpoint.id == *home);
+        slow += usize::from(at.is_some_and(|at| lasting(at) == 180));
+    }
+    // A quarter of the prefixes by weight.
+    assert!(
+        (60..=140).contains(&slow),
+        "{slow} of 400 at slow endpoints"
+    );
+}
--- a/crates/policy/src/prefixes/source.rs
+++ b/crates/policy/src/prefixes/source.rs
@@ -6,6 +6,7 @@
 
 use super::link::{Link, is_worth};
 use crate::affinity::{CACHE_LIFETIME, mix};
+use crate::pace::weight::score;
 use std::time::Duration;
 
 /// Largest number of transfers from one source that an entry starts at a time, so that a
@@ -21,7 +22,7 @@
 pub struct Holder {
     /// Hash of the endpoint's identity.
     pub hash: u64,
-    /// w
+    /// Weight in the ranking of endpoints for a prefix ([`crate::pace::weight`]).
     pub weight: f64,
     /// Whether the endpoint works and takes requests: neither leaving, silent, failing
     /// nor backed off.
@@ -51,6 +52,11 @@
 }
 
 impl Holder {
+    /// Rank for the prefix with the hash `key`; the highest is its home.
+    fn rank(&self, key: u64) -> f64 {
+        score(mix(key ^ self.hash), self.weight)
+    }
+
     /// Whether the endpoint has been in use for too short a time to hold what entries expect of it.
     fn is_fresh(&self) -> bool {
         self.started.is_some_and(|age| age < CACHE_LIFETIME)
@@ -76,8 +82,10 @@
     holders: &[Holder],
 ) -> Vec<Option<Offer>> {
     let mut ranked: Vec<usize> = (0..holders.len()).collect();
-    let rank = |at: &usize| crate::pace::weight::score(mix(key ^ holders[*at].hash), holders[*at].weight);
-    ranked.sort_unstable_by(|a, b| rank(b).total_cmp(&rank(a)));
+    ranked.sort_unstable_by(|a, b| {
+        let (a, b) = (&holders[*a], &holders[*b]);
+        b.rank(key).total_cmp(&a.rank(key))
+    });
     let home = ranked.iter().copied().find(|at| !holders[*at].is_fresh());
     let has_prefix = |at: usize| Some(at) == home || holders[at].has_answered();
     let usual = usual_slowness(holders);
--- a/crates/policy/tests/prefixes.rs
+++ b/crates/policy/tests/prefixes.rs
@@ -23,6 +23,7 @@
 fn holders(key: u64, count: usize) -> Vec<Holder> {
     let mut all: Vec<Holder> = (0..count)
         .map(|at| Holder {
+            weight: 1.0,
             hash: hash(format!("endpoint-{at}").as_bytes()),
             usable: true,
             slowness: 1.0,
@@ -217,6 +218,7 @@
             None => vec![None; 8],
         };
         let candidate = |at: usize| Candidate {
+            share: None,
             hash: all[at].hash,
             wait: free[at].saturating_sub(now),
             prefill,
