--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod list_tracker;
 mod logging;
 mod outcomes;
+mod pace;
 mod placement;
 mod quarantine;
 mod race;
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -23,6 +23,7 @@
         prefill: ms(126),
         distance: Duration::ZERO,
         last_sent: None,
+        share: None,
     }
 }
 
