Place by the pace that endpoints name, and ask for it where it varies

Endpoints of one service that last at 0.6 to 1.6 of the usual time held equally many prefixes, and requests went to endpoints that were slow at the moment. The weights apply only while the paces of a service differ or vary.

--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -26,7 +26,7 @@
 use tokio::time::sleep;
 
 /// Additional latency of an endpoint in another failure domain: one round trip.
-const DOMAIN_LATENCY: Duration = Duration::from_millis(3);
+pub(super) const DOMAIN_LATENCY: Duration = Duration::from_millis(3);
 /// Time in which a process that has begun to exit closes its sockets.
 const EXIT_TIME: Duration = Duration::from_millis(20);
 
@@ -313,10 +313,7 @@
                 slots: f64::from(self.slots),
             },
             event_gap: estimates.event_gap.mean(now),
-            lasting: estimates
-                .pace
-                .lasting()
-                .map(|pace| Duration::from_millis(1).mul_f64(pace.factor())),
+            lasting: estimates.lasting_time(),
             factor: estimates.pace_factor(now),
         }
     }
@@ -353,19 +350,10 @@
                 DOMAIN_LATENCY
             },
             last_sent,
-            share: estimates.share(now),
+            share: self.share(estimates, now),
         }
     }
 
-    /// Cost of the requests already running, for plain services and for streams that only
-    /// share the endpoint's decoding steps. A full endpoint costs as much as four times
-    /// the latency to another failure domain.
-    fn contention_cost(&self, estimates: &Estimates, now: Duration) -> Duration {
-        let share = estimates.active_requests(now) / f64::from(self.slots);
-        let own = self.plain_time(estimates, now).unwrap_or_default();
-        own + DOMAIN_LATENCY.mul_f64(4.0 * share * estimates.slowness)
-    }
-
     /// Updates whether the endpoint is shutting down, from the list or from its own
     /// responses. This is final for a run: a later list that says otherwise is outdated.
     pub fn update_leaving(&self, leaving: bool) {
--- a/crates/direct/src/directory/pace.rs
+++ b/crates/direct/src/directory/pace.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of the pace of endpoints, and whom it asks before a placement.
 
-use super::endpoint::Endpoint;
+use super::endpoint::{DOMAIN_LATENCY, Endpoint};
 use super::estimates::Estimates;
 use super::{Directory, LatencyClass, PlacementQuery};
 use crate::dialect::Load;
@@ -92,13 +92,34 @@
         }
     }
 
-    /// Expected time of a plain request that is sent now, with its wait for a slot; `None`
-    /// if the endpoint's pace is unknown.
-    pub(super) fn plain_time(
+    /// The endpoint's part of the work; `None` if its pace is unknown, or endpoints of
+    /// the service have the same steady pace.
+    pub(super) fn share(&self, estimates: &Estimates, now: Duration) -> Option<Share> {
+        let lasting = estimates.pace.lasting()?;
+        let variation = &self.service_pace()?.variation;
+        (variation.varies() || variation.differs()).then(|| Share {
+            weight: 1.0 / lasting.factor(),
+            busy: estimates.active_requests(now),
+        })
+    }
+
+    /// Cost of the requests already running, for plain services and for streams that only
+    /// share the endpoint's decoding steps. A full endpoint costs as much as four times
+    /// the latency to another failure domain, in addition to the expected time where the
+    /// pace is known.
+    pub(super) fn contention_cost(
         &self,
         estimates: &Estimates,
         now: Duration,
-    ) -> Option<Duration> {
+    ) -> Duration {
+        let share = estimates.active_requests(now) / f64::from(self.slots);
+        let own = self.plain_time(estimates, now).unwrap_or_default();
+        own + DOMAIN_LATENCY.mul_f64(4.0 * share * estimates.slowness)
+    }
+
+    /// Expected time of a plain request that is sent now, with its wait for a slot; `None`
+    /// if the endpoint's pace is unknown.
+    fn plain_time(&self, estimates: &Estimates, now: Duration) -> Option<Duration> {
         let factor = estimates.pace.factor(now)?;
         let work = self.service_pace()?.work?;
         let slots = f64::from(self.slots);
@@ -120,13 +141,10 @@
 }
 
 impl Estimates {
-    /// The endpoint's part of the work; `None` if its pace is unknown.
-    pub(super) fn share(&self, now: Duration) -> Option<Share> {
+    /// Lasting time of a millisecond of work, if the endpoint names its pace.
+    pub(super) fn lasting_time(&self) -> Option<Duration> {
         let lasting = self.pace.lasting()?;
-        Some(Share {
-            weight: 1.0 / lasting.factor(),
-            busy: self.active_requests(now),
-        })
+        Some(Duration::from_millis(1).mul_f64(lasting.factor()))
     }
 }
 
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -153,6 +153,30 @@
     assert_eq!(changes, 2);
 }
 
+/// One value in 25 is slow, which is between the thresholds: a pace that was steady stays
+/// steady, and one that varied stays varying.
+#[test]
+fn variation_between_thresholds() {
+    let usual = Some(pace(100));
+    let rarely_slow = |variation: &mut Variation, start: u64| {
+        for tick in 1..500u64 {
+            let now = ms(start + tick * 200);
+            let value = if tick % 25 == 0 { 250 } else { 100 };
+            assert!(!variation.record(now, pace(value), usual), "at {now:?}");
+        }
+    };
+    let mut variation = Variation::default();
+    rarely_slow(&mut variation, 0);
+    assert!(!variation.varies());
+    for tick in 0..100u64 {
+        let value = if tick % 6 == 0 { 250 } else { 100 };
+        variation.record(ms(100_000 + tick * 200), pace(value), usual);
+    }
+    assert!(variation.varies());
+    rarely_slow(&mut variation, 120_000);
+    assert!(variation.varies());
+}
+
 /// Endpoints of equal, steady pace: no probe is ever sent.
 #[test]
 fn plan_steady_never_asked() {
@@ -191,7 +215,7 @@
     assert!(asked(&small, now, &variation, &likely).is_empty());
     let two = Request { limit: 2, ..PROMPT };
     assert_eq!(asked(&two, now, &variation, &likely), [0]);
-    let mut apart = likely.clone();
+    let mut apart = likely;
     apart[1..].iter_mut().for_each(|other| other.cost = 0.3);
     assert!(asked(&PROMPT, now, &variation, &apart).is_empty());
     apart[1].cost = 0.15;
