--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -24,6 +24,7 @@
         distance: Duration::ZERO,
         last_sent: None,
         fetch: None,
+        share: None,
     }
 }
 
