--- a/crates/direct/tests/all/prefixes.rs
+++ b/crates/direct/tests/all/prefixes.rs
@@ -5,12 +5,12 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{EndpointRecord, Prompt};
 use dogwoodhill_direct::directory::{
-    Directory, Endpoint, InFlight, LatencyClass, PlacementQuery, QueuePosition,
+    Directory, Endpoint, InFlight, LatencyClass, Placement, PlacementQuery, QueuePosition,
 };
 use dogwoodhill_direct::settings::Features;
 use dogwoodhill_policy::prefixes::Link;
 use dogwoodhill_route::prelude::*;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 /// A large prompt: 6,300 shared tokens and as many of its own.
 const PREFIX: &str = "x-prefix: 7 6300\r\n";
@@ -78,6 +78,43 @@
     (0..5).map(begin).collect()
 }
 
+/// A directory of `count` endpoints.
+fn directory(count: u16) -> Directory {
+    let record = |at: u16| EndpointRecord {
+        run: Incarnation::new(format!("endpoint-{at}"), None),
+        service: "service".to_string(),
+        address: ([127, 0, 0, 1], 1_000 + at).into(),
+        domain: "here".to_string(),
+        slots: 64,
+        leaving: false,
+    };
+    let directory = Directory::new("here".to_string());
+    directory.update((0..count).map(record).collect());
+    directory
+}
+
+fn large_prompt(prefix: u64) -> Prompt {
+    Prompt {
+        prefix: Some(prefix),
+        prefix_tokens: 6_300,
+        tokens: 9_000,
+        max_output: 10,
+    }
+}
+
+fn query(prompt: &Prompt, class: LatencyClass) -> PlacementQuery<'_> {
+    PlacementQuery {
+        service: "service",
+        prompt,
+        class,
+        background: false,
+        separate_classes: true,
+        tried: &[],
+        isolate: None,
+        link: Link::new(163_840, 68.75e9),
+    }
+}
+
 /// The `x-fetch` header of the last request that an endpoint received.
 fn last_fetch(of: &ScriptedEndpoint) -> Option<String> {
     let seen = of.seen();
@@ -157,7 +194,7 @@
     let (home, other, entry) = home_and_other(&both, engine_set(true), ON).await;
     entry.earn_resends().await;
     let queue = queue_at(&state_of(&entry, &home));
-    let script = Arc::new(std::sync::Mutex::new([Act::Break].into()));
+    let script = Arc::new(Mutex::new([Act::Break].into()));
     other.share_script(&script);
     assert_eq!(entry.call("GET /safe/", PREFIX, "").await.status, 200);
     assert_eq!(last_fetch(&other), Some(home.address.to_string()));
@@ -165,37 +202,64 @@
     drop(queue);
 }
 
+/// The home of a hot prefix has no slot left and refuses: the endpoint that gets the
+/// second send fetches the prefix from it. If the home asks for a pause, it is left alone.
+#[tokio::test]
+async fn fetch_from_home_that_refused() {
+    for (pause, fetches) in [("", true), ("retry-after: 5\r\n", false)] {
+        let both = endpoints().await;
+        let (home, other, entry) = home_and_other(&both, engine_set(true), ON).await;
+        entry.earn_resends().await;
+        home.set_headers(pause);
+        home.share_script(&Arc::new(Mutex::new([Act::Refuse].into())));
+        assert_eq!(entry.call("GET /safe/", PREFIX, "").await.status, 200);
+        let source = fetches.then(|| home.address.to_string());
+        assert_eq!(last_fetch(&other), source, "{pause}");
+    }
+}
+
+/// A burst of short streams reserves more endpoints for them, so that prefixes get other
+/// homes: those fetch the prefixes from the former homes, and the others read nothing.
+#[test]
+fn fetch_from_home_reserved_since() {
+    let directory = directory(34);
+    let prompts: Vec<Prompt> = (0..50).map(large_prompt).collect();
+    let place = |prompt| {
+        let query = query(prompt, LatencyClass::Tolerant);
+        directory.place(&query).expect("34 endpoints")
+    };
+    let before: Vec<Placement> = prompts.iter().map(place).collect();
+    assert!(before.iter().all(|placed| placed.fetch.is_none()));
+    for _ in 0..50 {
+        directory.record_demand(&query(&prompts[0], LatencyClass::Sensitive));
+    }
+    let mut moved = 0;
+    for (prompt, before) in prompts.iter().zip(&before) {
+        let after = place(prompt);
+        assert!(after.reserved > before.reserved);
+        if Arc::ptr_eq(&after.endpoint, &before.endpoint) {
+            assert!(after.fetch.is_none());
+            continue;
+        }
+        moved += 1;
+        let fetch = after.fetch.expect("the former home holds it");
+        assert!(Arc::ptr_eq(&fetch.source, &before.endpoint));
+    }
+    assert!((1..50).contains(&moved), "some keep their home: {moved}");
+}
+
 /// A hot prefix is fetched again and again: such prompts are short ones for their
 /// endpoint. If the prefill rate or the slowness were learned from them, prefilling would
 /// seem so fast that nothing is fetched any more.
 #[test]
 fn fetching_not_counted_as_prefill() {
-    let directory = Directory::new("here".to_string());
-    let record = |at: u16| EndpointRecord {
-        run: Incarnation::new(format!("endpoint-{at}"), None),
-        service: "service".to_string(),
-        address: ([127, 0, 0, 1], 1_000 + at).into(),
-        domain: "here".to_string(),
-        slots: 64,
-        leaving: false,
-    };
-    directory.update((0..2).map(record).collect());
-    let prompt = Prompt {
-        prefix: Some(7),
-        prefix_tokens: 6_300,
-        tokens: 9_000,
-        max_output: 10,
-    };
+    let directory = directory(2);
+    let prompt = large_prompt(7);
     let query = PlacementQuery {
-        service: "service",
-        prompt: &prompt,
-        class: LatencyClass::Tolerant,
-        background: false,
         separate_classes: false,
-        tried: &[],
-        isolate: None,
         // 90 ms for the prefix, where prefill takes 210.
         link: Link::new(163_840, 12.14e9),
+        ..query(&prompt, LatencyClass::Tolerant)
     };
     let home = directory.place(&query).expect("two endpoints");
     assert!(home.fetch.is_none());
