Placement counts on a fetch only from a known source

Each miss was charged as a fetch from the home by rank, so all prefixes spread and displaced others.

Not examined: what each source held.

Change: a miss is charged as a fetch only if the source answered this entry with the prefix within the lifetime of a cache, as is the case for a hot prefix. A source by rank is still asked.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -409,7 +409,7 @@
                 .iter()
                 .enumerate()
                 .map(|(at, evaluation)| Candidate {
-                    fetch: offers.time(at),
+                    fetch: offers.known_time(at),
                     ..evaluation.candidate
                 })
                 .collect();
--- a/crates/direct/src/directory/fetch.rs
+++ b/crates/direct/src/directory/fetch.rs
@@ -144,9 +144,11 @@
         }
     }
 
-    /// Time to fetch the prefix to the endpoint with this index.
-    pub(super) fn time(&self, at: usize) -> Option<Duration> {
-        self.get(at).map(|offer| offer.time)
+    /// Time to fetch the prefix to the endpoint with this index from a source that is
+    /// known to hold it.
+    pub(super) fn known_time(&self, at: usize) -> Option<Duration> {
+        let offer = self.get(at).filter(|offer| offer.known);
+        offer.map(|offer| offer.time)
     }
 
     /// The fetch to the endpoint with this index.
--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -23,8 +23,8 @@
     pub distance: Duration,
     /// Time since this entry last sent the same prefix there; `None` if it never did.
     pub last_sent: Option<Duration>,
-    /// Time to fetch the shared prefix from another endpoint ([`crate::prefixes`]);
-    /// `None` where that is not possible.
+    /// Time to fetch the shared prefix from an endpoint that is known to hold it
+    /// ([`crate::prefixes`]); `None` where that is not possible.
     pub fetch: Option<Duration>,
 }
 
--- a/crates/policy/src/prefixes/source.rs
+++ b/crates/policy/src/prefixes/source.rs
@@ -46,6 +46,10 @@
     pub source: usize,
     /// Expected time to fetch.
     pub time: Duration,
+    /// Whether the source answered this entry with the prefix recently. Only then does
+    /// placement count on the fetch: a source by rank is a guess, worth asking, but not
+    /// worth moving a prompt away from where its prefix may be.
+    pub known: bool,
 }
 
 impl Holder {
@@ -97,6 +101,7 @@
             Offer {
                 source: *source,
                 time,
+                known: from.has_answered(),
             }
         });
         let best = offers.min_by_key(|offer| offer.time)?;
--- a/crates/policy/tests/prefixes.rs
+++ b/crates/policy/tests/prefixes.rs
@@ -107,6 +107,13 @@
         Some(0),
         "replaced in the cache since"
     );
+    let known = |all: &[Holder]| {
+        let offer = offers(key, TOKENS, &link(), all)[4];
+        offer.expect("a source").known
+    };
+    assert!(!known(&all), "the home by rank is a guess");
+    all[0].answered = Some(ms(1_000));
+    assert!(known(&all));
 }
 
 /// The home of a prefix drains, hangs, fails, backs off, or is slow, as under a partial
@@ -222,7 +229,7 @@
             prefill,
             distance: Duration::ZERO,
             last_sent: all[at].answered,
-            fetch: offers[at].map(|offer| offer.time),
+            fetch: offers[at].filter(|o| o.known).map(|o| o.time),
         };
         let candidates: Vec<Candidate> = (0..8).map(candidate).collect();
         let at = choose(key, &candidates).expect("some");
@@ -280,9 +287,10 @@
         let offers = offers(key, tokens, &link(), &all);
         prop_assert_eq!(offers.len(), all.len());
         for (target, offer) in offers.iter().enumerate() {
-            let Some(Offer { source, time }) = *offer else { continue };
+            let Some(Offer { source, time, known }) = *offer else { continue };
             let from = &all[source];
             prop_assert!(source != target && from.usable);
+            prop_assert!(!known || from.answered.is_some());
             let slower = all.iter().filter(|one| one.slowness * MAX_SLOWNESS >= from.slowness);
             prop_assert!(from.slowness <= MAX_SLOWNESS || slower.count() * 2 >= all.len());
             prop_assert!(from.transfers < MAX_TRANSFERS);
