--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -6,11 +6,13 @@
 use derive_more::{Display, Error};
 use dogwoodhill_core::prelude::*;
 pub use dogwoodhill_policy::backoff::Retry;
+use dogwoodhill_policy::pace::Named;
 pub use dogwoodhill_policy::permits::Limit;
 use dogwoodhill_route::prelude::Rank;
 pub use dogwoodhill_wire::list::EndpointRecord;
 use http::{HeaderMap, StatusCode};
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::pin::Pin;
 
 /// Metadata of a caller's request, parsed from its headers.
@@ -79,6 +81,8 @@
     pub background: bool,
     /// Last event received by the caller; the stream resumes after it.
     pub resume_after: Option<EventId>,
+    /// Endpoint from which to fetch the cached part of the prompt first.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Metadata parsed from the head of an endpoint's response.
@@ -113,6 +117,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes there at the moment.
+    pub pace: Named,
 }
 
 /// Writes the headers of requests to endpoints and parses those of responses.
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -6,6 +6,7 @@
 use crate::directory::Directory;
 use crate::list_reader;
 use crate::list_tracker::ListTracker;
+use crate::prefixes::Prefixes;
 use crate::request::SharedState;
 use crate::route_follower::{ControlAddresses, FetchState, RouteFollower};
 use crate::routes::RouteActivator;
@@ -98,15 +99,18 @@
             .change_context_lazy(|| BindError { address })?;
         let metrics = Metrics::default();
         let stats = Stats::new(&metrics);
+        let prefixes = settings.features.prefixes;
+        let prefixes = prefixes.then(|| Prefixes::new(&metrics));
         let usage = settings.usage;
         let usage = usage.map(|windows| Arc::new(Usage::new(windows, stats.clone())));
         let shared = Arc::new(SharedState {
             routes: ArcSwapOption::empty(),
             routes_changed: Notify::new(),
-            directory: Directory::new(settings.domain.clone()),
+            directory: Directory::new(settings.domain.clone())
+                .with_pace(settings.features.pace),
             list_tracker: ListTracker::new(settings.leaving_within),
             callers: dialects.callers,
-            endpoints: dialects.endpoints,
+            endpoints: dialects.endpoints.into(),
             fingerprinter: Fingerprinter::new(&settings.secret),
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
@@ -114,7 +118,8 @@
             drain,
             drain_started: OnceLock::new(),
             grace: settings.grace,
-            contention: Contention::new(settings.features),
+            contention: Contention::new(settings.features, &metrics),
+            prefixes,
             allowance: settings.allowance,
             entries: AtomicU32::new(0),
             budgets: Mutex::default(),
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -5,16 +5,20 @@
 //! a snapshot that only a new list replaces.
 
 mod admission;
+mod agreed;
 mod demand;
 mod endpoint;
 mod estimates;
+mod fetch;
 mod in_flight;
 mod limits;
+mod pace;
 mod queue_position;
 mod snapshot;
 
 pub use admission::AdmissionError;
 pub use endpoint::Endpoint;
+pub use fetch::PrefixFetch;
 pub use in_flight::InFlight;
 pub use queue_position::QueuePosition;
 
@@ -27,12 +31,15 @@
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::incarnations::{Incarnations, RunAge};
 use dogwoodhill_policy::packing;
+use dogwoodhill_policy::prefixes::{Link, Ranges};
 use endpoint::Evaluation;
+use fetch::{CacheState, Offers};
 use limits::LimitSync;
 use rand::RngExt;
 use snapshot::{Group, Snapshot};
 use std::cmp::{Ordering, Reverse};
 use std::ops::Range;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -52,6 +59,9 @@
     demand: Mutex<Vec<(ServiceId, DemandState)>>,
     runs: Mutex<Incarnations>,
     limit_sync: Mutex<LimitSync>,
+    uses_pace: bool,
+    /// Mark of the lasting paces last received from control.
+    agreed_mark: AtomicU64,
 }
 
 /// Placement requirements of a request.
@@ -73,6 +83,8 @@
     /// Fingerprint of a request suspected of crashing endpoints. It is placed away from
     /// similar requests, so that the culprit among them can be identified.
     pub isolate: Option<Fingerprint>,
+    /// Link over which endpoints can fetch prefixes; `None` if they do not.
+    pub link: Option<Link>,
 }
 
 /// An endpoint chosen for a request, with the inputs of the choice.
@@ -86,6 +98,8 @@
     pub known: usize,
     /// Those of them that are reserved for latency-sensitive streams.
     pub reserved: usize,
+    /// Prefix that the endpoint should fetch first.
+    pub fetch: Option<PrefixFetch>,
 }
 
 /// Latency class of a request, which determines the endpoints preferred for it.
@@ -109,6 +123,8 @@
             demand: Mutex::default(),
             runs: Mutex::default(),
             limit_sync: Mutex::default(),
+            uses_pace: false,
+            agreed_mark: AtomicU64::new(0),
         }
     }
 
@@ -187,7 +203,16 @@
             log_change("endpoint-listed", run, &listed.service);
         }
         let rate = self.shared_prefill_rate(&listed.service);
-        Arc::new(Endpoint::new(listed, self.start, rate))
+        // The endpoints of the first list may have been running for long.
+        let started = (!old.is_empty()).then(|| self.start.elapsed());
+        let pace = self.shared_pace(&listed.service);
+        Arc::new(Endpoint::new(
+            listed,
+            self.start,
+            CacheState::new(started),
+            rate,
+            pace,
+        ))
     }
 
     fn limit_sync(&self) -> MutexGuard<'_, LimitSync> {
@@ -219,6 +244,7 @@
             return self.place_isolated(query, group, request);
         }
         let reserved = self.reserved(query, known);
+        let ranges = self.recent_ranges(query, reserved);
         let (sensitive, rest) = (0..reserved, reserved..known);
         let (own, others) = match query.class {
             LatencyClass::Sensitive => (sensitive, rest),
@@ -261,12 +287,14 @@
             let evaluations = evaluations
                 .iter()
                 .filter(|evaluation| evaluation.health == health);
-            let endpoint = choose(query, evaluations.collect())?;
+            let (endpoint, fetch) =
+                choose(query, (group, &ranges), evaluations.collect())?;
             Some(Placement {
                 endpoint: Arc::clone(endpoint),
                 health,
                 known,
                 reserved,
+                fetch,
             })
         })
     }
@@ -298,6 +326,7 @@
             health: endpoint.health(),
             known: group.len(),
             reserved: 0,
+            fetch: None,
         })
     }
 
@@ -312,18 +341,29 @@
             .min()
     }
 
-    /// Evaluates the usable endpoints of a range.
+    /// Evaluates the endpoints of a range that admit a request.
     fn evaluate_range<'a>(
         &self,
         query: &PlacementQuery<'_>,
         group: &'a Group,
         range: Range<usize>,
+    ) -> Vec<Evaluation<'a>> {
+        self.evaluate_where(query, group, range, Endpoint::admits)
+    }
+
+    /// Evaluates the untried endpoints of a range that are `usable`.
+    fn evaluate_where<'a>(
+        &self,
+        query: &PlacementQuery<'_>,
+        group: &'a Group,
+        range: Range<usize>,
+        usable: impl Fn(&Endpoint) -> bool,
     ) -> Vec<Evaluation<'a>> {
         let now = self.start.elapsed();
         let rate = self.prefill_rate(query.service);
         let evaluate = |endpoint: &'a Arc<Endpoint>| {
             let tried = query.tried.iter().any(|run| endpoint.runs_as(run));
-            let usable = !tried && endpoint.admits();
+            let usable = !tried && usable(endpoint);
             usable.then(|| endpoint.evaluate(query, &self.domain, now, rate))
         };
         match query.class {
@@ -376,21 +416,27 @@
     }
 }
 
-/// Chooses among equally healthy endpoints.
+/// Chooses among equally healthy endpoints, and a prefix that the chosen one should fetch.
 fn choose<'a>(
     query: &PlacementQuery<'_>,
+    known: (&'a Group, &Ranges),
     evaluations: Vec<&Evaluation<'a>>,
-) -> Option<&'a Arc<Endpoint>> {
+) -> Option<(&'a Arc<Endpoint>, Option<PrefixFetch>)> {
     match query.class {
-        LatencyClass::Sensitive => choose_packed(evaluations),
+        LatencyClass::Sensitive => Some((choose_packed(evaluations)?, None)),
         LatencyClass::Tolerant => {
+            let offers = Offers::new(query, known, &evaluations);
             let candidates: Vec<Candidate> = evaluations
                 .iter()
-                .map(|evaluation| evaluation.candidate)
+                .enumerate()
+                .map(|(at, evaluation)| Candidate {
+                    fetch: offers.known_time(at),
+                    ..evaluation.candidate
+                })
                 .collect();
             let key = query.prompt.prefix.unwrap_or_else(rand::random);
             let at = affinity::choose(key, &candidates)?;
-            Some(evaluations[at].endpoint)
+            Some((evaluations[at].endpoint, offers.fetch(at, query)))
         }
     }
 }
@@ -399,17 +445,13 @@
 /// as are needed. The less busy of two random candidates wins: if all entries took the
 /// first endpoint with a free slot, they would all take the same one.
 fn choose_packed<'a>(mut evaluations: Vec<&Evaluation<'a>>) -> Option<&'a Arc<Endpoint>> {
-    let slow_threshold = event_gap::slow_threshold(
-        evaluations
-            .iter()
-            .filter_map(|evaluation| evaluation.event_gap),
-    );
-    evaluations.sort_by_key(|evaluation| {
-        evaluation.event_gap.is_some_and(|gap| gap > slow_threshold)
-    });
-    let fast = evaluations.partition_point(|evaluation| {
-        evaluation.event_gap.is_none_or(|gap| gap <= slow_threshold)
-    });
+    let by_pace = evaluations.iter().all(|e| e.lasting.is_some());
+    let step = |e: &Evaluation<'a>| if by_pace { e.lasting } else { e.event_gap };
+    let slow_threshold =
+        event_gap::slow_threshold(evaluations.iter().filter_map(|e| step(e)));
+    let is_slow = |e: &Evaluation<'a>| step(e).is_some_and(|gap| gap > slow_threshold);
+    evaluations.sort_by_key(|e| is_slow(e));
+    let fast = evaluations.partition_point(|e| !is_slow(e));
     let used = packing::endpoints_used(
         evaluations.iter().map(|evaluation| evaluation.occupancy),
         fast,
@@ -417,7 +459,7 @@
     let mut random = rand::rng();
     let mut draw = || (used > 0).then(|| evaluations[random.random_range(0..used)]);
     let (a, b) = (draw()?, draw()?);
-    let less_busy = if a.occupancy.busy <= b.occupancy.busy {
+    let less_busy = if a.occupancy.busy * a.factor <= b.occupancy.busy * b.factor {
         a
     } else {
         b
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -6,16 +6,16 @@
 
 use super::admission::Admission;
 use super::estimates::Estimates;
+use super::fetch::CacheState;
+use super::pace::SharedPace;
 use super::{LatencyClass, PlacementQuery, log_change};
-use crate::dialect::{EndpointRecord, Load};
+use crate::dialect::EndpointRecord;
 use crate::pool::{self, ConnectError, Pool};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::{self, Candidate};
-use dogwoodhill_policy::event_gap::EventGap;
-use dogwoodhill_policy::health::{Health, HealthRecord};
+use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::packing::Occupancy;
 use dogwoodhill_policy::prefill_rate::PrefillRate;
-use dogwoodhill_policy::queue_wait::QueueWait;
 use dogwoodhill_policy::shared_health::{HealthReport, Verdict};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -24,7 +24,7 @@
 use tokio::time::sleep;
 
 /// Additional latency of an endpoint in another failure domain: one round trip.
-const DOMAIN_LATENCY: Duration = Duration::from_millis(3);
+pub(super) const DOMAIN_LATENCY: Duration = Duration::from_millis(3);
 /// Time in which a process that has begun to exit closes its sockets.
 const EXIT_TIME: Duration = Duration::from_millis(20);
 
@@ -44,14 +44,18 @@
     /// Idle connections.
     pub pool: Pool,
     pub(super) hash: u64,
-    slots: u32,
+    pub(super) slots: u32,
     leaving: AtomicBool,
     /// Whether another process responds at the address. A run never comes back, even if
     /// an outdated list still has it.
     gone: AtomicBool,
     pub(super) start: Instant,
+    /// Start of the prefix cache, and transfers from it.
+    pub(super) cache: CacheState,
     /// Prefill rate, shared by the endpoints of the service.
     prefill_rate: Arc<Mutex<PrefillRate>>,
+    /// Pace of the service's endpoints; `None` if it is not used.
+    pub(super) service_pace: Option<SharedPace>,
     estimates: Mutex<Estimates>,
     /// Time and result of the last check whether the process has exited.
     last_check: tokio::sync::Mutex<Option<(Instant, bool)>>,
@@ -71,13 +75,19 @@
     pub(super) occupancy: Occupancy,
     /// Usual time between two events of a stream.
     pub(super) event_gap: Option<Duration>,
+    /// Lasting time of a millisecond of work, where the endpoint names its pace.
+    pub(super) lasting: Option<Duration>,
+    /// Multiple of the usual time that work takes at the moment.
+    pub(super) factor: f64,
 }
 
 impl Endpoint {
     pub(super) fn new(
         listed: EndpointRecord,
         start: Instant,
+        cache: CacheState,
         prefill_rate: Arc<Mutex<PrefillRate>>,
+        service_pace: Option<SharedPace>,
     ) -> Self {
         Self {
             // By name only, so that prefixes map to the same endpoint after its restart,
@@ -93,17 +103,10 @@
             gone: AtomicBool::new(false),
             pool: Pool::default(),
             start,
+            cache,
             prefill_rate,
-            estimates: Mutex::new(Estimates {
-                record: HealthRecord::default(),
-                load: Load::default(),
-                load_time: Duration::ZERO,
-                own_active: 0,
-                queue_wait: QueueWait::default(),
-                slowness: 1.0,
-                event_gap: EventGap::default(),
-                prefixes: Vec::new(),
-            }),
+            service_pace,
+            estimates: Mutex::default(),
             last_check: tokio::sync::Mutex::default(),
             admission: Admission::default(),
         }
@@ -262,14 +265,6 @@
         self.estimates().event_gap.record(now, pause);
     }
 
-    /// Records a load reported by the endpoint.
-    pub fn set_load(&self, load: Load) {
-        let now = self.start.elapsed();
-        let mut estimates = self.estimates();
-        estimates.load = load;
-        estimates.load_time = now;
-    }
-
     /// Observations since the last report to control, if any.
     pub(crate) fn take_health_report(&self) -> Option<HealthReport> {
         let now = self.start.elapsed();
@@ -309,6 +304,8 @@
                 slots: f64::from(self.slots),
             },
             event_gap: estimates.event_gap.mean(now),
+            lasting: estimates.lasting_time(),
+            factor: estimates.pace_factor(now),
         }
     }
 
@@ -321,13 +318,9 @@
         rate: PrefillRate,
     ) -> Candidate {
         let prompt = query.prompt;
-        let last_sent = prompt.prefix.and_then(|key| {
-            let index = estimates
-                .prefixes
-                .binary_search_by_key(&key, |item| item.0)
-                .ok()?;
-            Some(now.saturating_sub(estimates.prefixes[index].1))
-        });
+        let last_sent = prompt
+            .prefix
+            .and_then(|key| estimates.prefix_sent(key, now));
         let needs_prefill = prompt.tokens > 0 && query.class == LatencyClass::Tolerant;
         let wait = if needs_prefill {
             estimates.predicted_wait(now, rate, query.background)
@@ -337,24 +330,18 @@
         Candidate {
             hash: self.hash,
             wait,
-            prefill: estimates.prefill_time(rate, f64::from(prompt.prefix_tokens)),
+            prefill: estimates.prefill_time(now, rate, f64::from(prompt.prefix_tokens)),
             distance: if self.domain == domain {
                 Duration::ZERO
             } else {
                 DOMAIN_LATENCY
             },
             last_sent,
+            fetch: None,
+            share: self.share(estimates, now),
         }
     }
 
-    /// Cost of the requests already running, for plain services and for streams that only
-    /// share the endpoint's decoding steps. A full endpoint costs as much as four times
-    /// the latency to another failure domain.
-    fn contention_cost(&self, estimates: &Estimates, now: Duration) -> Duration {
-        let share = estimates.active_requests(now) / f64::from(self.slots);
-        DOMAIN_LATENCY.mul_f64(4.0 * share * estimates.slowness)
-    }
-
     /// Updates whether the endpoint is shutting down, from the list or from its own
     /// responses. This is final for a run: a later list that says otherwise is outdated.
     pub fn update_leaving(&self, leaving: bool) {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::{AdmittedRequest, Dispatch};
 use crate::exchange::{self, OutboundRequest};
 use crate::list_tracker::ListTracker;
+use crate::prefixes::Prefixes;
 use crate::response::{RefusalCause, ResponseBody, refuse};
 use crate::stats::{RequestRecord, Stats};
 use crate::suspects::Suspects;
@@ -69,7 +70,7 @@
     /// Parser of callers' headers.
     pub callers: Box<dyn CallerDialect>,
     /// Adapter to endpoints' headers.
-    pub endpoints: Box<dyn EndpointDialect>,
+    pub endpoints: Arc<dyn EndpointDialect>,
     /// Hashes requests, to recognize those with the same content.
     pub fingerprinter: Fingerprinter,
     /// Metrics.
@@ -86,6 +87,8 @@
     pub usage: Option<Arc<Usage>>,
     /// Optional behaviour under contention.
     pub contention: Contention,
+    /// Fetching of cached prefixes, if the settings switch it on.
+    pub prefixes: Option<Prefixes>,
     /// Resends allowed by the settings.
     pub allowance: Allowance,
     /// Largest number of entries reported by control; they share the allowance.
--- a/crates/direct/tests/all/dialect.rs
+++ b/crates/direct/tests/all/dialect.rs
@@ -3,8 +3,10 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::{
     CallerDialect, EndpointDialect, EndpointList, EndpointRecord, FetchFuture,
-    ForwardMeta, Limit, Malformed, PageToken, RequestMeta, ResponseMeta, Retry,
+    ForwardMeta, Limit, Load, Malformed, PageToken, Prompt, RequestMeta, ResponseMeta,
+    Retry,
 };
+use dogwoodhill_policy::pace::Named;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 #[derive(Debug)]
@@ -23,15 +25,31 @@
             max_wait: max_wait.map(Duration::from_millis),
             key: text(headers, "x-key"),
             resume_after: text(headers, "x-resume").and_then(|t| t.parse().ok()),
-            ..RequestMeta::default()
+            prompt: prompt(headers),
         })
     }
 }
 
+/// A prompt of `x-prefix: KEY TOKENS` and as many tokens of its own.
+fn prompt(headers: &HeaderMap) -> Prompt {
+    let text = text(headers, "x-prefix").unwrap_or_default();
+    let mut numbers = text.split(' ').map(str::parse);
+    let (Some(Ok(key)), Some(Ok(tokens))) = (numbers.next(), numbers.next()) else {
+        return Prompt::default();
+    };
+    Prompt {
+        prefix: Some(key),
+        prefix_tokens: tokens as u32,
+        tokens: 2 * tokens as u32,
+        max_output: 10,
+    }
+}
+
 impl EndpointDialect for PlainHeaders {
     fn write(&self, headers: &mut HeaderMap, meta: &ForwardMeta<'_>) {
         headers.remove("x-key");
         headers.remove("x-resume");
+        headers.remove("x-fetch");
         let mut put = |name: &'static str, value: String| {
             headers.insert(name, HeaderValue::from_str(&value).expect("plain text"));
         };
@@ -41,6 +59,9 @@
         if let Some(last) = meta.resume_after {
             put("x-resume", last.to_string());
         }
+        if let Some(source) = meta.fetch_from {
+            put("x-fetch", source.to_string());
+        }
     }
 
     fn read(&self, _status: StatusCode, headers: &HeaderMap) -> ResponseMeta {
@@ -48,7 +69,7 @@
             request_id: text(headers, "x-request-id"),
             proof: headers.contains_key("x-proof"),
             not_run: headers.contains_key("x-not-run"),
-            load: None,
+            load: text(headers, "x-load").map(|text| load(&text)),
             reusable: text(headers, "connection").as_deref() != Some("close"),
             idle_timeout: None,
             leaving: headers.contains_key("x-leaving"),
@@ -60,6 +81,18 @@
     }
 }
 
+/// Running, waiting, slots and pace.
+fn load(text: &str) -> Load {
+    let figures: Vec<&str> = text.split(',').collect();
+    let count = |at: usize| figures[at].parse().expect("a count");
+    Load {
+        running: count(0),
+        waiting: count(1),
+        slots: count(2),
+        pace: Named::parse(figures.get(3).copied()),
+    }
+}
+
 /// An endpoint list that never changes.
 #[derive(Debug)]
 pub(crate) struct FixedList(pub(crate) Vec<EndpointRecord>);
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -118,7 +118,10 @@
     ) -> Self {
         let listed = listed(endpoints);
         let list = Box::new(FixedList(listed.clone()));
-        let entry = Self::run("entry", list, LONG_TIMEOUT, control, Some(windows)).await;
+        let features = Features::default();
+        let usage = Some(windows);
+        let entry =
+            Self::run("entry", list, LONG_TIMEOUT, control, usage, features).await;
         entry.shared.directory.update(listed);
         entry
     }
@@ -141,7 +144,23 @@
         grace: Duration,
         control: Vec<SocketAddr>,
     ) -> Self {
-        Self::run(name, list, grace, control, None).await
+        Self::run(name, list, grace, control, None, Features::default()).await
+    }
+
+    /// An entry with these endpoints, routes and optional features.
+    pub(crate) async fn with_features(
+        endpoints: &[&ScriptedEndpoint],
+        set: RouteSet,
+        features: Features,
+    ) -> Self {
+        let listed = listed(endpoints);
+        let list = Box::new(FixedList(listed.clone()));
+        let control = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
+        let grace = LONG_TIMEOUT;
+        let entry = Self::run("entry", list, grace, control, None, features).await;
+        entry.shared.directory.update(listed);
+        entry.shared.activate_routes(RouteTable::new(set));
+        entry
     }
 
     async fn run(
@@ -150,6 +169,7 @@
         grace: Duration,
         control: Vec<SocketAddr>,
         usage: Option<Windows>,
+        features: Features,
     ) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
@@ -169,7 +189,7 @@
             linger: Duration::from_millis(50),
             grace,
             usage,
-            features: Features::default(),
+            features,
         };
         let dialects = Dialects {
             callers: Box::new(PlainHeaders),
