ctl: from a refusal to the state of its service, and summaries of services and workspaces

Cause: trace explained the outcome of one request, but a refusal by share depends on the service at that time, and a complaint may come without an id.

Change: spans of a service (short of room, places lent, pace varies) are read from the pairs of events in one table; trace shows those around a refusal. The command summary counts the requests of a service or of a workspace by outcome and cause, refused by share, waits and endpoints. Spans end where their process starts again; repeated beginnings and missing lines are allowed for. Lines of log files are parsed in one module.

Ruled out: events by name in the code of trace, which the next part would have to extend; a live query of entries, which know nothing of requests that have ended.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -1,6 +1,6 @@
 //! Command-line arguments of the operator's program.
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -67,6 +67,19 @@
                 )
                 .arg(logs()),
         )
+        .subcommand(
+            Command::new("summary")
+                .about("Counts a service's or a workspace's requests in logs")
+                .arg(selector("service", "Only requests to this service"))
+                .arg(selector("workspace", "Only requests of this workspace"))
+                .group(
+                    ArgGroup::new("selection")
+                        .args(["service", "workspace"])
+                        .required(true)
+                        .multiple(true),
+                )
+                .arg(logs()),
+        )
         .subcommand(
             Command::new("hash")
                 .about("Reads a key from standard input, prints its hash"),
@@ -94,6 +107,10 @@
         .help("Standard output of a process, in a file")
 }
 
+fn selector(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name("NAME").help(help)
+}
+
 fn service() -> Arg {
     Arg::new("service")
         .value_name("SERVICE")
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 use crate::client::OperatorClient;
 use crate::settings::Settings;
+use crate::summary::{Selection, summarize};
 use crate::trace::trace;
 use crate::{CommandError, Exit};
 use clap::ArgMatches;
@@ -29,6 +30,7 @@
         Some(("check", sub)) => check(sub),
         Some(("hash", _)) => hash(),
         Some(("trace", sub)) => trace_request(sub),
+        Some(("summary", sub)) => summary(sub),
         Some(("apply", sub)) => apply(&operator_client(matches)?, sub).await,
         Some(("get", sub)) => get(&operator_client(matches)?, sub).await,
         Some(("history", sub)) => history(&operator_client(matches)?, sub).await,
@@ -42,11 +44,23 @@
 
 fn trace_request(sub: &ArgMatches) -> Result<String, CommandError> {
     let id = sub.get_one::<String>("request").expect("clap requires it");
+    trace(id, &read_logs(sub)?)
+}
+
+fn summary(sub: &ArgMatches) -> Result<String, CommandError> {
+    let selection = Selection {
+        service: sub.get_one("service").cloned(),
+        workspace: sub.get_one("workspace").cloned(),
+    };
+    summarize(&selection, &read_logs(sub)?)
+}
+
+/// Names and texts of the log files named on the command line.
+fn read_logs(sub: &ArgMatches) -> Result<Vec<(String, String)>, CommandError> {
     let paths = sub.get_many::<PathBuf>("log").expect("clap requires it");
-    let logs: Result<Vec<(String, String)>, CommandError> = paths
+    paths
         .map(|path| Ok((path.display().to_string(), read_file(path)?)))
-        .collect();
-    trace(id, &logs?)
+        .collect()
 }
 
 fn operator_client(matches: &ArgMatches) -> Result<OperatorClient, CommandError> {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,7 +7,10 @@
 pub mod arguments;
 pub mod client;
 pub mod commands;
+pub mod lines;
 pub mod settings;
+pub mod spans;
+pub mod summary;
 pub mod trace;
 
 use derive_more::Display;
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -8,37 +8,23 @@
 //!   lines and the endpoint list in use when the request arrived: they show whether an
 //!   endpoint was known to be leaving when the request was sent to it;
 //! * of all processes, the lines about endpoints that ended while they ran other attempts
-//!   with the same content, and about the quarantine of that content.
+//!   with the same content, and about the quarantine of that content;
+//! * of all processes, the spans around a refusal in which they treated the service of the
+//!   request differently, such as while it was short of room.
 //!
 //! Times are those of each process's clock, which can differ by seconds between
 //! instances. Lines of one file with the same time keep their order.
 
+use crate::lines::{LogLine, lines as all_lines};
+use crate::spans::spans;
 use crate::{CommandError, Exit};
 use std::fmt::Write;
 
-/// One line of a log file.
-#[derive(Clone, Debug, PartialEq)]
-struct LogLine<'a> {
-    /// Name of the log file.
-    source: &'a str,
-    /// Seconds since the Unix epoch; 0 if the line has no valid time.
-    time: f64,
-    text: &'a str,
-}
-
-impl<'a> LogLine<'a> {
-    fn new(source: &'a str, text: &'a str) -> Self {
-        let time = field(text, "time").and_then(|time| time.parse().ok());
-        Self {
-            source,
-            time: time.unwrap_or(0.0),
-            text,
-        }
-    }
-}
+/// Events of a request that got no answer of an endpoint.
+const REFUSED: [&str; 2] = ["request-refused", "request-abandoned"];
 
 /// Meaning of each outcome, and the events to look at next.
-const CAUSES: [(&str, &str); 21] = [
+const CAUSES: [(&str, &str); 22] = [
     (
         "no-routes",
         "the entry had no route set yet: it had just started, and no control instance had confirmed one; look at control-lost, leadership-changed and routes-in-force",
@@ -60,6 +46,10 @@
         "endpoints-held",
         "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-backoff, endpoint-limit and permits-granted",
     ),
+    (
+        "share-exceeded",
+        "the service was short of room, and the workspace asked for more than its share of it; compare with summary --service, which shows who asked for how much",
+    ),
     ("overload", "the service could not serve it in time"),
     (
         "stopping",
@@ -140,11 +130,12 @@
         // Writing to a string can't fail.
         let _ = writeln!(out, "{}: {}", line.source, line.text);
     }
+    write_spans(&mut out, &lines, logs);
     for (cause, meaning) in CAUSES {
         let has_cause = |line: &LogLine<'_>| {
             ["cause", "result", "reason"]
                 .iter()
-                .any(|key| field(line.text, key) == Some(cause))
+                .any(|key| line.field(key) == Some(cause))
         };
         if lines.iter().any(has_cause) {
             let _ = writeln!(out, "{cause}: {meaning}");
@@ -153,15 +144,30 @@
     Ok(out)
 }
 
+/// Writes the spans of the services of refused requests around their refusals.
+fn write_spans(out: &mut String, lines: &[LogLine<'_>], logs: &[(String, String)]) {
+    let refused = lines.iter().filter(|line| line.is_event(&REFUSED));
+    let mut services: Vec<(&str, f64)> = refused
+        .filter_map(|line| Some((line.known("service")?, line.time)))
+        .collect();
+    services.dedup();
+    for (service, time) in services {
+        let all = logs
+            .iter()
+            .flat_map(|(source, text)| spans(source, text, service));
+        for span in all.filter(|span| span.includes(time)) {
+            let _ = writeln!(out, "{span}");
+        }
+    }
+}
+
 /// Lines of `text` whose `request` field is `id`.
 fn request_lines<'a>(
     id: &'a str,
     source: &'a str,
     text: &'a str,
 ) -> impl Iterator<Item = LogLine<'a>> {
-    let lines = text.lines().map(str::trim);
-    let matching = lines.filter(move |line| field(line, "request") == Some(id));
-    matching.map(move |text| LogLine::new(source, text))
+    all_lines(source, text).filter(move |line| line.field("request") == Some(id))
 }
 
 /// Of a process that logged the request: state changes of the request's endpoints, and
@@ -180,10 +186,9 @@
         return Vec::new();
     };
     let endpoints: Vec<&str> = of_source
-        .filter_map(|line| field(line.text, "endpoint"))
-        .filter(|endpoint| *endpoint != "-")
+        .filter_map(|line| line.known("endpoint"))
         .collect();
-    let all = || text.lines().map(|text| LogLine::new(source, text.trim()));
+    let all = || all_lines(source, text);
     let events = [
         "endpoint-listed",
         "endpoint-leaving",
@@ -191,14 +196,12 @@
         "endpoint-replaced",
     ];
     let changes = all().filter(|line| {
-        let event =
-            field(line.text, "event").is_some_and(|event| events.contains(&event));
-        let endpoint = field(line.text, "endpoint");
-        event && endpoint.is_some_and(|endpoint| endpoints.contains(&endpoint))
-    });
-    let mut lists = all().filter(|line| {
-        field(line.text, "event") == Some("list-taken") && line.time <= first
+        let endpoint = line.field("endpoint");
+        line.is_event(&events)
+            && endpoint.is_some_and(|endpoint| endpoints.contains(&endpoint))
     });
+    let mut lists = all()
+        .filter(|line| line.field("event") == Some("list-taken") && line.time <= first);
     changes.chain(lists.next_back()).collect()
 }
 
@@ -210,25 +213,15 @@
     text: &'a str,
     request_lines: &[LogLine<'a>],
 ) -> Vec<LogLine<'a>> {
-    let contents = request_lines
-        .iter()
-        .filter_map(|line| field(line.text, "content"));
-    let contents: Vec<&str> = contents.filter(|content| *content != "-").collect();
+    let contents = request_lines.iter();
+    let contents: Vec<&str> = contents.filter_map(|line| line.known("content")).collect();
     let events = ["endpoint-ended", "request-quarantined", "quarantine-told"];
-    let lines = text.lines().map(str::trim).filter(|line| {
-        let event = field(line, "event").is_some_and(|event| events.contains(&event));
-        let same_request = field(line, "request") == Some(id);
-        let content = field(line, "content");
-        event
+    let lines = all_lines(source, text).filter(|line| {
+        let same_request = line.field("request") == Some(id);
+        let content = line.field("content");
+        line.is_event(&events)
             && !same_request
             && content.is_some_and(|content| contents.contains(&content))
     });
-    lines.map(|text| LogLine::new(source, text)).collect()
-}
-
-/// Value of the field `key` in a line of `key=value` pairs; values with blanks are cut at
-/// the first one.
-fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    let mut fields = line.split(' ');
-    fields.find_map(|field| field.strip_prefix(key)?.strip_prefix('='))
+    lines.collect()
 }
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -59,3 +59,49 @@
     assert_eq!(times, expected);
     assert!(text.contains("endpoint-leaving endpoint=e1") && !text.contains("e2"));
 }
+
+/// A refusal by share comes with the spans around it in which processes treated its
+/// service differently. Other services, spans that had ended long before, and state from
+/// before a restart are left out.
+#[test]
+fn trace_refusal_has_spans_of_its_service() {
+    let entry = "\
+time=1.000 level=warn event=service-short service=voice binding=prefill level=0.4
+time=2.000 level=info event=service-has-room service=voice
+time=3.000 level=warn event=lending-begun service=voice
+time=4.000 level=info event=entry-started
+time=8.000 level=warn event=service-short service=voice binding=slots level=0.2
+time=8.500 level=warn event=service-short service=voice binding=slots level=0.3
+time=9.000 level=warn event=service-short service=other binding=slots level=0.9
+time=9.500 level=warn event=request-refused request=r1 service=voice workspace=w1 status=429 cause=share-exceeded ms=2
+time=12.000 level=info event=service-has-room service=voice
+";
+    let control = "\
+time=9.900 level=info event=pace-steady service=voice
+time=11.000 level=warn event=pace-varies service=voice
+";
+    let logs = [("entry-1", entry), ("control-1", control)];
+    let logs = logs.map(|(name, text)| (name.to_string(), text.to_string()));
+    let text = trace("r1", &logs).expect("there are lines");
+    let lines: Vec<&str> = text.lines().skip(1).collect();
+    let expected = [
+        "entry-1: service voice was short of room from 8.000 to 12.000 \
+         (event=service-short service=voice binding=slots level=0.2)",
+        "control-1: service voice was of varying pace from before the log to 9.900 \
+         (event=pace-steady service=voice)",
+    ];
+    assert_eq!(lines[..2], expected);
+    assert!(lines[2].starts_with("share-exceeded: ") && lines.len() == 3);
+}
+
+/// A request that was answered is not explained by the state of its service.
+#[test]
+fn trace_answered_request_has_no_spans() {
+    let entry = "\
+time=1.000 level=warn event=service-short service=voice
+time=2.000 level=info event=request-answered request=r1 service=voice status=200
+";
+    let logs = [("entry-1".to_string(), entry.to_string())];
+    let text = trace("r1", &logs).expect("there are lines");
+    assert_eq!(text.lines().count(), 1);
+}
