Direct: causes of refusals and the state of connections in modules of their own

Cause: eight modules of the crate import each other in a circle (dispatch, request, response, serve, stats, stream, suspects, usage). stats needs only the cause of a refusal from response, and response only the guard of a connection's request from serve.

Change: a pure move. RefusalCause goes to refusal_cause, ConnectionState and RequestGuard go to connection_state. response still names RefusalCause, so imports elsewhere stay. The circle is left with dispatch, request and stream.

103 tests of the crate pass.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 //! [`dialect`] defines the traits that adapt the headers of callers and endpoints and the
 //! format of the endpoint list; [`direct`] assembles the daemon.
 
+pub mod connection_state;
 pub mod contention;
 pub mod control_sync;
 pub mod dialect;
@@ -32,6 +33,7 @@
 pub mod list_tracker;
 pub mod pool;
 pub mod race;
+pub mod refusal_cause;
 pub mod request;
 pub mod response;
 pub mod route_follower;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -5,6 +5,7 @@
 //! connection is closed only between requests, so the entry never cuts off a request that
 //! it is reading.
 
+use crate::connection_state::ConnectionState;
 use crate::request::SharedState;
 use dogwoodhill_core::prelude::*;
 use http::{HeaderValue, Request, header};
@@ -15,7 +16,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::pin::{Pin, pin};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,72 +30,6 @@
 /// Longest interval between two checks of a connection's state.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// State of a connection; the times are those at which it was entered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Idle(Instant),
-    ReceivingHead(Instant),
-    Executing,
-}
-
-/// State of a connection, shared by its clones.
-#[derive(Clone, Debug)]
-pub struct ConnectionState {
-    current: Arc<Mutex<State>>,
-}
-
-impl ConnectionState {
-    fn new() -> Self {
-        Self {
-            current: Arc::new(Mutex::new(State::Idle(Instant::now()))),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.current.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn bytes_received(&self) {
-        let mut current = self.lock();
-        if matches!(*current, State::Idle(_)) {
-            *current = State::ReceivingHead(Instant::now());
-        }
-    }
-
-    /// Marks the connection as executing a request until the guard is dropped.
-    fn begin_request(&self) -> RequestGuard {
-        *self.lock() = State::Executing;
-        RequestGuard {
-            state: self.clone(),
-        }
-    }
-
-    fn is_executing(&self) -> bool {
-        *self.lock() == State::Executing
-    }
-
-    /// Time at which the connection times out in its current state.
-    fn deadline(&self, idle: Duration, head: Duration) -> Option<Instant> {
-        match *self.lock() {
-            State::Idle(since) => Some(since + idle),
-            State::ReceivingHead(since) => Some(since + head),
-            State::Executing => None,
-        }
-    }
-}
-
-/// Guard of a request being executed on a connection.
-#[derive(Debug)]
-pub struct RequestGuard {
-    state: ConnectionState,
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        *self.state.lock() = State::Idle(Instant::now());
-    }
-}
-
 /// A socket that records when bytes arrive.
 struct ObservedStream {
     stream: TcpStream,
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -2,7 +2,7 @@
 
 use crate::dialect::EventId;
 use crate::directory::{AdmissionError, Placement};
-use crate::response::RefusalCause;
+use crate::refusal_cause::RefusalCause;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
 use prometheus::{Histogram, IntCounterVec, IntGauge, IntGaugeVec};
