Shares of a service among workspaces: decisions, exchange and the entry

Cause: one workspace that sends many times its usual takes the room of all others of its tier, since endpoints serve requests of a tier in the order of arrival. Change: the work of requests is counted by workspace, merged in control, and divided max-min by weight while the service is short of room; what is above a share goes to the background of its tier, and is refused once it can't be in time. Ruled out: quotas and queues of each entry alone (docs/design/shares.md).

--- a/crates/control/src/contention.rs
+++ b/crates/control/src/contention.rs
@@ -3,24 +3,36 @@
 //! Nothing here is durable and nothing blocks on it: another instance has the same state
 //! after one reporting interval, and an entry without a reply goes on by itself.
 
+use crate::shares::ShareTracker;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::contention::{ContentionReply, ContentionReport};
 use dogwoodhill_wire::demand::DemandReport;
 
 /// Contention reported to one instance. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct ContentionTracker {}
+pub struct ContentionTracker {
+    shares: ShareTracker,
+}
 
 impl ContentionTracker {
     /// Records a report that arrived at `now` and was in transit for `transit`, and
     /// returns what the entry may use. `None` if the entry reports no contention.
     pub fn report(
         &self,
-        _now: Duration,
-        _transit: Duration,
+        now: Duration,
+        transit: Duration,
         report: &DemandReport,
     ) -> Option<ContentionReply> {
-        let _contention: &ContentionReport = report.contention.as_ref()?;
-        ContentionReply::default().non_empty()
+        let contention: &ContentionReport = report.contention.as_ref()?;
+        let reply = ContentionReply {
+            shares: (!contention.shares.is_empty())
+                .then(|| {
+                    self.shares
+                        .report(now, transit, &report.entry, &contention.shares)
+                })
+                .flatten(),
+            ..ContentionReply::default()
+        };
+        reply.non_empty()
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod routes;
 pub mod service;
 pub mod settings;
+pub mod shares;
 pub mod state;
 pub mod usage;
 pub mod watch;
--- a/crates/direct/src/contention.rs
+++ b/crates/direct/src/contention.rs
@@ -5,29 +5,48 @@
 //! what the parts need to know.
 
 use crate::settings::Features;
+use crate::shares::Shares;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_wire::contention::{ContentionReply, ContentionReport};
+use std::sync::Arc;
 
 /// State of the parts that are switched on.
 #[derive(Debug, Default)]
 pub struct Contention {
     /// What the settings switch on.
     pub features: Features,
+    /// Shares of services among workspaces, if they are on.
+    pub shares: Option<Arc<Shares>>,
 }
 
 impl Contention {
-    /// Creates the state of an entry.
-    pub fn new(features: Features) -> Self {
-        Self { features }
+    /// Creates the state of an entry. Parts that are on register their metrics.
+    pub fn new(features: Features, metrics: &Metrics) -> Self {
+        let shares = || Arc::new(Shares::new(Some(metrics)));
+        Self {
+            features,
+            shares: features.shares.then(shares),
+        }
     }
 
     /// The report to control at `now`; `None` without anything to report.
-    pub fn report(&self, _now: Duration) -> Option<ContentionReport> {
-        ContentionReport::default().non_empty()
+    pub fn report(&self, now: Duration) -> Option<ContentionReport> {
+        let shares = self.shares.as_ref();
+        let report = ContentionReport {
+            shares: shares.map(|shares| shares.report(now)).unwrap_or_default(),
+            ..ContentionReport::default()
+        };
+        report.non_empty()
     }
 
     /// Applies control's reply to the report made at `reported_at`.
-    pub fn apply(&self, _reported_at: Duration, _reply: Option<&ContentionReply>) {}
+    pub fn apply(&self, reported_at: Duration, reply: Option<&ContentionReply>) {
+        let Some(reply) = reply else { return };
+        if let Some(shares) = &self.shares {
+            shares.apply(reported_at, reply.shares.as_deref());
+        }
+    }
 
     /// Called at `now` when no control instance replied; this entry is one of `entries`.
     pub fn control_failed(&self, _now: Duration, _entries: u32) {}
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -114,7 +114,7 @@
             drain,
             drain_started: OnceLock::new(),
             grace: settings.grace,
-            contention: Contention::new(settings.features),
+            contention: Contention::new(settings.features, &metrics),
             allowance: settings.allowance,
             entries: AtomicU32::new(0),
             budgets: Mutex::default(),
--- a/crates/direct/src/directory/demand.rs
+++ b/crates/direct/src/directory/demand.rs
@@ -139,7 +139,7 @@
     }
 
     /// Prefill rate of a service's endpoints.
-    pub(super) fn prefill_rate(&self, service: &str) -> PrefillRate {
+    pub(crate) fn prefill_rate(&self, service: &str) -> PrefillRate {
         let shared = self.shared_prefill_rate(service);
         let rate = shared.lock().unwrap_or_else(PoisonError::into_inner);
         *rate
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -9,7 +9,9 @@
 mod crash;
 mod moving;
 mod refusal;
+mod shares;
 mod stream_start;
+mod target;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
 use crate::directory::{Endpoint, LatencyClass, PlacementQuery, QueuePosition};
@@ -20,6 +22,7 @@
 use crate::race::{Winner, race_response};
 use crate::request::SharedState;
 use crate::response::{RefusalCause, ResponseBody};
+use crate::shares::ShareTicket;
 use crate::stats::RequestRecord;
 use crate::stream::EventSource;
 use crate::usage::StartCounter;
@@ -29,11 +32,11 @@
 use dogwoodhill_policy::quarantine::SUSPECT_CRASHES;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
-use rand::RngExt;
 use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use stream_start::StreamStart;
+use target::pick_service;
 use tokio::time::Instant;
 
 /// Failed connection attempts, at different endpoints, after which a request is refused.
@@ -70,6 +73,8 @@
     separate_classes: bool,
     class: LatencyClass,
     position: QueuePosition,
+    /// Counts the request in the share of its workspace, if shares are on.
+    share: Option<ShareTicket>,
     tried: Vec<Incarnation>,
     /// Whether the request is suspected of crashing endpoints.
     suspected: bool,
@@ -149,6 +154,7 @@
             fingerprint,
             service,
             position: QueuePosition::default(),
+            share: None,
             tried: Vec::new(),
             suspected: false,
             sends: 0,
@@ -166,6 +172,8 @@
         dispatch.suspected = dispatch.crash_count() >= SUSPECT_CRASHES;
         dispatch.position =
             directory.queue_position(&dispatch.query(), rank, objective, entries);
+        dispatch.open_share(&table);
+        let directory = &dispatch.shared.directory;
         if !dispatch.position.background {
             directory.record_demand(&dispatch.query());
         }
@@ -221,6 +229,9 @@
         if let Some(remaining) = self.quarantine_remaining().await {
             return self.refuse_with_delay(RefusalCause::Quarantined, Some(remaining));
         }
+        if let Some(retry_after) = self.refused_by_share() {
+            return self.refuse_with_delay(RefusalCause::OverShare, Some(retry_after));
+        }
         loop {
             match self.send_until_response().await {
                 DispatchResult::Refuse(cause) => return self.refuse(cause),
@@ -412,6 +423,7 @@
 
     fn deliver(mut self, complete: CompleteResponse) -> Response<ResponseBody> {
         self.shared.suspects.record_served(self.fingerprint);
+        self.share_responded();
         self.record().answered(complete.status.as_u16());
         self.record = None;
         build_response(
@@ -453,16 +465,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-/// Chooses one of a route's services at random, by weight.
-fn pick_service(route: &Route) -> ServiceId {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-    let mut offset = rand::rng().random_range(0..total.max(1));
-    for target in &route.targets {
-        if offset < target.weight {
-            return target.service.clone();
-        }
-        offset -= target.weight;
-    }
-    String::new()
-}
--- a/crates/direct/src/dispatch/refusal.rs
+++ b/crates/direct/src/dispatch/refusal.rs
@@ -57,6 +57,7 @@
         cause: RefusalCause,
         retry_after: Option<Duration>,
     ) -> Response<ResponseBody> {
+        self.share_refused(cause);
         self.record().refused(cause, retry_after);
         self.record = None;
         refuse(cause, retry_after)
--- /dev/null
+++ b/crates/direct/src/dispatch/shares.rs
@@ -0,0 +1,97 @@
+//! A request in the share of its workspace ([`crate::shares`]).
+
+use super::Dispatch;
+use crate::response::RefusalCause;
+use crate::shares::ShareRequest;
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
+use dogwoodhill_policy::shares;
+use dogwoodhill_policy::shares::Standing;
+use dogwoodhill_policy::shares::admission::Verdict;
+use dogwoodhill_policy::shares::cost::{Capacity, Cost, Size};
+use dogwoodhill_route::prelude::*;
+use rand::RngExt;
+
+impl Dispatch {
+    /// Counts the request, if shares are on and callers are identified by workspace. One
+    /// above the share of its workspace goes to the background of its tier.
+    pub(super) fn open_share(&mut self, table: &RouteTable) {
+        let Some(shares) = &self.shared.contention.shares else {
+            return;
+        };
+        if !table.has_workspaces() {
+            return;
+        }
+        let now = uptime();
+        let workspace = self.admitted.workspace.as_ref();
+        let weight = f64::from(self.admitted.weight);
+        let mut ticket = shares.open(
+            now,
+            ShareRequest {
+                service: self.service.clone(),
+                workspace: workspace.map(|name| (shares::hash(name), weight)),
+                tier: self.admitted.rank.route,
+                cost: self.cost(table),
+                objective: self.admitted.route.objective,
+            },
+        );
+        if ticket.standing() == Standing::Above {
+            self.position.background = true;
+        } else if self.position.background {
+            ticket.expect_late(now);
+        }
+        self.share = Some(ticket);
+    }
+
+    fn cost(&self, table: &RouteTable) -> Cost {
+        let prompt = &self.meta.prompt;
+        let uncached = prompt.tokens.saturating_sub(prompt.prefix_tokens);
+        let declared = table.declaration(&self.service);
+        let engine = declared.and_then(|declared| declared.engine);
+        let rate = self.shared.directory.prefill_rate(&self.service);
+        let capacity = Capacity {
+            prefill: rate.tokens_per_ms() * 1_000.0,
+            slots: engine.map_or(0.0, |engine| f64::from(engine.slots)),
+            memory: engine.map_or(0.0, |engine| engine.memory_tokens as f64),
+        };
+        let size = Size {
+            uncached: f64::from(uncached),
+            prompt: f64::from(prompt.tokens),
+            output: f64::from(prompt.max_output),
+        };
+        Cost::of(size, capacity)
+    }
+
+    /// Time after which the caller may retry, if the request is above the share of its
+    /// workspace and there is no room left for it.
+    pub(super) fn refused_by_share(&mut self) -> Option<Duration> {
+        let ticket = self.share.as_mut()?;
+        let now = uptime();
+        if ticket.decide(now, self.position.yielding_wait) != Verdict::Refuse {
+            return None;
+        }
+        let spread = rand::rng().random_range(0.0..1.0);
+        Some(ticket.refuse(now, &self.meta.id, spread).retry_after)
+    }
+
+    /// Counts the start of the response in the share.
+    pub(super) fn share_responded(&mut self) {
+        if let Some(ticket) = &mut self.share {
+            ticket.responded(uptime());
+        }
+    }
+
+    /// Counts a refusal in the share.
+    pub(super) fn share_refused(&mut self, cause: RefusalCause) {
+        let by_load = matches!(
+            cause,
+            RefusalCause::Full
+                | RefusalCause::NotAdmitted
+                | RefusalCause::Expired
+                | RefusalCause::Timeout
+        );
+        if let Some(ticket) = &mut self.share {
+            ticket.refused(uptime(), by_load);
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod routes;
 pub mod serve;
 pub mod settings;
+pub mod shares;
 pub mod socket;
 pub mod stats;
 pub mod stream;
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -142,6 +142,9 @@
     /// The request has crashed endpoints and is not sent for a while.
     #[display("quarantined")]
     Quarantined,
+    /// The workspace is above its share of a service that is short of room.
+    #[display("over-share")]
+    OverShare,
     /// The request was sent and its response was lost.
     #[display("answer-lost")]
     Lost,
@@ -169,6 +172,7 @@
             | Self::Stopping
             | Self::Quarantined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverShare => StatusCode::TOO_MANY_REQUESTS,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -74,6 +74,7 @@
         name: "demo".to_string(),
         keys: vec!["k".to_string()],
         tier: None,
+        weight: 1,
     }
 }
 
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -92,6 +92,21 @@
         Duration::try_from_secs_f64(ahead / rate).unwrap_or(Duration::MAX)
     }
 
+    /// Predicted time until a background request of `rank` that is sent now would be
+    /// prefilled if the foreground of all ranks went before it. `min_rate` as in
+    /// [`Self::predicted_wait`].
+    pub fn wait_behind_all(&self, now: Duration, rank: usize, min_rate: f64) -> Duration {
+        let foreground: f64 = self.pending.iter().map(|pending| pending[0]).sum();
+        let urgent = &self.pending[..=index(rank)];
+        let background: f64 = urgent.iter().map(|pending| pending[1]).sum();
+        let rate = (self.decayed(now) / RATE_DECAY_SECONDS).max(min_rate);
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        let wait = (foreground + background) / rate;
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    }
+
     /// Whether a request of `rank` that is sent now is expected to meet `objective`.
     /// `min_rate` as in [`Self::predicted_wait`].
     pub fn can_meet_objective(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! * [`shared_health`]: the state of each endpoint as all entries together observe it;
 //! * [`quarantine`]: requests that crash endpoints and are no longer sent;
 //! * [`served`]: requests that were served recently;
+//! * [`shares`]: the room of a service, divided among workspaces;
 //! * [`transfer`]: fetching a large text that several sources hold;
 //! * [`true_time`]: the current time, from many wall clocks;
 //! * [`urgency`]: the priority of a request at an endpoint;
@@ -59,6 +60,7 @@
 pub mod reservation;
 pub mod served;
 pub mod shared_health;
+pub mod shares;
 pub mod subset;
 pub mod transfer;
 pub mod true_time;
--- a/crates/route/src/set.rs
+++ b/crates/route/src/set.rs
@@ -145,6 +145,15 @@
     /// Priority tier that overrides the route's.
     #[serde(default)]
     pub tier: Option<Tier>,
+    /// Share of a service that is short of room, relative to other workspaces. 0
+    /// counts as 1, the default.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+/// Default of [`RouteWorkspace::weight`].
+fn default_weight() -> u32 {
+    1
 }
 
 /// Decoder for the text of a route set. Each operator interface has its own text format.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -31,6 +31,7 @@
 struct Holder {
     name: WorkspaceId,
     tier: Option<Tier>,
+    weight: u32,
 }
 
 /// An admitted request.
@@ -40,6 +41,8 @@
     pub route: Arc<Route>,
     /// Workspace of the caller; `None` without a valid key.
     pub workspace: Option<WorkspaceId>,
+    /// Weight of the workspace; 1 without one.
+    pub weight: u32,
     /// Tier of the workspace, or of the route if the workspace has none.
     pub tier: Tier,
     /// Rank of the request by the tiers of its route and workspace.
@@ -69,13 +72,14 @@
         let tiers = distinct(workspace_tiers.chain(route_tiers.iter().copied()));
         let keys = set.workspaces.map(|workspaces| {
             let items = workspaces.into_iter().flat_map(|workspace| {
-                let (name, tier) = (workspace.name, workspace.tier);
+                let holder = Holder {
+                    name: workspace.name,
+                    tier: workspace.tier,
+                    weight: workspace.weight.max(1),
+                };
                 let hashes: Vec<KeyHash> =
                     workspace.keys.iter().map(|key| KeyHash::of(key)).collect();
-                hashes.into_iter().map(move |hash| {
-                    let name = name.clone();
-                    (hash, Holder { name, tier })
-                })
+                hashes.into_iter().map(move |hash| (hash, holder.clone()))
             });
             KeyRing::new(items.collect())
         });
@@ -175,6 +179,7 @@
         Ok(Admitted {
             tier,
             rank,
+            weight: holder.as_ref().map_or(1, |holder| holder.weight),
             workspace: holder.map(|holder| holder.name),
             route: Arc::clone(route),
         })
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -38,6 +38,7 @@
         name: name.to_string(),
         keys: keys.iter().map(|key| (*key).to_string()).collect(),
         tier,
+        weight: 1,
     }
 }
 
--- a/crates/wire/src/contention.rs
+++ b/crates/wire/src/contention.rs
@@ -29,9 +29,10 @@
 /// Answer to a [`ContentionReport`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ContentionReply {
-    /// Shares of the services that are short of room, sorted by service.
+    /// Shares of the services that are short of room, sorted by service; `None` if control
+    /// does not know the demand of all entries yet.
     #[serde(default)]
-    pub shares: Vec<ServiceShares>,
+    pub shares: Option<Vec<ServiceShares>>,
     /// Places lent to the entry, sorted by endpoint.
     #[serde(default)]
     pub places: Vec<PlaceGrant>,
