--- a/crates/policy/src/shares/meter.rs
+++ b/crates/policy/src/shares/meter.rs
@@ -25,8 +25,11 @@
 impl Meter {
     /// Decides on a request of `work`, of which `fraction` is within the share.
     pub fn decide(&mut self, fraction: f64, work: f64) -> Standing {
+        if fraction >= 1.0 {
+            return Standing::Within;
+        }
         self.credit += fraction * work;
-        if self.credit > 0.0 || fraction >= 1.0 {
+        if self.credit > 0.0 {
             self.credit -= work;
             return Standing::Within;
         }
--- a/crates/policy/src/shares/usage.rs
+++ b/crates/policy/src/shares/usage.rs
@@ -106,6 +106,8 @@
 fn add_tiers(sum: &mut WorkspaceLoad, more: &WorkspaceLoad) {
     let tiers = sum.asked.len().max(more.asked.len());
     sum.asked.resize(tiers, 0.0);
+    // Entries have different weights while a new configuration reaches them.
+    sum.weight = sum.weight.max(more.weight);
     for (sum, more) in sum.asked.iter_mut().zip(&more.asked) {
         *sum += more;
     }
