Shares: room of services without a priority queue, and work that yields only to a queue

Work above a share now yields once there is a queue, within its tier, and is refused once its wait exceeds the deadline. Endpoints without a priority queue get a room that leaves few losses to those within their shares.

--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -358,13 +358,13 @@
         let min_capacity = all * MIN_CAPACITY_SHARE / f64::from(entries.max(1));
         let backlog =
             Arc::clone(&DemandState::entry(&mut self.demand(), query.service).backlog);
-        let (predicted_wait, yielding_wait, meets_objective) = {
+        let (predicted_wait, background_wait, meets_objective) = {
             let backlog = backlog.lock().unwrap_or_else(PoisonError::into_inner);
             let meets_objective =
                 backlog.can_meet_objective(now, rank, min_capacity, objective);
             (
                 backlog.predicted_wait(now, rank, min_capacity),
-                backlog.wait_behind_all(now, rank, min_capacity),
+                backlog.background_wait(now, rank, min_capacity),
                 meets_objective,
             )
         };
@@ -372,7 +372,7 @@
             backlog: Some(backlog),
             rank,
             predicted_wait,
-            yielding_wait: Some(yielding_wait),
+            background_wait: Some(background_wait),
             background: !meets_objective,
         }
     }
--- a/crates/direct/src/directory/queue_position.rs
+++ b/crates/direct/src/directory/queue_position.rs
@@ -12,9 +12,9 @@
     pub(super) rank: usize,
     /// Predicted wait when the request arrived.
     pub predicted_wait: Duration,
-    /// Predicted wait behind all work in the foreground, whatever its tier; `None` for
-    /// requests without a long prompt.
-    pub yielding_wait: Option<Duration>,
+    /// Predicted wait in the background of its tier; `None` for requests without a long
+    /// prompt.
+    pub background_wait: Option<Duration>,
     /// Whether the request yields to the others of its tier.
     pub background: bool,
 }
--- a/crates/direct/src/dispatch/shares.rs
+++ b/crates/direct/src/dispatch/shares.rs
@@ -6,11 +6,11 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::shares;
-use dogwoodhill_policy::shares::Standing;
-use dogwoodhill_policy::shares::admission::Verdict;
+use dogwoodhill_policy::shares::admission::Outlook;
 use dogwoodhill_policy::shares::cost::{Capacity, Cost, Size};
 use dogwoodhill_route::prelude::*;
 use rand::RngExt;
+use tokio::time::Instant;
 
 impl Dispatch {
     /// Counts the request, if shares are on and callers are identified by workspace. One
@@ -35,9 +35,11 @@
                 objective: self.admitted.route.objective,
             },
         );
-        if ticket.standing() == Standing::Above {
-            self.position.background = true;
-        } else if self.position.background {
+        let position = &mut self.position;
+        let predicted = position.background_wait.is_some();
+        if ticket.yields(predicted.then_some(position.predicted_wait)) {
+            position.background = true;
+        } else if position.background {
             ticket.expect_late(now);
         }
         self.share = Some(ticket);
@@ -67,7 +69,10 @@
     pub(super) fn refused_by_share(&mut self) -> Option<Duration> {
         let ticket = self.share.as_mut()?;
         let now = uptime();
-        if ticket.decide(now, self.position.yielding_wait) != Verdict::Refuse {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let wait = self.position.background_wait;
+        let prompt = wait.map(|wait| Outlook::Prompt { wait, remaining });
+        if !ticket.refuses(now, prompt) {
             return None;
         }
         let spread = rand::rng().random_range(0.0..1.0);
--- a/crates/direct/src/shares.rs
+++ b/crates/direct/src/shares.rs
@@ -6,7 +6,7 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_policy::shares::admission::{Outlook, Pressure, Verdict, decide};
+use dogwoodhill_policy::shares::admission::{Outlook, Pressure, refuses, yields};
 use dogwoodhill_policy::shares::cost::{Capacity, Cost, Size};
 use dogwoodhill_policy::shares::level::FairShares;
 use dogwoodhill_policy::shares::meter::Meter;
@@ -49,8 +49,8 @@
 #[derive(Debug, Default)]
 struct ServiceState {
     usage: Usage,
-    /// Recent outcomes of requests within shares, by tier.
-    pressure: [Pressure; MAX_TIERS],
+    /// Recent outcomes of requests above shares, by tier.
+    outcomes: [Pressure; MAX_TIERS],
     /// The division in force; `None` while the service has room.
     division: Option<Division>,
     /// When control last answered, or the service was first used.
@@ -292,12 +292,6 @@
         }
     }
 
-    /// Late part of the recent requests of `tier` and less urgent ones.
-    fn late(&self, now: Duration, tier: usize) -> f64 {
-        let parts = self.pressure[tier..].iter();
-        parts.map(|pressure| pressure.late(now)).fold(0.0, f64::max)
-    }
-
     /// Divides by the entry's own view, if control has not answered for too long.
     fn use_own_view(&mut self, now: Duration, service: &str) {
         if now.saturating_sub(self.heard_at) < LEVEL_TTL {
@@ -366,27 +360,32 @@
         self.standing
     }
 
-    /// Decides on the request at `now`. `wait` is its predicted wait behind all work
-    /// within shares, where there is a prediction.
-    pub fn decide(&self, now: Duration, wait: Option<Duration>) -> Verdict {
-        if self.standing == Standing::Within {
-            return Verdict::Send;
+    /// Whether the request goes to the background of its tier. `wait` is its predicted
+    /// wait in the foreground, where there is a prediction.
+    pub fn yields(&self, wait: Option<Duration>) -> bool {
+        let yields = yields(self.standing, wait, self.request.objective);
+        if yields {
+            self.shares.count(&self.request.service, "yields");
+        }
+        yields
+    }
+
+    /// Whether the request is refused at `now`. `prediction` is what it has to expect in
+    /// the background, where its wait is predicted; otherwise that follows from recent
+    /// outcomes.
+    pub fn refuses(&self, now: Duration, prediction: Option<Outlook>) -> bool {
+        let outlook = prediction.unwrap_or_else(|| self.outlook(now));
+        refuses(self.standing, &outlook)
+    }
+
+    fn outlook(&self, now: Duration) -> Outlook {
+        if self.request.cost.is_plain() {
+            return Outlook::Plain;
         }
         let mut services = self.shares.lock();
         let state = ServiceState::entry(&mut services, now, &self.request.service);
-        let outlook = Outlook {
-            wait,
-            late: state.late(now, self.tier),
-            objective: self.request.objective,
-        };
-        drop(services);
-        let verdict = decide(self.standing, &outlook);
-        let decision = match verdict {
-            Verdict::Refuse => "refused",
-            _ => "yields",
-        };
-        self.shares.count(&self.request.service, decision);
-        verdict
+        let above_late = state.outcomes[self.tier].late(now);
+        Outlook::Engine { above_late }
     }
 
     /// Counts the request as expected to be late.
@@ -418,6 +417,7 @@
     /// and `spread` a random number between 0 and 1.
     pub fn refuse(&mut self, now: Duration, id: &str, spread: f64) -> ShareRefusal {
         self.open = false;
+        self.shares.count(&self.request.service, "refused");
         self.update(now, |_, _| (), true);
         let request = &self.request;
         let (workspace, weight) = request.workspace.unwrap_or_default();
@@ -467,18 +467,17 @@
         let state = ServiceState::entry(&mut services, now, &self.request.service);
         act(state, self.tier);
         if late && !self.late {
-            state.usage.late(now, self.request.cost.work);
+            state.usage.late(now, self.request.cost, self.standing);
             self.late = true;
         }
     }
 
-    /// Counts the outcome of a request within its share, by which others above theirs
-    /// yield.
+    /// Counts the outcome of a request above its share that was sent.
     fn record_outcome(&self, now: Duration, late: bool) {
-        if self.standing == Standing::Within {
+        if self.standing == Standing::Above {
             let mut services = self.shares.lock();
             let state = ServiceState::entry(&mut services, now, &self.request.service);
-            state.pressure[self.tier].record(now, late);
+            state.outcomes[self.tier].record(now, late);
         }
     }
 }
--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::sleep;
 
 /// Behavior for one request.
@@ -36,6 +36,9 @@
     Hang,
     /// Sends a complete response after this delay.
     Slow(Duration, &'static str),
+    /// Sends a complete response after this delay if one of the slots is free, and reports
+    /// that it did not run the request otherwise.
+    InSlot(Arc<Semaphore>, Duration),
     /// Streams these chunks; the flag selects a proper end.
     Stream(Vec<&'static str>, bool),
     /// Streams these chunks, then sends nothing until the caller closes the connection,
@@ -179,6 +182,13 @@
                 sleep(pause).await;
                 response(200, id, "x-proof: 1\r\n", body)
             }
+            Act::InSlot(slots, pause) => match slots.try_acquire() {
+                Ok(_slot) => {
+                    sleep(pause).await;
+                    response(200, id, "x-proof: 1\r\n", "done")
+                }
+                Err(_) => response(503, id, "x-not-run: 1\r\n", ""),
+            },
             Act::Stream(pieces, ends_properly) => {
                 return self.stream(stream, id, pieces, ends_properly).await;
             }
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod responses;
 mod route_follower;
 mod settings;
+mod shares;
 mod staleness;
 mod streams;
 mod usage;
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -85,26 +85,14 @@
         let index = index(rank);
         let urgent: f64 = self.pending[..index].iter().flatten().sum();
         let ahead = urgent + self.pending[index][0];
-        let rate = (self.decayed(now) / RATE_DECAY_SECONDS).max(min_rate);
-        if rate <= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::try_from_secs_f64(ahead / rate).unwrap_or(Duration::MAX)
+        self.time_to_prefill(now, ahead, min_rate)
     }
 
-    /// Predicted time until a background request of `rank` that is sent now would be
-    /// prefilled if the foreground of all ranks went before it. `min_rate` as in
-    /// [`Self::predicted_wait`].
-    pub fn wait_behind_all(&self, now: Duration, rank: usize, min_rate: f64) -> Duration {
-        let foreground: f64 = self.pending.iter().map(|pending| pending[0]).sum();
-        let urgent = &self.pending[..=index(rank)];
-        let background: f64 = urgent.iter().map(|pending| pending[1]).sum();
-        let rate = (self.decayed(now) / RATE_DECAY_SECONDS).max(min_rate);
-        if rate <= 0.0 {
-            return Duration::ZERO;
-        }
-        let wait = (foreground + background) / rate;
-        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    /// Predicted time until a background request of `rank` that is sent now is prefilled.
+    /// `min_rate` as in [`Self::predicted_wait`].
+    pub fn background_wait(&self, now: Duration, rank: usize, min_rate: f64) -> Duration {
+        let ahead: f64 = self.pending[..=index(rank)].iter().flatten().sum();
+        self.time_to_prefill(now, ahead, min_rate)
     }
 
     /// Whether a request of `rank` that is sent now is expected to meet `objective`.
@@ -121,6 +109,14 @@
         soon || self.queue_wait.predicted(now) <= objective.mul_f64(OBSERVED_SHARE)
     }
 
+    fn time_to_prefill(&self, now: Duration, tokens: f64, min_rate: f64) -> Duration {
+        let rate = (self.decayed(now) / RATE_DECAY_SECONDS).max(min_rate);
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(tokens / rate).unwrap_or(Duration::MAX)
+    }
+
     fn decayed(&self, now: Duration) -> f64 {
         let idle = now.saturating_sub(self.at).as_secs_f64();
         self.prefilled * (-idle / RATE_DECAY_SECONDS).exp()
--- a/crates/policy/src/shares/admission.rs
+++ b/crates/policy/src/shares/admission.rs
@@ -3,62 +3,62 @@
 use super::Standing;
 use std::time::Duration;
 
-/// Part of the objective that the predicted wait may take; the rest allows for
-/// differences between endpoints.
-const WAIT_PART: f64 = 0.6;
-/// Late part of the recent requests from which on a service without a prediction has no
-/// room left. Workspaces within their shares keep the rest of the 0.05 by which they may
-/// notice others.
-const LATE_PART: f64 = 0.03;
+/// Part of the objective that the predicted wait may take before work above a share
+/// yields: half of what it may take for work within shares, so that the queue that is left
+/// consists of the latter.
+const YIELD_PART: f64 = 0.3;
+/// Late part of the recent requests above shares from which on another one is not
+/// expected to be in time.
+const ABOVE_LATE_PART: f64 = 0.5;
 /// Time constant of [`Pressure`], in seconds: about as long as a queue takes to drain
 /// once the work that filled it yields.
 const PRESSURE_DECAY: f64 = 1.0;
 /// Requests per time constant from which on a late one counts as a part.
 const MIN_REQUESTS: f64 = 3.0;
 
-/// What a request has to expect.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Outlook {
-    /// Predicted wait behind all work within shares, and work above them that is not less
-    /// urgent; `None` without a prediction.
-    pub wait: Option<Duration>,
-    /// Late part of the recent requests that were sent.
-    pub late: f64,
-    /// Response time within which an answer counts in full.
-    pub objective: Duration,
+/// What a request above its share has to expect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outlook {
+    /// A prompt in the background of its tier.
+    Prompt {
+        /// Predicted wait.
+        wait: Duration,
+        /// Time until the caller's deadline.
+        remaining: Duration,
+    },
+    /// Another request to an engine, which serves the foreground first.
+    Engine {
+        /// Late part of the recent requests above shares in its tier.
+        above_late: f64,
+    },
+    /// A request to a service that does not order its queue by priority. Its share already
+    /// contains all room that may be used without a loss to others.
+    Plain,
 }
 
-/// What is done with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Sent as it is.
-    Send,
-    /// Sent behind the others of its tier.
-    Yield,
-    /// Refused.
-    Refuse,
+/// Whether a request goes to the background of its tier. `wait` is its predicted wait in
+/// the foreground, where there is a prediction.
+pub fn yields(standing: Standing, wait: Option<Duration>, objective: Duration) -> bool {
+    let long = wait.is_none_or(|wait| wait > objective.mul_f64(YIELD_PART));
+    standing == Standing::Above && long
 }
 
-/// Decides on a request. One within its share is always sent. One above it takes room
-/// that is left, and is refused once it would be late or make others late: work above a
-/// share in an urgent tier goes before less urgent work of others, and would take their
-/// room if it were queued without bound.
-pub fn decide(standing: Standing, outlook: &Outlook) -> Verdict {
-    if standing == Standing::Within {
-        return Verdict::Send;
-    }
-    let late = match outlook.wait {
-        Some(wait) => wait > outlook.objective.mul_f64(WAIT_PART),
-        None => outlook.late > LATE_PART,
+/// Whether a request is refused. One within its share never is. One above it takes room
+/// that is left, and is refused once it can't be expected to be served in time.
+///
+/// Only work of the own tier and more urgent ones counts: an urgent request is not refused
+/// for the sake of less urgent ones.
+pub fn refuses(standing: Standing, outlook: &Outlook) -> bool {
+    let hopeless = match *outlook {
+        // The prediction is a lower bound: foreground that arrives meanwhile goes first.
+        Outlook::Prompt { wait, remaining } => wait > remaining,
+        Outlook::Engine { above_late } => above_late > ABOVE_LATE_PART,
+        Outlook::Plain => true,
     };
-    if late {
-        Verdict::Refuse
-    } else {
-        Verdict::Yield
-    }
+    standing == Standing::Above && hopeless
 }
 
-/// Late part of the recent requests that were sent.
+/// Late part of recent requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pressure {
     sent: f64,
--- a/crates/policy/src/shares/cost.rs
+++ b/crates/policy/src/shares/cost.rs
@@ -55,6 +55,8 @@
 pub struct Cost {
     /// Seconds of one endpoint.
     pub work: f64,
+    /// Whether the request has a prompt: engines order their queue by priority.
+    pub prompt: bool,
     /// The resource of which it takes the largest part.
     pub resource: Resource,
 }
@@ -65,6 +67,7 @@
         if size.prompt <= 0.0 {
             return Self {
                 work: PLAIN_WORK,
+                prompt: false,
                 resource: Resource::Slots,
             };
         }
@@ -76,13 +79,22 @@
         let largest = (0..parts.len()).max_by(|a, b| parts[*a].total_cmp(&parts[*b]));
         let at = largest.unwrap_or_default();
         if parts[at] <= 0.0 {
-            return Self::of(Size::default(), capacity);
+            return Self {
+                prompt: true,
+                ..Self::of(Size::default(), capacity)
+            };
         }
         Self {
             work: parts[at],
+            prompt: true,
             resource: RESOURCES[at],
         }
     }
+
+    /// Whether endpoints serve the request in the order of arrival.
+    pub fn is_plain(&self) -> bool {
+        !self.prompt
+    }
 }
 
 /// Part of a resource; 0 if the resource is unknown.
--- a/crates/policy/src/shares/level.rs
+++ b/crates/policy/src/shares/level.rs
@@ -3,6 +3,33 @@
 use super::WorkspaceHash;
 use super::usage::{Load, WorkspaceLoad};
 
+/// Part by which the room of endpoints that serve in the order of arrival is assumed to be
+/// larger than what they serve. Work above the shares is refused there, so without it,
+/// shares that are too small would never grow.
+const GROWTH: f64 = 0.2;
+/// Late part of the work within shares at which that room stays as it is. Workspaces
+/// within their shares are to keep 0.95 of what they get without others.
+const STEADY_LATE_PART: f64 = 0.04;
+/// Room that is taken away for late work, so that growth and loss are equal at
+/// [`STEADY_LATE_PART`].
+const LOSS: f64 = GROWTH / STEADY_LATE_PART - 1.0 - GROWTH;
+
+/// The work that a service which is short of room can serve in time.
+///
+/// Engines serve the foreground first, so work above the shares harms nobody, and the room
+/// is what they serve. Where requests are served in the order of arrival, the room is
+/// smaller than that: without a queue, endpoints reject a part of the requests long before
+/// all slots are always in use.
+pub fn room(load: &Load) -> f64 {
+    let plain = if load.asked > 0.0 {
+        (load.plain / load.asked).min(1.0)
+    } else {
+        0.0
+    };
+    let room = load.served * (1.0 + GROWTH * plain) - LOSS * load.crowded;
+    room.max(0.0)
+}
+
 /// Shares of a service that is short of room.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FairShares {
@@ -13,8 +40,7 @@
 }
 
 impl FairShares {
-    /// Divides the room, which is the work that the service serves while it is short of
-    /// it. No workspace is above the level if everything asked for is served.
+    /// Divides the [`room`]. No workspace is above the level if all work has room.
     pub fn of(load: &Load) -> Self {
         let mut demands: Vec<(f64, f64)> = load
             .workspaces
@@ -29,7 +55,7 @@
             demands.push((others, rest));
         }
         let free = if others > 0.0 { 0.0 } else { rest };
-        let level = level(demands, (load.served - free).max(0.0));
+        let level = level(demands, (room(load) - free).max(0.0));
         let above = load.workspaces.iter().filter(|load| {
             // Rounding must not put a workspace above the level that is exactly at it.
             load.total() > level * load.weight * (1.0 + 1e-9)
--- a/crates/policy/src/shares/usage.rs
+++ b/crates/policy/src/shares/usage.rs
@@ -1,7 +1,7 @@
 //! Recent work that was asked of one service, by workspace and tier.
 
-use super::WorkspaceHash;
 use super::cost::{Cost, RESOURCES};
+use super::{Standing, WorkspaceHash};
 use std::time::Duration;
 
 /// Time constant of all sums. Long enough for some requests of each workspace, and short
@@ -41,6 +41,10 @@
     pub served: f64,
     /// Work that was late, or is expected to be, or was refused.
     pub late: f64,
+    /// Work asked of endpoints that do not order their queue by priority.
+    pub plain: f64,
+    /// Work within shares at such endpoints that was late.
+    pub crowded: f64,
     /// Work asked for by the resource that it takes most of.
     pub resources: [f64; RESOURCES.len()],
     /// The workspaces that asked for most, sorted.
@@ -55,6 +59,8 @@
         self.asked += other.asked;
         self.served += other.served;
         self.late += other.late;
+        self.plain += other.plain;
+        self.crowded += other.crowded;
         for (sum, more) in self.resources.iter_mut().zip(other.resources) {
             *sum += more;
         }
@@ -76,7 +82,13 @@
 
     /// The same load without numbers that no correct entry reports.
     pub fn sanitized(mut self) -> Self {
-        let sums = [&mut self.asked, &mut self.served, &mut self.late];
+        let sums = [
+            &mut self.asked,
+            &mut self.served,
+            &mut self.late,
+            &mut self.plain,
+            &mut self.crowded,
+        ];
         sums.into_iter().chain(&mut self.resources).for_each(clean);
         for load in &mut self.workspaces {
             load.asked.truncate(MAX_TIERS);
@@ -133,6 +145,9 @@
     ) {
         let work = self.scaled(now, cost.work);
         self.sums.asked += work;
+        if cost.is_plain() {
+            self.sums.plain += work;
+        }
         self.sums.resources[cost.resource as usize] += work;
         let Some((workspace, weight)) = workspace else {
             return;
@@ -156,8 +171,12 @@
     }
 
     /// Records that a request was late, is expected to be, or was refused.
-    pub fn late(&mut self, now: Duration, work: f64) {
-        self.sums.late += self.scaled(now, work);
+    pub fn late(&mut self, now: Duration, cost: Cost, standing: Standing) {
+        let work = self.scaled(now, cost.work);
+        self.sums.late += work;
+        if cost.is_plain() && standing == Standing::Within {
+            self.sums.crowded += work;
+        }
     }
 
     /// The load per second, with at most `workspaces` workspaces.
@@ -226,6 +245,8 @@
     load.asked *= factor;
     load.served *= factor;
     load.late *= factor;
+    load.plain *= factor;
+    load.crowded *= factor;
     load.resources.iter_mut().for_each(|sum| *sum *= factor);
     let tiers = load.workspaces.iter_mut().flat_map(|load| &mut load.asked);
     tiers.for_each(|sum| *sum *= factor);
--- a/crates/wire/src/shares.rs
+++ b/crates/wire/src/shares.rs
@@ -28,6 +28,10 @@
     pub served: f32,
     /// Work that was late, or is expected to be, or was refused.
     pub late: f32,
+    /// Work asked of endpoints that do not order their queue by priority.
+    pub plain: f32,
+    /// Work within shares at such endpoints that was late.
+    pub crowded: f32,
     /// Work by resource: prefill, slots, memory.
     pub resources: [f32; 3],
     /// Number of workspaces that are not listed.
@@ -68,6 +72,8 @@
             asked: load.asked as f32,
             served: load.served as f32,
             late: load.late as f32,
+            plain: load.plain as f32,
+            crowded: load.crowded as f32,
             resources: load.resources.map(|sum| sum as f32),
             others: load.others,
             workspaces: load.workspaces.iter().map(WorkspaceUse::from).collect(),
@@ -81,6 +87,8 @@
             asked: f64::from(self.asked),
             served: f64::from(self.served),
             late: f64::from(self.late),
+            plain: f64::from(self.plain),
+            crowded: f64::from(self.crowded),
             resources: self.resources.map(f64::from),
             others: self.others,
             workspaces: workspaces.map(WorkspaceUse::load).collect(),
