--- a/crates/direct/src/shares.rs
+++ b/crates/direct/src/shares.rs
@@ -113,12 +113,14 @@
             .map_or(Standing::Within, |(workspace, _)| {
                 state.decide(workspace, tier, request.cost.work)
             });
+        let divided = state.division.is_some();
         drop(services);
         ShareTicket {
             shares: Arc::clone(self),
             request,
             tier,
             standing,
+            divided,
             started: now,
             late: false,
             open: true,
@@ -347,6 +349,8 @@
     request: ShareRequest,
     tier: usize,
     standing: Standing,
+    /// Whether the service was short of room when the request arrived.
+    divided: bool,
     started: Duration,
     /// Whether the work is already counted as late.
     late: bool,
@@ -467,7 +471,11 @@
         let state = ServiceState::entry(&mut services, now, &self.request.service);
         act(state, self.tier);
         if late && !self.late {
-            state.usage.late(now, self.request.cost, self.standing);
+            state.usage.late(now, self.request.cost.work);
+            let plain = self.request.cost.is_plain();
+            if plain && self.divided && self.standing == Standing::Within {
+                state.usage.crowded(now, self.request.cost.work);
+            }
             self.late = true;
         }
     }
--- a/crates/policy/src/shares/level.rs
+++ b/crates/policy/src/shares/level.rs
@@ -3,31 +3,34 @@
 use super::WorkspaceHash;
 use super::usage::{Load, WorkspaceLoad};
 
-/// Part by which the room of endpoints that serve in the order of arrival is assumed to be
-/// larger than what they serve. Work above the shares is refused there, so without it,
-/// shares that are too small would never grow.
-const GROWTH: f64 = 0.2;
-/// Late part of the work within shares at which that room stays as it is. Workspaces
-/// within their shares are to keep 0.95 of what they get without others.
-const STEADY_LATE_PART: f64 = 0.04;
-/// Room that is taken away for late work, so that growth and loss are equal at
-/// [`STEADY_LATE_PART`].
-const LOSS: f64 = GROWTH / STEADY_LATE_PART - 1.0 - GROWTH;
+/// Largest part by which the room of endpoints that serve in the order of arrival is
+/// assumed to differ from what they serve. Work above the shares is refused there, so
+/// shares that are too small would never grow otherwise.
+const ADJUSTMENT: f64 = 0.2;
+/// Late part of the work within shares at which that room is what the endpoints serve.
+/// Workspaces within their shares are to keep 0.95 of what they get without others, and
+/// lose more than this while a shortage begins.
+const STEADY_LATE_PART: f64 = 0.02;
 
 /// The work that a service which is short of room can serve in time.
 ///
 /// Engines serve the foreground first, so work above the shares harms nobody, and the room
 /// is what they serve. Where requests are served in the order of arrival, the room is
 /// smaller than that: without a queue, endpoints reject a part of the requests long before
-/// all slots are always in use.
+/// all slots are always in use. It shrinks while work within shares is late, and grows
+/// while none is.
 pub fn room(load: &Load) -> f64 {
-    let plain = if load.asked > 0.0 {
-        (load.plain / load.asked).min(1.0)
+    if load.served <= 0.0 {
+        return 0.0;
+    }
+    let plain = if load.plain > 0.0 {
+        load.plain / load.asked.max(load.plain)
     } else {
         0.0
     };
-    let room = load.served * (1.0 + GROWTH * plain) - LOSS * load.crowded;
-    room.max(0.0)
+    let late = load.crowded / load.served / STEADY_LATE_PART;
+    let adjustment = ADJUSTMENT * (1.0 - late).max(-1.0);
+    load.served * (1.0 + adjustment * plain)
 }
 
 /// Shares of a service that is short of room.
--- a/crates/policy/src/shares/usage.rs
+++ b/crates/policy/src/shares/usage.rs
@@ -1,7 +1,7 @@
 //! Recent work that was asked of one service, by workspace and tier.
 
+use super::WorkspaceHash;
 use super::cost::{Cost, RESOURCES};
-use super::{Standing, WorkspaceHash};
 use std::time::Duration;
 
 /// Time constant of all sums. Long enough for some requests of each workspace, and short
@@ -43,7 +43,7 @@
     pub late: f64,
     /// Work asked of endpoints that do not order their queue by priority.
     pub plain: f64,
-    /// Work within shares at such endpoints that was late.
+    /// Work within shares at such endpoints that was late although others yield.
     pub crowded: f64,
     /// Work asked for by the resource that it takes most of.
     pub resources: [f64; RESOURCES.len()],
@@ -171,12 +171,13 @@
     }
 
     /// Records that a request was late, is expected to be, or was refused.
-    pub fn late(&mut self, now: Duration, cost: Cost, standing: Standing) {
-        let work = self.scaled(now, cost.work);
-        self.sums.late += work;
-        if cost.is_plain() && standing == Standing::Within {
-            self.sums.crowded += work;
-        }
+    pub fn late(&mut self, now: Duration, work: f64) {
+        self.sums.late += self.scaled(now, work);
+    }
+
+    /// Records that a request within a share was late although others yield.
+    pub fn crowded(&mut self, now: Duration, work: f64) {
+        self.sums.crowded += self.scaled(now, work);
     }
 
     /// The load per second, with at most `workspaces` workspaces.
