--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -8,7 +8,9 @@
 //!   lines and the endpoint list in use when the request arrived: they show whether an
 //!   endpoint was known to be leaving when the request was sent to it;
 //! * of all processes, the lines about endpoints that ended while they ran other attempts
-//!   with the same content, and about the quarantine of that content.
+//!   with the same content, and about the quarantine of that content;
+//! * of a request refused for the share of its workspace, the last line of the same process
+//!   about the level of that service, and the last one of each process about its shortage.
 //!
 //! Times are those of each process's clock, which can differ by seconds between
 //! instances. Lines of one file with the same time keep their order.
@@ -38,7 +40,7 @@
 }
 
 /// Meaning of each outcome, and the events to look at next.
-const CAUSES: [(&str, &str); 21] = [
+const CAUSES: [(&str, &str); 22] = [
     (
         "no-routes",
         "the entry had no route set yet: it had just started, and no control instance had confirmed one; look at control-lost, leadership-changed and routes-in-force",
@@ -60,6 +62,10 @@
         "endpoints-held",
         "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-backoff, endpoint-limit and permits-granted",
     ),
+    (
+        "over-share",
+        "its workspace asked for more than its share of a service that was short of room, and there was no room left; the share-refused line has the share, what the workspace asked for at all entries, and the age of the level, service-short what was short and who else was above it",
+    ),
     ("overload", "the service could not serve it in time"),
     (
         "stopping",
@@ -131,6 +137,8 @@
     for (source, text) in logs {
         let endpoint_lines = endpoint_lines(source, text, &lines);
         let crash_lines = crash_lines(id, source, text, &lines);
+        let share_lines = share_lines(source, text, &lines);
+        lines.extend(share_lines);
         lines.extend(endpoint_lines);
         lines.extend(crash_lines);
     }
@@ -226,6 +234,33 @@
     lines.map(|text| LogLine::new(source, text)).collect()
 }
 
+/// Of a process: the last lines before a request was refused for the share of its
+/// workspace, about the level of that service, if the process logged the request, and
+/// about its shortage.
+fn share_lines<'a>(
+    source: &'a str,
+    text: &'a str,
+    request_lines: &[LogLine<'a>],
+) -> Vec<LogLine<'a>> {
+    let refused =
+        |line: &&LogLine<'a>| field(line.text, "event") == Some("share-refused");
+    let Some(refusal) = request_lines.iter().find(refused) else {
+        return Vec::new();
+    };
+    let service = field(refusal.text, "service");
+    let last = |event| {
+        let lines = text.lines().map(|text| LogLine::new(source, text.trim()));
+        let mut of_service = lines.filter(|line| {
+            let matches = field(line.text, "event") == Some(event)
+                && field(line.text, "service") == service;
+            matches && line.time <= refusal.time
+        });
+        of_service.next_back()
+    };
+    let level = last("share-level").filter(|_| source == refusal.source);
+    level.into_iter().chain(last("service-short")).collect()
+}
+
 /// Value of the field `key` in a line of `key=value` pairs; values with blanks are cut at
 /// the first one.
 fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -59,3 +59,31 @@
     assert_eq!(times, expected);
     assert!(text.contains("endpoint-leaving endpoint=e1") && !text.contains("e2"));
 }
+
+/// A request refused for the share of its workspace: the trace explains it, with the last
+/// level of its entry and the shortage as control saw it, but no other service.
+#[test]
+fn trace_explains_refusal_by_share() {
+    let entry = "\
+time=1.000 level=info event=share-level service=voice level=0.1 above=1 by=own
+time=2.000 level=info event=share-level service=voice level=0.5 above=1 by=control
+time=2.500 level=info event=share-level service=chat level=0.7 above=1 by=control
+time=3.000 level=info event=share-refused request=r1 service=voice workspace=00ab share=0.5 asked=4.0
+time=3.000 level=warn event=request-refused request=r1 service=voice workspace=acme status=429 cause=over-share
+";
+    let control = "\
+time=1.900 level=info event=service-short service=voice binds=prefill level=0.5 above=1 workspaces=00ab
+time=9.000 level=info event=service-short service=voice binds=slots level=0.9 above=0 workspaces=
+";
+    let logs = [("control", control), ("entry", entry)];
+    let logs = logs.map(|(name, text)| (name.to_string(), text.to_string()));
+    let text = trace("r1", &logs).expect("there are lines");
+    let times: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split("time=").nth(1))
+        .collect();
+    let times: Vec<&str> = times.iter().map(|line| &line[..5]).collect();
+    assert_eq!(times, ["1.900", "2.000", "3.000", "3.000"]);
+    assert!(text.contains("workspace=acme") && text.contains("share=0.5"));
+    assert!(text.lines().any(|line| line.starts_with("over-share: ")));
+}
--- a/crates/wire/tests/contention.rs
+++ b/crates/wire/tests/contention.rs
@@ -2,7 +2,7 @@
 
 use dogwoodhill_wire::contention::{ContentionReply, ContentionReport};
 use dogwoodhill_wire::demand::{DemandReply, DemandReport};
-use dogwoodhill_wire::shares::ServiceUse;
+use dogwoodhill_wire::shares::{MAX_REPORTED, ServiceUse, WorkspaceUse};
 use serde::Serialize;
 
 /// Number of elements of the encoded message, an array of at most 15 fields.
@@ -48,3 +48,20 @@
     let decoded: DemandReply = rmp_serde::from_slice(&bytes).expect("it decodes");
     assert_eq!(decoded, without);
 }
+
+/// The largest report about one service stays small.
+#[test]
+fn report_of_service_bounded() {
+    let workspace = WorkspaceUse {
+        workspace: u64::MAX,
+        weight: 1,
+        asked: vec![0.1; 3],
+    };
+    let used = ServiceUse {
+        service: "chat".to_string(),
+        workspaces: vec![workspace; MAX_REPORTED],
+        ..ServiceUse::default()
+    };
+    let bytes = rmp_serde::to_vec(&used).expect("a report encodes");
+    assert!(bytes.len() <= 1_000, "{} bytes", bytes.len());
+}
