--- a/crates/direct/src/shares.rs
+++ b/crates/direct/src/shares.rs
@@ -394,7 +394,7 @@
 
     /// Counts the request as expected to be late.
     pub fn expect_late(&mut self, now: Duration) {
-        self.update(now, |_, _| (), true);
+        self.update(now, |_| (), true);
     }
 
     /// Counts the start of the response.
@@ -404,7 +404,7 @@
         }
         let late = self.is_late(now);
         let work = self.request.cost.work;
-        self.update(now, |state, _| state.usage.served(now, work), late);
+        self.update(now, |state| state.usage.served(now, work), late);
         self.record_outcome(now, late);
     }
 
@@ -412,7 +412,16 @@
     pub fn refused(&mut self, now: Duration, by_load: bool) {
         if std::mem::take(&mut self.open) {
             let late = by_load || self.is_late(now);
-            self.update(now, |_, _| (), late);
+            let plain = self.request.cost.is_plain();
+            let crowded =
+                by_load && plain && self.divided && self.standing == Standing::Within;
+            let work = self.request.cost.work;
+            let count = |state: &mut ServiceState| {
+                if crowded {
+                    state.usage.crowded(now, work);
+                }
+            };
+            self.update(now, count, late);
             self.record_outcome(now, late);
         }
     }
@@ -422,7 +431,7 @@
     pub fn refuse(&mut self, now: Duration, id: &str, spread: f64) -> ShareRefusal {
         self.open = false;
         self.shares.count(&self.request.service, "refused");
-        self.update(now, |_, _| (), true);
+        self.update(now, |_| (), true);
         let request = &self.request;
         let (workspace, weight) = request.workspace.unwrap_or_default();
         let mut services = self.shares.lock();
@@ -461,21 +470,12 @@
     }
 
     /// Applies `act`, and counts the work as late, once.
-    fn update(
-        &mut self,
-        now: Duration,
-        act: impl FnOnce(&mut ServiceState, usize),
-        late: bool,
-    ) {
+    fn update(&mut self, now: Duration, act: impl FnOnce(&mut ServiceState), late: bool) {
         let mut services = self.shares.lock();
         let state = ServiceState::entry(&mut services, now, &self.request.service);
-        act(state, self.tier);
+        act(state);
         if late && !self.late {
             state.usage.late(now, self.request.cost.work);
-            let plain = self.request.cost.is_plain();
-            if plain && self.divided && self.standing == Standing::Within {
-                state.usage.crowded(now, self.request.cost.work);
-            }
             self.late = true;
         }
     }
--- a/crates/policy/src/shares/level.rs
+++ b/crates/policy/src/shares/level.rs
@@ -7,18 +7,18 @@
 /// assumed to differ from what they serve. Work above the shares is refused there, so
 /// shares that are too small would never grow otherwise.
 const ADJUSTMENT: f64 = 0.2;
-/// Late part of the work within shares at which that room is what the endpoints serve.
+/// Rejected part of the work within shares at which that room is what the endpoints serve.
 /// Workspaces within their shares are to keep 0.95 of what they get without others, and
 /// lose more than this while a shortage begins.
-const STEADY_LATE_PART: f64 = 0.02;
+const STEADY_LOST_PART: f64 = 0.02;
 
 /// The work that a service which is short of room can serve in time.
 ///
 /// Engines serve the foreground first, so work above the shares harms nobody, and the room
 /// is what they serve. Where requests are served in the order of arrival, the room is
 /// smaller than that: without a queue, endpoints reject a part of the requests long before
-/// all slots are always in use. It shrinks while work within shares is late, and grows
-/// while none is.
+/// all slots are always in use. It shrinks while work within shares is rejected, and
+/// grows while none is. Late responses do not count: they may have other causes.
 pub fn room(load: &Load) -> f64 {
     if load.served <= 0.0 {
         return 0.0;
@@ -28,8 +28,8 @@
     } else {
         0.0
     };
-    let late = load.crowded / load.served / STEADY_LATE_PART;
-    let adjustment = ADJUSTMENT * (1.0 - late).max(-1.0);
+    let lost = load.crowded / load.served / STEADY_LOST_PART;
+    let adjustment = ADJUSTMENT * (1.0 - lost).max(-1.0);
     load.served * (1.0 + adjustment * plain)
 }
 
--- a/crates/policy/src/shares/usage.rs
+++ b/crates/policy/src/shares/usage.rs
@@ -43,7 +43,7 @@
     pub late: f64,
     /// Work asked of endpoints that do not order their queue by priority.
     pub plain: f64,
-    /// Work within shares at such endpoints that was late although others yield.
+    /// Work within shares that such endpoints rejected although others yield.
     pub crowded: f64,
     /// Work asked for by the resource that it takes most of.
     pub resources: [f64; RESOURCES.len()],
@@ -175,7 +175,7 @@
         self.sums.late += self.scaled(now, work);
     }
 
-    /// Records that a request within a share was late although others yield.
+    /// Records that a request within a share found no endpoint although others yield.
     pub fn crowded(&mut self, now: Duration, work: f64) {
         self.sums.crowded += self.scaled(now, work);
     }
--- a/crates/wire/src/shares.rs
+++ b/crates/wire/src/shares.rs
@@ -30,7 +30,7 @@
     pub late: f32,
     /// Work asked of endpoints that do not order their queue by priority.
     pub plain: f32,
-    /// Work within shares at such endpoints that was late although others yield.
+    /// Work within shares that such endpoints rejected although others yield.
     pub crowded: f32,
     /// Work by resource: prefill, slots, memory.
     pub resources: [f32; 3],
