--- a/crates/control/src/contention.rs
+++ b/crates/control/src/contention.rs
@@ -4,6 +4,7 @@
 //! after one reporting interval, and an entry without a reply goes on by itself.
 
 use crate::pace::PaceTracker;
+use crate::shares::ShareTracker;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_wire::contention::{ContentionReply, ContentionReport};
 use dogwoodhill_wire::demand::DemandReport;
@@ -12,6 +13,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ContentionTracker {
     paces: PaceTracker,
+    shares: ShareTracker,
 }
 
 impl ContentionTracker {
@@ -20,12 +22,16 @@
     pub fn report(
         &self,
         now: Duration,
-        _transit: Duration,
+        transit: Duration,
         report: &DemandReport,
     ) -> Option<ContentionReply> {
         let contention: &ContentionReport = report.contention.as_ref()?;
+        let shares = &contention.shares;
+        let shares = (!shares.is_empty())
+            .then(|| self.shares.report(now, transit, &report.entry, shares));
         let paces = contention.paces.as_ref();
         let reply = ContentionReply {
+            shares: shares.flatten(),
             paces: paces.and_then(|paces| self.paces.report(now, paces)),
             ..ContentionReply::default()
         };
--- a/crates/ctl/src/summary.rs
+++ b/crates/ctl/src/summary.rs
@@ -12,7 +12,7 @@
 /// Event of a send that did not bring an answer.
 const SEND_FAILED: [&str; 1] = ["send-failed"];
 /// Cause of a refusal for the share of the workspace.
-const BY_SHARE: &str = "share-exceeded";
+const BY_SHARE: &str = "over-share";
 /// Most lines of a table; the others are counted.
 const MAX_ROWS: usize = 20;
 
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -11,6 +11,8 @@
 //!   with the same content, and about the quarantine of that content;
 //! * of all processes, the spans around a refusal in which they treated the service of the
 //!   request differently, such as while it was short of room.
+//! * of a request refused for the share of its workspace, the last line of the same process
+//!   about the level of that service, and the last one of each process about its shortage.
 //!
 //! Times are those of each process's clock, which can differ by seconds between
 //! instances. Lines of one file with the same time keep their order.
@@ -47,8 +49,8 @@
         "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-backoff, endpoint-limit and permits-granted",
     ),
     (
-        "share-exceeded",
-        "the service was short of room, and the workspace asked for more than its share of it; compare with summary --service, which shows who asked for how much",
+        "over-share",
+        "its workspace asked for more than its share of a service that was short of room, and there was no room left; the share-refused line has the share, what the workspace asked for at all entries, and the age of the level, service-short what was short and who else was above it",
     ),
     ("overload", "the service could not serve it in time"),
     (
@@ -121,6 +123,8 @@
     for (source, text) in logs {
         let endpoint_lines = endpoint_lines(source, text, &lines);
         let crash_lines = crash_lines(id, source, text, &lines);
+        let share_lines = share_lines(source, text, &lines);
+        lines.extend(share_lines);
         lines.extend(endpoint_lines);
         lines.extend(crash_lines);
     }
@@ -225,3 +229,27 @@
     });
     lines.collect()
 }
+
+/// Of a process: the last lines before a request was refused for the share of its
+/// workspace, about the level of that service, if the process logged the request, and
+/// about its shortage.
+fn share_lines<'a>(
+    source: &'a str,
+    text: &'a str,
+    request_lines: &[LogLine<'a>],
+) -> Vec<LogLine<'a>> {
+    let refused = |line: &&LogLine<'a>| line.is_event(&["share-refused"]);
+    let Some(refusal) = request_lines.iter().find(refused) else {
+        return Vec::new();
+    };
+    let service = refusal.field("service");
+    let last = |event: &'static str| {
+        let mut of_service = all_lines(source, text).filter(|line| {
+            let matches = line.is_event(&[event]) && line.field("service") == service;
+            matches && line.time <= refusal.time
+        });
+        of_service.next_back()
+    };
+    let level = last("share-level").filter(|_| source == refusal.source);
+    level.into_iter().chain(last("service-short")).collect()
+}
--- a/crates/ctl/tests/summary.rs
+++ b/crates/ctl/tests/summary.rs
@@ -10,7 +10,7 @@
 time=6.100 level=info event=request-answered request=r2 service=voice workspace=w1 endpoint=e1 wait_ms=9 status=200 cause=endpoint ms=50
 time=6.200 level=warn event=send-failed request=r3 service=voice endpoint=e2 result=refused sends=1
 time=6.300 level=info event=request-answered request=r3 service=voice workspace=w2 endpoint=e1 wait_ms=1 status=200 cause=endpoint ms=30
-time=6.400 level=warn event=request-refused request=r4 service=voice workspace=w2 endpoint=- wait_ms=0 status=429 cause=share-exceeded ms=4
+time=6.400 level=warn event=request-refused request=r4 service=voice workspace=w2 endpoint=- wait_ms=0 status=429 cause=over-share ms=4
 time=6.500 level=info event=stream-ended request=r3 service=voice workspace=w2 endpoint=e1 status=200 cause=endpoint
 ";
 const SECOND_ENTRY: &str = "\
@@ -40,7 +40,7 @@
     5 requests from 5.500 to 6.400, 1 refused by share
     by outcome status cause:
       answered 200 endpoint: 3, after 30 ms (at most 50), predicted wait 3 ms (at most 9)
-      refused 429 share-exceeded: 1, after 4 ms (at most 4), predicted wait 0 ms (at most 0)
+      refused 429 over-share: 1, after 4 ms (at most 4), predicted wait 0 ms (at most 0)
       refused 503 endpoints-full: 1, after 7 ms (at most 7)
     by workspace:
       w2: 3, 2 refused, 1 of them by share
@@ -59,7 +59,7 @@
     by outcome status cause:
       abandoned 0 caller-gone: 1, after 8 ms (at most 8), predicted wait 0 ms (at most 0)
       answered 200 endpoint: 1, after 30 ms (at most 30), predicted wait 1 ms (at most 1)
-      refused 429 share-exceeded: 1, after 4 ms (at most 4), predicted wait 0 ms (at most 0)
+      refused 429 over-share: 1, after 4 ms (at most 4), predicted wait 0 ms (at most 0)
       refused 503 endpoints-full: 1, after 7 ms (at most 7)
     by service:
       voice: 3, 2 refused, 1 of them by share
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -73,7 +73,7 @@
 time=8.000 level=warn event=service-short service=voice binding=slots level=0.2
 time=8.500 level=warn event=service-short service=voice binding=slots level=0.3
 time=9.000 level=warn event=service-short service=other binding=slots level=0.9
-time=9.500 level=warn event=request-refused request=r1 service=voice workspace=w1 status=429 cause=share-exceeded ms=2
+time=9.500 level=warn event=request-refused request=r1 service=voice workspace=w1 status=429 cause=over-share ms=2
 time=12.000 level=info event=service-has-room service=voice
 ";
     let control = "\
@@ -91,7 +91,7 @@
          (event=pace-steady service=voice)",
     ];
     assert_eq!(lines[..2], expected);
-    assert!(lines[2].starts_with("share-exceeded: ") && lines.len() == 3);
+    assert!(lines[2].starts_with("over-share: ") && lines.len() == 3);
 }
 
 /// A request that was answered is not explained by the state of its service.
@@ -105,3 +105,31 @@
     let text = trace("r1", &logs).expect("there are lines");
     assert_eq!(text.lines().count(), 1);
 }
+
+/// A request refused for the share of its workspace: the trace explains it, with the last
+/// level of its entry and the shortage as control saw it, but no other service.
+#[test]
+fn trace_explains_refusal_by_share() {
+    let entry = "\
+time=1.000 level=info event=share-level service=voice level=0.1 above=1 by=own
+time=2.000 level=info event=share-level service=voice level=0.5 above=1 by=control
+time=2.500 level=info event=share-level service=chat level=0.7 above=1 by=control
+time=3.000 level=info event=share-refused request=r1 service=voice workspace=00ab share=0.5 asked=4.0
+time=3.000 level=warn event=request-refused request=r1 service=voice workspace=acme status=429 cause=over-share
+";
+    let control = "\
+time=1.900 level=info event=service-short service=voice binds=prefill level=0.5 above=1 workspaces=00ab
+time=9.000 level=info event=service-short service=voice binds=slots level=0.9 above=0 workspaces=
+";
+    let logs = [("control", control), ("entry", entry)];
+    let logs = logs.map(|(name, text)| (name.to_string(), text.to_string()));
+    let text = trace("r1", &logs).expect("there are lines");
+    let times: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split("time=").nth(1))
+        .collect();
+    let times: Vec<&str> = times.iter().map(|line| &line[..5]).collect();
+    assert_eq!(times, ["1.900", "2.000", "3.000", "3.000"]);
+    assert!(text.contains("workspace=acme") && text.contains("share=0.5"));
+    assert!(text.lines().any(|line| line.starts_with("over-share: ")));
+}
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -74,6 +74,7 @@
         name: "demo".to_string(),
         keys: vec!["k".to_string()],
         tier: None,
+        weight: 1,
     }
 }
 
@@ -147,17 +148,38 @@
         Self::run(name, list, grace, control, None, Features::default()).await
     }
 
-    /// An entry with these endpoints, routes and optional features.
+    /// An entry with these endpoints, routes and optional features, without control.
     pub(crate) async fn with_features(
         endpoints: &[&ScriptedEndpoint],
         set: RouteSet,
         features: Features,
+    ) -> Self {
+        let control = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
+        Self::with_control_and_features(endpoints, set, control, features).await
+    }
+
+    /// An entry with these endpoints, routes and control instances, and shares on.
+    pub(crate) async fn with_shares(
+        endpoints: &[&ScriptedEndpoint],
+        set: RouteSet,
+        control: Vec<SocketAddr>,
+    ) -> Self {
+        let features = Features {
+            shares: true,
+            ..Features::default()
+        };
+        Self::with_control_and_features(endpoints, set, control, features).await
+    }
+
+    async fn with_control_and_features(
+        endpoints: &[&ScriptedEndpoint],
+        set: RouteSet,
+        control: Vec<SocketAddr>,
+        features: Features,
     ) -> Self {
         let listed = listed(endpoints);
         let list = Box::new(FixedList(listed.clone()));
-        let control = vec![SocketAddr::from(([127, 0, 0, 1], 9))];
-        let grace = LONG_TIMEOUT;
-        let entry = Self::run("entry", list, grace, control, None, features).await;
+        let entry = Self::run("entry", list, LONG_TIMEOUT, control, None, features).await;
         entry.shared.directory.update(listed);
         entry.shared.activate_routes(RouteTable::new(set));
         entry
