Places at endpoints with few slots are lent to entries

Cause: each entry guesses which of a few endpoints with few slots has room. Endpoints reject requests while slots of others are free, and a request is refused after one or two sends within milliseconds. Ruled out: more sends (they count as arrivals and are bounded by the resend budget), static parts (0.7 places an entry are 0 or overbooked), a queue in control (a call on the path of each request). Change: policy::lending divides the places of a service among entries (Lender), counts an entry's requests against its places (Places) and orders those that wait (WaitQueue); control::lending and direct::lending act on it, dispatch::waiting chooses the endpoint. Conclusion: tests of the decisions pass in virtual time; not measured yet.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod demand;
 pub mod forward;
 pub mod internal;
+pub mod lending;
 pub mod limits;
 pub mod lists;
 pub mod operators;
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod estimates;
 mod in_flight;
+mod lending;
 mod limits;
 mod queue_position;
 mod snapshot;
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -44,7 +44,7 @@
     /// Idle connections.
     pub pool: Pool,
     pub(super) hash: u64,
-    slots: u32,
+    pub(super) slots: u32,
     leaving: AtomicBool,
     /// Whether another process responds at the address. A run never comes back, even if
     /// an outdated list still has it.
--- /dev/null
+++ b/crates/direct/src/directory/lending.rs
@@ -0,0 +1,65 @@
+//! Endpoints of a service whose places are lent.
+
+use super::{Directory, Endpoint, Placement};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_policy::health::Health;
+use dogwoodhill_policy::lending::{EndpointSlots, MAX_ENDPOINTS};
+
+impl Directory {
+    /// The endpoints of a service, with their slots. `None` if its places cannot be lent:
+    /// it has too many endpoints, or some announce a rate limit, which permits enforce.
+    pub fn slots(&self, service: &str) -> Option<Vec<EndpointSlots>> {
+        let snapshot = self.snapshot.load();
+        let group = snapshot.group(service)?;
+        let limited = group.iter().any(|endpoint| endpoint.is_limited());
+        if limited || group.len() > MAX_ENDPOINTS {
+            return None;
+        }
+        let sound = group.iter().any(|endpoint| {
+            endpoint.is_available() && endpoint.health() == Health::Sound
+        });
+        let slots = group.iter().filter(|endpoint| !endpoint.leaving());
+        let slots = slots.map(|endpoint| EndpointSlots {
+            run: endpoint.run(),
+            slots: endpoint.known_slots(),
+            // As for placement: other endpoints are used only without a sound one.
+            usable: endpoint.is_available()
+                && (!sound || endpoint.health() == Health::Sound),
+        });
+        Some(slots.collect())
+    }
+
+    /// The placement at one endpoint of a service, if it still admits requests.
+    pub fn place_at(&self, service: &str, run: &Incarnation) -> Option<Placement> {
+        let endpoint = self.find_run(run)?;
+        let snapshot = self.snapshot.load();
+        let known = snapshot.group(service)?.len();
+        endpoint.admits().then(|| Placement {
+            health: endpoint.health(),
+            endpoint,
+            known,
+            reserved: 0,
+        })
+    }
+}
+
+impl Endpoint {
+    /// Whether the endpoint neither leaves nor requested a backoff.
+    fn is_available(&self) -> bool {
+        !self.leaving() && self.remaining_backoff().is_none()
+    }
+
+    /// Slots that the endpoint last named, or those of the list.
+    fn known_slots(&self) -> u32 {
+        let named = self.estimates().load.slots;
+        if named > 0 { named } else { self.slots }
+    }
+
+    /// Whether a rejection means that the endpoint is full: it neither leaves nor asks
+    /// for a backoff or a lower rate, and names no free slot.
+    pub fn rejects_as_full(&self) -> bool {
+        let load = self.estimates().load;
+        let free_slot = load.slots > 0 && load.running < load.slots;
+        self.is_available() && !self.is_limited() && !free_slot
+    }
+}
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -10,6 +10,7 @@
 mod moving;
 mod refusal;
 mod stream_start;
+mod waiting;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
 use crate::directory::{Endpoint, LatencyClass, PlacementQuery, QueuePosition};
@@ -17,6 +18,7 @@
     self, CompleteResponse, EndpointResponse, Loss, OutboundRequest, SendContext,
     SendOutcome,
 };
+use crate::lending::PlaceGuard;
 use crate::race::{Winner, race_response};
 use crate::request::SharedState;
 use crate::response::{RefusalCause, ResponseBody};
@@ -29,12 +31,13 @@
 use dogwoodhill_policy::quarantine::SUSPECT_CRASHES;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
-use rand::RngExt;
+use refusal::loss_cause;
 use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use stream_start::StreamStart;
 use tokio::time::Instant;
+use waiting::pick_service;
 
 /// Failed connection attempts, at different endpoints, after which a request is refused.
 /// No byte was sent, so they do not count as sends.
@@ -81,6 +84,10 @@
     /// Whether the next send is already debited from the budget.
     prepaid: bool,
     may_have_run: bool,
+    /// Whether the service has neither an engine nor streams.
+    plain: bool,
+    /// Place of the current send, if the service's places are lent.
+    place: Option<PlaceGuard>,
     /// Counts the request as usage once an endpoint has started it.
     start_counter: Arc<StartCounter>,
     _drain_guard: DrainGuard,
@@ -122,6 +129,8 @@
         record.routes_version = table.version();
         record.fingerprint = short_form(fingerprint);
         shared.credit_resend(&service);
+        let engine = table.declaration(&service).and_then(|d| d.engine.as_ref());
+        let plain = engine.is_none() && table.pauses(&service).is_none();
         let (min_pause, max_pause) = table.pauses(&service).unwrap_or_default();
         let separate_classes = shared
             .directory
@@ -156,6 +165,8 @@
             broken_connections: 0,
             prepaid: false,
             may_have_run: false,
+            plain,
+            place: None,
             start_counter,
             _drain_guard: drain_guard,
         };
@@ -304,9 +315,9 @@
                 return DispatchResult::Refuse(self.exhausted_cause());
             }
             self.shared.list_tracker.await_unexpired().await;
-            let placement = self.shared.directory.place(&self.query());
-            let Some(placement) = placement else {
-                return DispatchResult::Refuse(self.exhausted_cause());
+            let placement = match self.place().await {
+                Ok(placement) => placement,
+                Err(cause) => return DispatchResult::Refuse(cause),
             };
             let endpoint = Arc::clone(&placement.endpoint);
             let sends = self.sends + 1;
@@ -326,6 +337,7 @@
                 }
                 SendOutcome::Refused(reason) => {
                     self.sends += 1;
+                    self.record_refusal(&endpoint, reason);
                     self.log_failed_send(&endpoint, &reason.to_string());
                 }
                 SendOutcome::NotAdmitted(error) => {
@@ -434,15 +446,6 @@
     }
 }
 
-fn loss_cause(loss: Loss) -> RefusalCause {
-    match loss {
-        Loss::Timeout => RefusalCause::Timeout,
-        Loss::ConnectionBroken | Loss::Mismatched | Loss::Invalid | Loss::Withdrawn => {
-            RefusalCause::Lost
-        }
-    }
-}
-
 fn build_response(
     status: StatusCode,
     headers: HeaderMap,
@@ -453,16 +456,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-/// Chooses one of a route's services at random, by weight.
-fn pick_service(route: &Route) -> ServiceId {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-    let mut offset = rand::rng().random_range(0..total.max(1));
-    for target in &route.targets {
-        if offset < target.weight {
-            return target.service.clone();
-        }
-        offset -= target.weight;
-    }
-    String::new()
-}
--- a/crates/direct/src/dispatch/refusal.rs
+++ b/crates/direct/src/dispatch/refusal.rs
@@ -1,6 +1,7 @@
 //! Responses of the entry itself to requests that received none from an endpoint.
 
 use super::Dispatch;
+use crate::exchange::Loss;
 use crate::request::retry_delay;
 use crate::response::{RefusalCause, ResponseBody, refuse};
 use dogwoodhill_core::prelude::*;
@@ -42,12 +43,13 @@
         self.refuse_with_delay(cause, retry_after)
     }
 
-    /// Retry delay for the caller: until an endpoint admits requests again, plus jitter
-    /// so that callers do not retry at the same moment.
+    /// Retry delay for the caller: until an endpoint admits requests again and those that
+    /// wait for a place have one, plus jitter so that callers do not retry at the same moment.
     pub(super) fn retry_after(&self) -> Duration {
         let time_until_admission =
             self.shared.directory.time_until_admission(&self.service);
         let wait = time_until_admission.unwrap_or_default();
+        let wait = wait.max(self.drain_time());
         let jitter = rand::rng().random_range(0.0..JITTER);
         wait + wait.mul_f64(jitter) + retry_delay()
     }
@@ -62,3 +64,13 @@
         refuse(cause, retry_after)
     }
 }
+
+/// Cause of a refusal of a request whose response was lost.
+pub(super) fn loss_cause(loss: Loss) -> RefusalCause {
+    match loss {
+        Loss::Timeout => RefusalCause::Timeout,
+        Loss::ConnectionBroken | Loss::Mismatched | Loss::Invalid | Loss::Withdrawn => {
+            RefusalCause::Lost
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod dispatch;
 pub mod events;
 pub mod exchange;
+pub mod lending;
 pub mod list_reader;
 pub mod list_tracker;
 pub mod pool;
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -136,6 +136,9 @@
     /// No endpoint admits requests of this entry at the moment, by limit or backoff.
     #[display("endpoints-held")]
     NotAdmitted,
+    /// No place at an endpoint comes free in time.
+    #[display("no-place")]
+    NoPlace,
     /// This entry is shutting down.
     #[display("stopping")]
     Stopping,
@@ -166,6 +169,7 @@
             | Self::NoEndpoint
             | Self::Full
             | Self::NotAdmitted
+            | Self::NoPlace
             | Self::Stopping
             | Self::Quarantined
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::EventId;
 use crate::directory::{AdmissionError, Placement};
+use crate::lending::LendingStats;
 use crate::response::RefusalCause;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
@@ -38,6 +39,8 @@
     usage: IntCounterVec,
     /// Requests not admitted to the endpoint chosen for them, by reason.
     not_admitted: IntCounterVec,
+    /// Places at endpoints with few slots.
+    pub lending: LendingStats,
 }
 
 impl Stats {
@@ -106,6 +109,7 @@
                 "Requests that were not sent to the endpoint chosen for them, by reason",
                 &["service", "reason"],
             ),
+            lending: LendingStats::new(metrics),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! * [`list_reads`]: when an entry reads the list of endpoints by itself;
 //! * [`backoff`]: endpoints that request a pause before the next request;
 //! * [`permits`]: limits on the request rate that endpoints announce;
+//! * [`lending`]: places at endpoints with few slots;
 //! * [`shared_health`]: the state of each endpoint as all entries together observe it;
 //! * [`quarantine`]: requests that crash endpoints and are no longer sent;
 //! * [`served`]: requests that were served recently;
@@ -46,6 +47,7 @@
 pub mod health;
 pub mod incarnations;
 pub mod interference;
+pub mod lending;
 pub mod limit;
 pub mod list_reads;
 pub mod packing;
