--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::sleep;
 
 /// Behavior for one request.
@@ -72,6 +72,17 @@
     disconnected: Arc<Notify>,
     /// Additional header lines of all responses.
     headers: Arc<Mutex<String>>,
+    /// Set for an endpoint that serves few requests at a time after its script.
+    slots: Arc<Mutex<Option<Slots>>>,
+}
+
+/// Slots of an endpoint, and the time of each request.
+#[derive(Clone, Debug)]
+struct Slots {
+    slots: Arc<Semaphore>,
+    /// Room in the slots and the queue.
+    room: Arc<Semaphore>,
+    time: Duration,
 }
 
 impl ScriptedEndpoint {
@@ -84,6 +95,7 @@
             seen: Arc::default(),
             disconnected: Arc::default(),
             headers: Arc::default(),
+            slots: Arc::default(),
         };
         let own = endpoint.clone();
         tokio::spawn(async move {
@@ -104,6 +116,16 @@
         *self.headers.lock().expect("not poisoned") = lines.to_string();
     }
 
+    /// Makes the endpoint run `slots` requests at a time, keep `queue` more waiting and
+    /// reject the others.
+    pub(crate) fn set_slots(&self, slots: usize, queue: usize, time: Duration) {
+        *self.slots.lock().expect("not poisoned") = Some(Slots {
+            slots: Arc::new(Semaphore::new(slots)),
+            room: Arc::new(Semaphore::new(slots + queue)),
+            time,
+        });
+    }
+
     pub(crate) fn seen(&self) -> Vec<ReceivedRequest> {
         self.seen.lock().expect("not poisoned").clone()
     }
@@ -122,7 +144,12 @@
             self.seen.lock().expect("not poisoned").push(seen);
             let acts = Arc::clone(&self.acts.lock().expect("not poisoned"));
             let act = acts.lock().expect("not poisoned").pop_front();
-            let act = act.unwrap_or(Act::Answer(200, "default"));
+            let slots = self.slots.lock().expect("not poisoned").clone();
+            let act = match (act, slots) {
+                (Some(act), _) => act,
+                (None, Some(slots)) => slots.run().await,
+                (None, None) => Act::Answer(200, "default"),
+            };
             if !self.act(&mut stream, &id, act).await {
                 return;
             }
@@ -221,6 +248,18 @@
     }
 }
 
+impl Slots {
+    /// Runs a request in a slot, or rejects it.
+    async fn run(&self) -> Act {
+        let Ok(_room) = self.room.try_acquire() else {
+            return Act::Refuse;
+        };
+        let _slot = self.slots.acquire().await.expect("never closed");
+        sleep(self.time).await;
+        Act::Answer(200, "default")
+    }
+}
+
 fn response(status: u16, id: &str, extra: &str, body: &str) -> String {
     let length = body.len();
     format!(
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -118,7 +118,15 @@
     ) -> Self {
         let listed = listed(endpoints);
         let list = Box::new(FixedList(listed.clone()));
-        let entry = Self::run("entry", list, LONG_TIMEOUT, control, Some(windows)).await;
+        let entry = Self::run(
+            "entry",
+            list,
+            LONG_TIMEOUT,
+            control,
+            Some(windows),
+            Features::default(),
+        )
+        .await;
         entry.shared.directory.update(listed);
         entry
     }
@@ -141,7 +149,17 @@
         grace: Duration,
         control: Vec<SocketAddr>,
     ) -> Self {
-        Self::run(name, list, grace, control, None).await
+        Self::run(name, list, grace, control, None, Features::default()).await
+    }
+
+    /// Like [`Self::start`], with optional behaviour.
+    pub(crate) async fn with_features(
+        name: &str,
+        list: Box<dyn EndpointList>,
+        control: Vec<SocketAddr>,
+        features: Features,
+    ) -> Self {
+        Self::run(name, list, LONG_TIMEOUT, control, None, features).await
     }
 
     async fn run(
@@ -150,6 +168,7 @@
         grace: Duration,
         control: Vec<SocketAddr>,
         usage: Option<Windows>,
+        features: Features,
     ) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
@@ -169,7 +188,7 @@
             linger: Duration::from_millis(50),
             grace,
             usage,
-            features: Features::default(),
+            features,
         };
         let dialects = Dialects {
             callers: Box::new(PlainHeaders),
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod events;
 mod leaving;
+mod lending;
 mod list_tracker;
 mod logging;
 mod outcomes;
