Lending: loans are acknowledged, places follow the queue that an endpoint names

Change: an entry names the loan that it uses, so that older ones no longer count; the queue that an endpoint names when it rejects a request counts for its places; at least one place for each entry within four times the slots; the wait of a request that is passed by others is predicted from what those leave.

--- a/crates/control/src/lending.rs
+++ b/crates/control/src/lending.rs
@@ -4,7 +4,9 @@
 //! interval.
 
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::lending::{self, MAX_ENDPOINTS, SlotReport, UseReport};
+use dogwoodhill_policy::lending::{
+    Lender, MAX_ENDPOINTS, ServiceLoan, SlotReport, UseReport,
+};
 use dogwoodhill_wire::lending::{EndpointPlaces, PlaceDemand, PlaceGrant};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -12,14 +14,22 @@
 const MAX_SERVICES: usize = 64;
 
 /// Places lent by one instance. Clones share them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PlaceLender {
-    lender: Arc<Mutex<lending::Lender>>,
+    lender: Arc<Mutex<Lender>>,
+}
+
+impl Default for PlaceLender {
+    fn default() -> Self {
+        Self {
+            lender: Arc::new(Mutex::new(Lender::new(rand::random()))),
+        }
+    }
 }
 
 impl PlaceLender {
-    /// Records what `entry` reported, in a message that was in transit for `transit`, and
-    /// returns its places of all services that are lent. Validity is counted from the
+    /// Records what `entry` reported in a message that arrived at `now`, and returns its
+    /// places of all services that are lent. Validity is counted from the
     /// arrival here: the entry counts it from its report, which is earlier.
     pub fn report(
         &self,
@@ -37,16 +47,17 @@
         for service in lender.end_quiet(now) {
             Event::new("lending-ended").field("service", service).info();
         }
-        let lent = lender.lend(now, entry).into_iter();
-        let grant = |(service, places): (ServiceId, Vec<(Incarnation, u32)>)| {
-            let endpoints = places.into_iter();
-            let endpoints = endpoints.map(|(run, places)| EndpointPlaces { run, places });
-            PlaceGrant {
-                service,
-                endpoints: endpoints.collect(),
-            }
-        };
-        lent.map(grant).collect()
+        lender.lend(now, entry).into_iter().map(grant).collect()
+    }
+}
+
+fn grant(loan: ServiceLoan) -> PlaceGrant {
+    let endpoints = loan.places.into_iter();
+    let endpoints = endpoints.map(|(run, places)| EndpointPlaces { run, places });
+    PlaceGrant {
+        service: loan.service,
+        loan: loan.id,
+        endpoints: endpoints.collect(),
     }
 }
 
@@ -54,18 +65,20 @@
     let endpoints = demand.endpoints.iter().take(MAX_ENDPOINTS);
     let slots = endpoints.map(|endpoint| SlotReport {
         run: endpoint.run.clone(),
-        slots: endpoint.places,
+        slots: endpoint.slots,
+        queue: endpoint.queue,
     });
     UseReport {
         wanted: demand.wanted,
         pressed: demand.pressed,
         entries: demand.entries,
+        loan: demand.loan,
         endpoints: slots.collect(),
     }
 }
 
 fn log_begun(entry: &str, demand: &PlaceDemand) {
-    let slots: u64 = demand.endpoints.iter().map(|e| u64::from(e.places)).sum();
+    let slots: u64 = demand.endpoints.iter().map(|e| u64::from(e.slots)).sum();
     Event::new("lending-begun")
         .field("service", &demand.service)
         .field("entry", entry)
--- a/crates/direct/src/directory/lending.rs
+++ b/crates/direct/src/directory/lending.rs
@@ -55,11 +55,13 @@
         if named > 0 { named } else { self.slots }
     }
 
-    /// Whether a rejection means that the endpoint is full: it neither leaves nor asks
-    /// for a backoff or a lower rate, and names no free slot.
-    pub fn rejects_as_full(&self) -> bool {
+    /// The number of requests that waited when the endpoint rejected one just now; 0 if
+    /// it does not name it. `None` if it did not reject the request for being full: it
+    /// leaves, asks for a backoff or a lower rate, or names a free slot.
+    pub fn full_queue(&self) -> Option<u32> {
         let load = self.estimates().load;
         let free_slot = load.slots > 0 && load.running < load.slots;
-        self.is_available() && !self.is_limited() && !free_slot
+        let full = self.is_available() && !self.is_limited() && !free_slot;
+        full.then_some(load.waiting)
     }
 }
--- a/crates/direct/src/dispatch/waiting.rs
+++ b/crates/direct/src/dispatch/waiting.rs
@@ -107,19 +107,23 @@
     /// from now on.
     pub(super) fn record_refusal(&mut self, endpoint: &Endpoint, reason: Refusal) {
         let guard = self.place.take();
-        if reason != Refusal::Full || !self.needs_place() || !endpoint.rejects_as_full() {
+        if reason != Refusal::Full || !self.needs_place() {
             return;
         }
+        let Some(queue) = endpoint.full_queue() else {
+            return;
+        };
         let run = endpoint.run();
         if let Some(guard) = guard {
-            return guard.reject();
+            return guard.reject(queue);
         }
         let Some(slots) = self.shared.directory.slots(&self.service) else {
             return;
         };
         let entries = self.shared.entries.load(Ordering::Relaxed);
         let lending = &self.shared.contention.lending;
-        lending.begin(uptime(), &self.service, &run, slots, entries);
+        let lending = lending.begin(&self.service, &run, slots, entries);
+        lending.record_rejection(&run, queue);
     }
 
     /// Expected time until those that wait for places of the service have them.
--- a/crates/direct/src/lending.rs
+++ b/crates/direct/src/lending.rs
@@ -10,10 +10,9 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_policy::lending::{
-    EndpointSlots, Places, Priority, Verdict, WaitQueue, Waiting,
-};
-use dogwoodhill_wire::lending::{EndpointPlaces, PlaceDemand, PlaceGrant};
+use dogwoodhill_policy::lending as policy;
+use dogwoodhill_policy::lending::{Places, Priority, Verdict, WaitQueue, Waiting};
+use dogwoodhill_wire::lending::{EndpointSlots, PlaceDemand, PlaceGrant};
 use prometheus::{IntCounterVec, IntGaugeVec};
 use std::fmt::Display;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -130,7 +129,8 @@
     lending: Arc<ServiceLending>,
     run: Incarnation,
     taken_at: Duration,
-    rejected: bool,
+    /// Requests that waited at the endpoint when it rejected the request.
+    rejected: Option<u32>,
 }
 
 impl Lending {
@@ -144,19 +144,17 @@
         found.ok().map(|at| Arc::clone(&services[at].1))
     }
 
-    /// Begins lending a service, because its endpoint `run` rejected a request at `now`.
+    /// Begins lending a service, because its endpoint `run` rejected a request.
     pub fn begin(
         &self,
-        now: Duration,
         service: &str,
         run: &Incarnation,
-        endpoints: Vec<EndpointSlots>,
+        endpoints: Vec<policy::EndpointSlots>,
         entries: u32,
     ) -> Arc<ServiceLending> {
         let lending = self.find_or_add(service, run);
         let mut state = lending.state();
         state.places.set_endpoints(endpoints, entries);
-        state.record_rejection(now, run);
         drop(state);
         lending
     }
@@ -214,9 +212,9 @@
 
 impl State {
     /// Records a rejection; the endpoint rests for the usual time of a request.
-    fn record_rejection(&mut self, now: Duration, run: &Incarnation) {
+    fn record_rejection(&mut self, now: Duration, run: &Incarnation, queue: u32) {
         let rest = self.queue.hold().clamp(REST_BOUNDS.0, REST_BOUNDS.1);
-        self.places.record_rejection(now, run, rest);
+        self.places.record_rejection(now, run, queue, rest);
     }
 
     /// Sets the number of places on which expected waits are based.
@@ -266,7 +264,7 @@
     pub async fn acquire(
         self: &Arc<Self>,
         request: PlaceRequest<'_>,
-        endpoints: impl Fn() -> Vec<EndpointSlots>,
+        endpoints: impl Fn() -> Vec<policy::EndpointSlots>,
         entries: u32,
         stats: &LendingStats,
     ) -> Result<Option<PlaceGuard>, NoPlace> {
@@ -279,6 +277,7 @@
             if !state.places.is_lent(now) || !state.places.has_usable(request.tried) {
                 return Ok(None);
             }
+            state.queue.record_arrival(now);
             if let Some(guard) = self.take_free(&mut state, now, request.tried) {
                 return Ok(Some(guard));
             }
@@ -366,7 +365,7 @@
     /// time. Called by each waiting request, but effective only once per interval.
     fn check(
         self: &Arc<Self>,
-        endpoints: &impl Fn() -> Vec<EndpointSlots>,
+        endpoints: &impl Fn() -> Vec<policy::EndpointSlots>,
         entries: u32,
     ) {
         let now = uptime();
@@ -403,10 +402,16 @@
             lending: Arc::clone(self),
             run,
             taken_at: now,
-            rejected: false,
+            rejected: None,
         }
     }
 
+    /// Records that the endpoint `run` rejected a request without a place, while `queue`
+    /// others waited there.
+    pub fn record_rejection(&self, run: &Incarnation, queue: u32) {
+        self.state().record_rejection(uptime(), run, queue);
+    }
+
     /// Expected time until the requests that wait now have places.
     pub fn drain_time(&self) -> Duration {
         let now = uptime();
@@ -419,16 +424,18 @@
         let mut state = self.state();
         state.set_gauges(now, &self.service);
         let waiting = state.queue.len();
-        let (wanted, pressed, entries) = state.places.report(now, waiting)?;
-        let slots = state.places.endpoints().map(|endpoint| EndpointPlaces {
-            run: endpoint.run.clone(),
-            places: endpoint.slots,
+        let report = state.places.report(now, waiting)?;
+        let slots = report.endpoints.into_iter().map(|endpoint| EndpointSlots {
+            run: endpoint.run,
+            slots: endpoint.slots,
+            queue: endpoint.queue,
         });
         Some(PlaceDemand {
             service: self.service.clone(),
-            wanted,
-            pressed,
-            entries,
+            wanted: report.wanted,
+            pressed: report.pressed,
+            entries: report.entries,
+            loan: report.loan,
             endpoints: slots.collect(),
         })
     }
@@ -439,7 +446,7 @@
         let places = places.map(|places| (places.run.clone(), places.places));
         let places: Vec<(Incarnation, u32)> = places.collect();
         let mut state = self.state();
-        state.places.apply(reported_at, &places);
+        state.places.apply(reported_at, grant.loan, &places);
         let deliveries = self.assign(&mut state, now);
         drop(state);
         deliver(deliveries);
@@ -476,9 +483,10 @@
         &self.run
     }
 
-    /// Returns the place of a request that the endpoint rejected. The endpoint rests.
-    pub fn reject(mut self) {
-        self.rejected = true;
+    /// Returns the place of a request that the endpoint rejected while `queue` others
+    /// waited there. The endpoint rests.
+    pub fn reject(mut self, queue: u32) {
+        self.rejected = Some(queue);
     }
 }
 
@@ -487,8 +495,8 @@
         let now = uptime();
         let mut state = self.lending.state();
         state.places.release(&self.run);
-        if self.rejected {
-            state.record_rejection(now, &self.run);
+        if let Some(queue) = self.rejected {
+            state.record_rejection(now, &self.run, queue);
         } else {
             let held = now.saturating_sub(self.taken_at);
             state.queue.record_free(now, held);
--- a/crates/policy/src/lending.rs
+++ b/crates/policy/src/lending.rs
@@ -10,14 +10,15 @@
 //!
 //! Invariants:
 //!
-//! * The unexpired loans of one instance at an endpoint are at most [`OVERBOOKING`] times
-//!   its slots, for any order, loss or repetition of reports. Two instances lend at most
+//! * The unexpired loans of one instance at an endpoint are at most [`capacity`], or
+//!   [`MAX_OVERBOOKING`] times its slots where each entry has only one place, for any
+//!   order, loss or repetition of reports. Two instances lend at most
 //!   twice that while entries move from one to the other, for [`LOAN_VALIDITY`]; after
 //!   that each lends only the part of the entries that report to it.
 //! * All places are lent while any entry reports: what entries want goes first, divided
 //!   max-min, and the rest is spread evenly.
-//! * Where there are fewer places than entries, the entry that has waited longest for one
-//!   is first.
+//! * Where there are fewer places than entries even so, the entry that has waited longest
+//!   for one is first.
 //! * An entry without a valid loan takes its part by the number of entries, in turns.
 //! * A service that does not reject requests is not restricted. Lending begins with a
 //!   rejection and ends [`QUIET_TIME`] after the last request that found no room.
@@ -26,16 +27,22 @@
 mod places;
 mod wait_queue;
 
-pub use lender::{Lender, SlotReport, UseReport};
+pub use lender::{Lender, ServiceLoan, SlotReport, UseReport};
 pub use places::{EndpointSlots, Places};
 pub use wait_queue::{Drain, Priority, Verdict, WaitQueue, Waiting};
 
 use dogwoodhill_core::prelude::*;
 
-/// Places of an endpoint, in multiples of its slots. One place per slot would leave slots
-/// empty while an entry does not use its place; the excess waits in the endpoint's queue
-/// for at most the time of one request.
+/// Places of an endpoint whose queue is unknown, in multiples of its slots. One place per
+/// slot would leave slots empty while an entry does not use its place; the excess waits in
+/// the endpoint's queue for at most the time of one request.
 pub const OVERBOOKING: u32 = 2;
+/// Upper bound of the places of an endpoint, in multiples of its slots: a request waits in
+/// its queue for at most the time of three.
+pub const MAX_OVERBOOKING: u32 = 4;
+/// Part of the queue that an endpoint named when it rejected a request for which places
+/// are lent, in quarters. The rest is for requests that outlive a place.
+const QUEUE_QUARTERS: u32 = 3;
 /// How long a loan is valid, counted from the report that it answers: a little over twice
 /// the interval at which entries report, so that one lost report ends no loan.
 pub const LOAN_VALIDITY: Duration = Duration::from_millis(1_200);
@@ -49,7 +56,15 @@
 /// Upper bound of the slots of an endpoint, so that a wrong value does not overflow.
 pub const MAX_SLOTS: u32 = 4_096;
 
-/// Places of an endpoint that names `slots`; at least one slot is assumed.
-pub fn capacity(slots: u32) -> u32 {
-    slots.clamp(1, MAX_SLOTS) * OVERBOOKING
+/// Places of an endpoint that names `slots`, of which at least one is assumed. `queue` is
+/// the number of requests that waited there when it rejected one; 0 if unknown.
+pub fn capacity(slots: u32, queue: u32) -> u32 {
+    let slots = slots.clamp(1, MAX_SLOTS);
+    match queue {
+        0 => slots * OVERBOOKING,
+        _ => {
+            let queue = queue.min(slots * MAX_OVERBOOKING) * QUEUE_QUARTERS / 4;
+            (slots + queue).min(slots * MAX_OVERBOOKING)
+        }
+    }
 }
--- a/crates/policy/src/lending/lender.rs
+++ b/crates/policy/src/lending/lender.rs
@@ -1,6 +1,8 @@
 //! Control side: dividing the places of each service among entries.
 
-use super::{LOAN_VALIDITY, MAX_ENDPOINTS, QUIET_TIME, capacity};
+use super::{
+    LOAN_VALIDITY, MAX_ENDPOINTS, MAX_OVERBOOKING, MAX_SLOTS, QUIET_TIME, capacity,
+};
 use dogwoodhill_core::prelude::*;
 use std::cmp::Ordering;
 
@@ -25,6 +27,8 @@
     pub pressed: bool,
     /// Number of entries that the reporting entry knows.
     pub entries: u32,
+    /// Id of the loan that the entry uses; 0 for none.
+    pub loan: u64,
     /// The endpoints that the entry may use, sorted by run.
     pub endpoints: Vec<SlotReport>,
 }
@@ -36,11 +40,26 @@
     pub run: Incarnation,
     /// Slots that it names.
     pub slots: u32,
+    /// Requests that waited there when it rejected one; 0 if unknown.
+    pub queue: u32,
+}
+
+/// Places of one service lent to an entry in one reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceLoan {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Id of the loan.
+    pub id: u64,
+    /// Places by endpoint, sorted by run; others have none.
+    pub places: Vec<(Incarnation, u32)>,
 }
 
 /// Places that one control instance lends.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lender {
+    /// Id of the next loan.
+    next_id: u64,
     /// Sorted by name.
     services: Vec<(ServiceId, LentService)>,
 }
@@ -61,6 +80,8 @@
 struct LentEndpoint {
     run: Incarnation,
     slots: u32,
+    /// Last known queue; 0 if unknown.
+    queue: u32,
     reported_at: Duration,
 }
 
@@ -76,10 +97,11 @@
     loans: Vec<Loan>,
 }
 
-/// Places lent in one reply. It counts until it expires, also after a newer one, since
-/// the newer reply may be lost.
+/// Places lent in one reply. It counts until it expires or until the entry reports that
+/// it uses a newer one: a reply may be lost.
 #[derive(Clone, Debug)]
 struct Loan {
+    id: u64,
     until: Duration,
     /// Sorted by run.
     places: Vec<(Incarnation, u32)>,
@@ -95,6 +117,12 @@
         self.favored_at.is_some_and(|at| now < at + FAVOR_TIME)
     }
 
+    /// Whether the entry may hold any place.
+    fn holds_any(&self, now: Duration) -> bool {
+        let mut valid = self.loans.iter().filter(|loan| loan.until > now);
+        valid.any(|loan| !loan.places.is_empty())
+    }
+
     /// Places at an endpoint that the entry may hold.
     fn held(&self, now: Duration, run: &Incarnation) -> u32 {
         let valid = self.loans.iter().filter(|loan| loan.until > now);
@@ -114,6 +142,15 @@
 }
 
 impl Lender {
+    /// Creates a lender without loans. `first_id` is to be drawn at random, so that an
+    /// entry's report on a loan of another instance is not mistaken for one of this.
+    pub fn new(first_id: u64) -> Self {
+        Self {
+            next_id: first_id.max(1),
+            services: Vec::new(),
+        }
+    }
+
     /// Records what `entry` reports of one service. The first report with
     /// [`UseReport::pressed`] begins lending the service. Returns whether it did.
     pub fn record(
@@ -153,15 +190,18 @@
     /// Lends `entry` its places of all services that are lent, sorted by service, each
     /// with the places at its endpoints. They are valid for [`LOAN_VALIDITY`] from the
     /// report that is answered, which the entry made before `now`.
-    pub fn lend(
-        &mut self,
-        now: Duration,
-        entry: &str,
-    ) -> Vec<(ServiceId, Vec<(Incarnation, u32)>)> {
-        let lend = |(name, lent): &mut (ServiceId, LentService)| {
-            (name.clone(), lent.lend(now, entry))
-        };
-        self.services.iter_mut().map(lend).collect()
+    pub fn lend(&mut self, now: Duration, entry: &str) -> Vec<ServiceLoan> {
+        let mut loans = Vec::new();
+        for (service, lent) in &mut self.services {
+            let id = self.next_id;
+            self.next_id = id.wrapping_add(1).max(1);
+            loans.push(ServiceLoan {
+                service: service.clone(),
+                id,
+                places: lent.lend(now, entry, id),
+            });
+        }
+        loans
     }
 }
 
@@ -175,7 +215,11 @@
             self.record_endpoint(now, reported);
         }
         if let Some(at) = self.borrower(now, entry) {
-            self.entries[at].wanted = report.wanted.min(MAX_WANTED);
+            let entry = &mut self.entries[at];
+            entry.wanted = report.wanted.min(MAX_WANTED);
+            // An entry applies replies in their order, so it has given up older loans.
+            let used = entry.loans.iter().position(|loan| loan.id == report.loan);
+            entry.loans.drain(..used.unwrap_or(0));
         }
     }
 
@@ -184,13 +228,18 @@
         let found = self.endpoints.binary_search_by(|e| compare(&e.run, run));
         match found {
             Ok(at) => {
-                self.endpoints[at].slots = reported.slots;
-                self.endpoints[at].reported_at = now;
+                let endpoint = &mut self.endpoints[at];
+                endpoint.slots = reported.slots;
+                endpoint.reported_at = now;
+                if reported.queue > 0 {
+                    endpoint.queue = reported.queue;
+                }
             }
             Err(at) if self.endpoints.len() < MAX_ENDPOINTS => {
                 let endpoint = LentEndpoint {
                     run: run.clone(),
                     slots: reported.slots,
+                    queue: reported.queue,
                     reported_at: now,
                 };
                 self.endpoints.insert(at, endpoint);
@@ -232,7 +281,7 @@
             .retain(|entry| entry.is_current(now) || !entry.loans.is_empty());
     }
 
-    fn lend(&mut self, now: Duration, name: &str) -> Vec<(Incarnation, u32)> {
+    fn lend(&mut self, now: Duration, name: &str, id: u64) -> Vec<(Incarnation, u32)> {
         self.forget(now);
         let Some(at) = self.borrower(now, name) else {
             return Vec::new();
@@ -247,6 +296,7 @@
         }
         let until = now + LOAN_VALIDITY;
         entry.loans.push(Loan {
+            id,
             until,
             places: places.clone(),
         });
@@ -254,16 +304,23 @@
     }
 
     /// Places of each endpoint for the entries that report to this instance: all, unless
-    /// others report to another instance.
+    /// others report to another instance. Where that is less than one place for each
+    /// entry, it is raised to that within [`MAX_OVERBOOKING`]: an entry that has only one
+    /// place uses it for a small part of the time.
     fn room(&self, now: Duration) -> Vec<u32> {
         let reporting = self.entries.iter().filter(|entry| entry.is_current(now));
         let reporting = reporting.count() as u64;
         let known = u64::from(self.known).max(reporting).max(1);
-        let part = |endpoint: &LentEndpoint| {
-            let all = u64::from(capacity(endpoint.slots));
-            (all * reporting).div_ceil(known) as u32
+        let capacities = self.endpoints.iter().map(|e| capacity(e.slots, e.queue));
+        let capacities: Vec<u32> = capacities.collect();
+        let all = capacities.iter().map(|c| u64::from(*c)).sum::<u64>().max(1);
+        let part = |(endpoint, capacity): (&LentEndpoint, u32)| {
+            let raised = (u64::from(capacity) * known).div_ceil(all);
+            let most = u64::from(endpoint.slots.clamp(1, MAX_SLOTS) * MAX_OVERBOOKING);
+            let places = u64::from(capacity).max(raised.min(most));
+            (places * reporting).div_ceil(known) as u32
         };
-        self.endpoints.iter().map(part).collect()
+        self.endpoints.iter().zip(capacities).map(part).collect()
     }
 
     /// Number of places for the entry at index `at` when all are divided, and whether
@@ -319,6 +376,13 @@
             })
             .collect();
         let own = &self.entries[at];
+        // Entries that have waited longer for their first place go before.
+        let waits = |entry: &&Borrower| {
+            let before = (entry.favored_at, &entry.name) < (own.favored_at, &own.name);
+            before && entry.wanted > 0 && entry.is_current(now) && !entry.holds_any(now)
+        };
+        let reserved = self.entries.iter().filter(waits).count() as u32;
+        let target = target.min(free.iter().sum::<u32>().saturating_sub(reserved));
         let held: Vec<u32> = (self.endpoints.iter())
             .map(|endpoint| own.held(now, &endpoint.run))
             .collect();
--- a/crates/policy/src/lending/places.rs
+++ b/crates/policy/src/lending/places.rs
@@ -1,6 +1,7 @@
 //! Entry side: requests in flight against the places that the entry holds.
 
-use super::{LOAN_VALIDITY, QUIET_TIME, capacity};
+use super::lender::{SlotReport, UseReport};
+use super::{LOAN_VALIDITY, MAX_OVERBOOKING, MAX_SLOTS, QUIET_TIME, capacity};
 use dogwoodhill_core::prelude::*;
 
 /// Length of a turn of entries without a loan: some requests at endpoints that answer
@@ -29,6 +30,8 @@
     endpoints: Vec<EndpointPlaces>,
     /// Expiry of the loan; zero before the first one.
     until: Duration,
+    /// Id of the loan; 0 before the first one.
+    loan: u64,
     /// When an endpoint last rejected a request or one found no place.
     pressed_at: Option<Duration>,
     /// Whether that happened since the last report.
@@ -44,6 +47,8 @@
 #[derive(Clone, Debug)]
 struct EndpointPlaces {
     known: EndpointSlots,
+    /// Requests that waited there when it last rejected one; 0 if unknown.
+    queue: u32,
     used: u32,
     lent: u32,
     /// End of the rest after a rejection.
@@ -57,6 +62,7 @@
         Self {
             endpoints: Vec::new(),
             until: Duration::ZERO,
+            loan: 0,
             pressed_at: None,
             pressed: false,
             wanted: 0,
@@ -79,6 +85,7 @@
                 },
                 None => EndpointPlaces {
                     known,
+                    queue: 0,
                     used: 0,
                     lent: 0,
                     rests_until: Duration::ZERO,
@@ -88,11 +95,18 @@
         }
     }
 
-    /// Records that an endpoint rejected a request at `now`. No place there is free for
-    /// `rest`.
-    pub fn record_rejection(&mut self, now: Duration, run: &Incarnation, rest: Duration) {
+    /// Records that an endpoint rejected a request at `now`, while `queue` others waited
+    /// there; 0 if unknown. No place there is free for `rest`.
+    pub fn record_rejection(
+        &mut self,
+        now: Duration,
+        run: &Incarnation,
+        queue: u32,
+        rest: Duration,
+    ) {
         self.record_pressure(now);
         if let Some(endpoint) = self.find(run) {
+            endpoint.queue = queue;
             endpoint.rests_until = endpoint.rests_until.max(now + rest);
         }
     }
@@ -170,36 +184,47 @@
         self.endpoints.iter().any(usable)
     }
 
-    /// The places wanted and whether there was pressure, both since the last report, with
-    /// the number of entries. `None` if the service is not lent. `waiting` requests wait
-    /// at the moment.
-    pub fn report(&mut self, now: Duration, waiting: usize) -> Option<(u32, bool, u32)> {
+    /// The next report to control; `None` if the service is not lent. `waiting` requests
+    /// wait at the moment.
+    pub fn report(&mut self, now: Duration, waiting: usize) -> Option<UseReport> {
         if !self.is_lent(now) {
             return None;
         }
         self.record_wanted(waiting);
         let wanted = std::mem::take(&mut self.wanted);
         self.record_wanted(waiting);
-        let pressed = std::mem::take(&mut self.pressed);
-        Some((wanted, pressed, self.entries))
-    }
-
-    /// The known endpoints.
-    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointSlots> {
-        self.endpoints.iter().map(|endpoint| &endpoint.known)
+        let endpoints = self.endpoints.iter().map(|endpoint| SlotReport {
+            run: endpoint.known.run.clone(),
+            slots: endpoint.known.slots,
+            queue: endpoint.queue,
+        });
+        Some(UseReport {
+            wanted,
+            pressed: std::mem::take(&mut self.pressed),
+            entries: self.entries,
+            loan: self.loan,
+            endpoints: endpoints.collect(),
+        })
     }
 
     /// Replaces the loan by the one that answers the report made at `reported_at`.
-    pub fn apply(&mut self, reported_at: Duration, places: &[(Incarnation, u32)]) {
+    pub fn apply(
+        &mut self,
+        reported_at: Duration,
+        id: u64,
+        places: &[(Incarnation, u32)],
+    ) {
         let until = reported_at + LOAN_VALIDITY;
         if until <= self.until {
             return;
         }
         self.until = until;
+        self.loan = id;
         for endpoint in &mut self.endpoints {
             let lent = places.iter().find(|lent| lent.0 == endpoint.known.run);
             let lent = lent.map_or(0, |lent| lent.1);
-            endpoint.lent = lent.min(capacity(endpoint.known.slots));
+            let most = endpoint.known.slots.clamp(1, MAX_SLOTS) * MAX_OVERBOOKING;
+            endpoint.lent = lent.min(most);
         }
     }
 
@@ -222,7 +247,8 @@
     /// This entry's part by the number of entries, spread over the endpoints by their
     /// capacity. What is less than a place is a place in some of the turns.
     fn own_part(&self, now: Duration) -> Vec<u32> {
-        let capacities = self.endpoints.iter().map(|e| capacity(e.known.slots));
+        let capacities = self.endpoints.iter();
+        let capacities = capacities.map(|e| capacity(e.known.slots, e.queue));
         let capacities: Vec<u32> = capacities.collect();
         let all: u32 = capacities.iter().sum();
         let part = f64::from(all) / f64::from(self.entries.max(MIN_ENTRIES));
--- a/crates/policy/src/lending/wait_queue.rs
+++ b/crates/policy/src/lending/wait_queue.rs
@@ -76,7 +76,7 @@
 impl Drain {
     /// Records that a place came free that was in use for `held`.
     pub fn record(&mut self, now: Duration, held: Duration) {
-        self.count = self.decayed(now) + 1.0;
+        self.count = self.count * decay(now, self.at) + 1.0;
         self.at = self.at.max(now);
         let held = held.as_secs_f64().max(MIN_HOLD_SECONDS);
         let weight = if self.hold > 0.0 { HOLD_WEIGHT } else { 1.0 };
@@ -90,7 +90,7 @@
 
     /// Places that come free per second; `None` if there is no estimate.
     pub fn rate(&self, now: Duration) -> Option<f64> {
-        let measured = self.decayed(now) / RATE_SECONDS;
+        let measured = self.count * decay(now, self.at) / RATE_SECONDS;
         let expected = if self.hold > 0.0 {
             f64::from(self.places) / self.hold
         } else {
@@ -99,13 +99,33 @@
         let rate = measured.max(expected);
         (rate >= MIN_RATE).then_some(rate)
     }
+}
+
+/// Rate at which requests need places, as measured.
+#[derive(Clone, Debug, Default)]
+struct Arrivals {
+    /// Decayed number of requests, as of `at`.
+    count: f64,
+    at: Duration,
+}
 
-    fn decayed(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.count * (-passed / RATE_SECONDS).exp()
+impl Arrivals {
+    fn record(&mut self, now: Duration) {
+        self.count = self.count * decay(now, self.at) + 1.0;
+        self.at = self.at.max(now);
+    }
+
+    /// Requests per second.
+    fn rate(&self, now: Duration) -> f64 {
+        self.count * decay(now, self.at) / RATE_SECONDS
     }
 }
 
+/// Part of a count as of `at` that is left at `now`.
+fn decay(now: Duration, at: Duration) -> f64 {
+    (-now.saturating_sub(at).as_secs_f64() / RATE_SECONDS).exp()
+}
+
 /// Requests that wait, in the order in which they get places.
 #[derive(Clone, Debug)]
 pub struct WaitQueue<T> {
@@ -114,6 +134,7 @@
     bytes: usize,
     next_id: u64,
     drain: Drain,
+    arrivals: Arrivals,
 }
 
 impl<T> Default for WaitQueue<T> {
@@ -123,6 +144,7 @@
             bytes: 0,
             next_id: 0,
             drain: Drain::default(),
+            arrivals: Arrivals::default(),
         }
     }
 }
@@ -143,6 +165,11 @@
         self.drain.record(now, held);
     }
 
+    /// Records that a request needs a place at `now`, whether or not it has to wait.
+    pub fn record_arrival(&mut self, now: Duration) {
+        self.arrivals.record(now);
+    }
+
     /// Sets the number of places held or in use, from which the rate is expected.
     pub fn set_places(&mut self, places: u32) {
         self.drain.places = places;
@@ -181,7 +208,7 @@
             compare(now, &waiting.priority, &priority) != Ordering::Greater
         });
         let full = self.len() >= MAX_WAITING || self.bytes + bytes > MAX_BYTES;
-        let verdict = verdict(self.drain.rate(now), at);
+        let verdict = self.verdict(now, self.rates(now), at, &priority);
         if full || is_late(now, latest, verdict.wait) {
             return Err(verdict);
         }
@@ -213,11 +240,11 @@
     /// Removes the requests whose wait can no longer end in time.
     pub fn remove_late(&mut self, now: Duration) -> Vec<(Waiting<T>, Verdict)> {
         self.sort(now);
-        let rate = self.drain.rate(now);
+        let rates = self.rates(now);
         let mut removed = Vec::new();
         let mut at = 0;
         while at < self.len() {
-            let verdict = verdict(rate, at);
+            let verdict = self.verdict(now, rates, at, &self.waiting[at].priority);
             if is_late(now, self.waiting[at].latest, verdict.wait) {
                 removed.push((self.remove_at(at), verdict));
             } else {
@@ -229,7 +256,38 @@
 
     /// Expected time until all that wait have a place; `None` without an estimate.
     pub fn drain_time(&self, now: Duration) -> Option<Duration> {
-        verdict(self.drain.rate(now), self.len()).wait
+        let rate = self.drain.rate(now)?;
+        Some(wait_for(self.len() as f64, rate))
+    }
+
+    /// Rates of free places, if there is an estimate, and of arriving requests.
+    fn rates(&self, now: Duration) -> (Option<f64>, f64) {
+        (self.drain.rate(now), self.arrivals.rate(now))
+    }
+
+    /// Verdict on a request at position `at`. Requests that arrive later pass one that
+    /// can no longer meet its objective, so it gets only the places that those leave.
+    fn verdict(
+        &self,
+        now: Duration,
+        (rate, arrivals): (Option<f64>, f64),
+        at: usize,
+        priority: &Priority,
+    ) -> Verdict {
+        let ahead = at as f64 + 1.0;
+        let wait = rate.map(|rate| {
+            let wait = wait_for(ahead, rate);
+            if now.saturating_add(wait) <= priority.due {
+                wait
+            } else {
+                wait_for(ahead, (rate - arrivals).max(0.0))
+            }
+        });
+        Verdict {
+            ahead: at,
+            wait,
+            rate: rate.unwrap_or_default(),
+        }
     }
 
     fn remove_at(&mut self, at: usize) -> Waiting<T> {
@@ -248,14 +306,9 @@
     }
 }
 
-/// Verdict on a request with `ahead` others before it.
-fn verdict(rate: Option<f64>, ahead: usize) -> Verdict {
-    let wait = rate.map(|rate| Duration::from_secs_f64((ahead as f64 + 1.0) / rate));
-    Verdict {
-        ahead,
-        wait,
-        rate: rate.unwrap_or_default(),
-    }
+/// Time in which `count` places come free.
+fn wait_for(count: f64, rate: f64) -> Duration {
+    Duration::try_from_secs_f64(count / rate).unwrap_or(Duration::MAX)
 }
 
 /// Order at `now`: tier, share, whether the objective can still be met, time left.
@@ -267,5 +320,5 @@
 /// Whether a wait of `wait` does not end by `latest`. Without any estimate, a request
 /// waits until that time.
 fn is_late(now: Duration, latest: Duration, wait: Option<Duration>) -> bool {
-    now >= latest || wait.is_some_and(|wait| now + wait > latest)
+    now >= latest || wait.is_some_and(|wait| now.saturating_add(wait) > latest)
 }
--- a/crates/wire/src/lending.rs
+++ b/crates/wire/src/lending.rs
@@ -17,8 +17,21 @@
     pub pressed: bool,
     /// Number of entries that the entry knows.
     pub entries: u32,
+    /// Id of the loan that the entry uses; 0 for none.
+    pub loan: u64,
     /// The endpoints that the entry may use, at most 64.
-    pub endpoints: Vec<EndpointPlaces>,
+    pub endpoints: Vec<EndpointSlots>,
+}
+
+/// Room at one endpoint.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointSlots {
+    /// Run of the endpoint.
+    pub run: Incarnation,
+    /// Slots that it names.
+    pub slots: u32,
+    /// Requests that waited there when it rejected one; 0 if unknown.
+    pub queue: u32,
 }
 
 /// Places lent to one entry at the endpoints of one service. They are valid for a time
@@ -27,16 +40,17 @@
 pub struct PlaceGrant {
     /// Name of the service.
     pub service: ServiceId,
+    /// Id of this loan.
+    pub loan: u64,
     /// The places; endpoints that are not named have none.
     pub endpoints: Vec<EndpointPlaces>,
 }
 
-/// A number of requests at one endpoint.
+/// Places at one endpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointPlaces {
     /// Run of the endpoint.
     pub run: Incarnation,
-    /// In a demand, the slots that it names; in a grant, the requests that the entry may
-    /// have in flight there.
+    /// Requests that the entry may have in flight there.
     pub places: u32,
 }
