--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -38,7 +38,7 @@
 }
 
 /// Meaning of each outcome, and the events to look at next.
-const CAUSES: [(&str, &str); 21] = [
+const CAUSES: [(&str, &str); 22] = [
     (
         "no-routes",
         "the entry had no route set yet: it had just started, and no control instance had confirmed one; look at control-lost, leadership-changed and routes-in-force",
@@ -60,6 +60,10 @@
         "endpoints-held",
         "every endpoint of the service had asked to be left alone, or named a limit for which there was no permit; look at endpoint-backoff, endpoint-limit and permits-granted",
     ),
+    (
+        "no-place",
+        "the service's endpoints have few slots, and no place at one came free in time; look at place-missed",
+    ),
     ("overload", "the service could not serve it in time"),
     (
         "stopping",
--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -443,6 +443,57 @@
     assert_eq!(late[0].0.item, 9, "the last one");
 }
 
+/// Load: a place comes free every 10 ms, and as many requests arrive. One that can no
+/// longer meet its objective would be passed by all later ones, so it is refused at once;
+/// with fewer arrivals it waits.
+#[test]
+fn push_objective_missed_and_passed_refused() {
+    let missed = Priority {
+        due: ms(5),
+        ..Priority::default()
+    };
+    let mut queue = queue_with(ms(10), 1);
+    assert!(queue.push(ms(10), missed, ms(900), 1, 0).is_ok());
+    for arrival in 0..100 {
+        queue.record_arrival(ms(arrival));
+    }
+    assert!(queue.push(ms(100), missed, ms(900), 1, 1).is_err());
+    assert_eq!(queue.remove_late(ms(100)).len(), 1, "the first one as well");
+    let in_time = Priority {
+        due: ms(300),
+        ..Priority::default()
+    };
+    assert!(queue.push(ms(100), in_time, ms(900), 1, 2).is_ok());
+}
+
+/// Load: replies of control that overtake each other. The one to the newest report holds,
+/// until it expires.
+#[test]
+fn apply_older_reply_ignored() {
+    let mut places = Places::new(0.0);
+    places.set_endpoints(known(1, 6), 1_000);
+    places.apply(ms(500), 2, &[(run(0), 1)]);
+    places.apply(ms(0), 1, &[(run(0), 5)]);
+    assert_eq!(places.held(ms(600)), 1);
+    assert_eq!(places.loan_age(ms(600)), Some(ms(100)));
+    assert_eq!(places.loan_age(ms(500) + LOAN_VALIDITY), None);
+}
+
+/// Load: an endpoint leaves and another one comes while requests are in flight. Places in
+/// use at endpoints that stay remain in use.
+#[test]
+fn set_endpoints_changed_places_kept() {
+    let mut places = Places::new(0.0);
+    places.set_endpoints(known(1, 6), 1);
+    places.apply(ms(0), 1, &[(run(0), 1)]);
+    assert_eq!(places.take(ms(0), &[]), Some(run(0)));
+    places.set_endpoints(known(2, 6), 1);
+    assert_eq!(places.take(ms(0), &[]), None);
+    places.set_endpoints(known(2, 6).split_off(1), 1);
+    places.release(&run(0));
+    assert_eq!(places.used(), 0);
+}
+
 /// Load: few requests before a burst, so that few places came free. The wait is expected
 /// from the places held; without any estimate a request waits until its time is over.
 #[test]
