--- a/crates/policy/src/lending.rs
+++ b/crates/policy/src/lending.rs
@@ -33,12 +33,13 @@
 
 use dogwoodhill_core::prelude::*;
 
-/// Places of an endpoint whose queue is unknown, in multiples of its slots. One place per
-/// slot would leave slots empty while an entry does not use its place; the excess waits in
-/// the endpoint's queue for at most the time of one request.
+/// Places of an endpoint, in multiples of its slots. One place per slot would leave slots
+/// empty while an entry does not use its place; the excess waits in the endpoint's queue
+/// for at most the time of one request, during which requests of a more urgent tier cannot
+/// pass it.
 pub const OVERBOOKING: u32 = 2;
-/// Upper bound of the places of an endpoint, in multiples of its slots: a request waits in
-/// its queue for at most the time of three.
+/// Upper bound where each entry has only one place, in multiples of the slots: an entry
+/// uses its only place for a small part of the time.
 pub const MAX_OVERBOOKING: u32 = 4;
 /// Part of the queue that an endpoint named when it rejected a request for which places
 /// are lent, in quarters. The rest is for requests that outlive a place.
@@ -56,15 +57,15 @@
 /// Upper bound of the slots of an endpoint, so that a wrong value does not overflow.
 pub const MAX_SLOTS: u32 = 4_096;
 
-/// Places of an endpoint that names `slots`, of which at least one is assumed. `queue` is
-/// the number of requests that waited there when it rejected one; 0 if unknown.
+/// Places of an endpoint that names `slots`, of which at least one is assumed: up to
+/// [`OVERBOOKING`], but no more than its queue takes. `queue` is the number of requests
+/// that waited there when it rejected one; 0 if unknown.
 pub fn capacity(slots: u32, queue: u32) -> u32 {
     let slots = slots.clamp(1, MAX_SLOTS);
+    let excess = slots * (OVERBOOKING - 1);
+    let queued = u64::from(queue) * u64::from(QUEUE_QUARTERS) / 4;
     match queue {
-        0 => slots * OVERBOOKING,
-        _ => {
-            let queue = queue.min(slots * MAX_OVERBOOKING) * QUEUE_QUARTERS / 4;
-            (slots + queue).min(slots * MAX_OVERBOOKING)
-        }
+        0 => slots + excess,
+        _ => slots + u64::from(excess).min(queued) as u32,
     }
 }
--- a/crates/policy/src/lending/lender.rs
+++ b/crates/policy/src/lending/lender.rs
@@ -305,8 +305,7 @@
 
     /// Places of each endpoint for the entries that report to this instance: all, unless
     /// others report to another instance. Where that is less than one place for each
-    /// entry, it is raised to that within [`MAX_OVERBOOKING`]: an entry that has only one
-    /// place uses it for a small part of the time.
+    /// entry, it is raised to that within [`MAX_OVERBOOKING`].
     fn room(&self, now: Duration) -> Vec<u32> {
         let reporting = self.entries.iter().filter(|entry| entry.is_current(now));
         let reporting = reporting.count() as u64;
