Lending: a request that has tried an endpoint does not wait for the others in vain

One request at a hanging endpoint raised the expected time of use for all. Change: tried endpoints are used where the entry holds no place at another; those that wait get free places at each arrival; a sample of the time of use is at most four times the mean.

--- a/crates/direct/src/dispatch/waiting.rs
+++ b/crates/direct/src/dispatch/waiting.rs
@@ -14,12 +14,17 @@
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
+/// Places taken for one send: those at endpoints that have just begun to leave or to back
+/// off are given back.
+const MAX_CHOICES: usize = 3;
+
 impl Dispatch {
     /// Chooses the endpoint for the next send. Waits for a place if the places of the
     /// service are lent.
     pub(super) async fn place(&mut self) -> Result<Placement, RefusalCause> {
         self.place = None;
-        while let Some(lending) = self.lending() {
+        for _ in 0..MAX_CHOICES {
+            let Some(lending) = self.lending() else { break };
             let Some(guard) = self.await_place(&lending).await? else {
                 break;
             };
@@ -28,7 +33,6 @@
                 self.place = Some(guard);
                 return Ok(placement);
             }
-            // The endpoint has begun to leave or to back off.
             self.tried.push(guard.run().clone());
         }
         let placement = self.shared.directory.place(&self.query());
--- a/crates/direct/src/lending.rs
+++ b/crates/direct/src/lending.rs
@@ -90,7 +90,7 @@
 /// A waiting request.
 #[derive(Debug)]
 struct Waiter {
-    /// Endpoints that it may not use.
+    /// Endpoints already tried.
     tried: Vec<Incarnation>,
     sender: oneshot::Sender<Result<PlaceGuard, Verdict>>,
 }
@@ -270,20 +270,23 @@
     ) -> Result<Option<PlaceGuard>, NoPlace> {
         let now = uptime();
         let known = endpoints();
-        let (id, mut receiver) = {
+        let (id, mut receiver, deliveries) = {
             let mut state = self.state();
             state.stats.get_or_insert_with(|| stats.clone());
             state.places.set_endpoints(known, entries);
-            if !state.places.is_lent(now) || !state.places.has_usable(request.tried) {
+            if !state.places.is_lent(now) || !state.places.has_usable() {
                 return Ok(None);
             }
             state.queue.record_arrival(now);
             if let Some(guard) = self.take_free(&mut state, now, request.tried) {
                 return Ok(Some(guard));
             }
-            self.enqueue(&mut state, now, &request)?
+            let (id, receiver) = self.enqueue(&mut state, now, &request)?;
+            // Those ahead may wait for another endpoint than the one with a free place.
+            (id, receiver, self.assign(&mut state, now))
         };
         let _queued = Queued { lending: self, id };
+        deliver(deliveries);
         let result = loop {
             tokio::select! {
                 result = &mut receiver => break result,
--- a/crates/policy/src/lending/places.rs
+++ b/crates/policy/src/lending/places.rs
@@ -123,22 +123,22 @@
         pressed || now < self.until
     }
 
-    /// Takes a place for a request at a usable endpoint other than those in `excluded`:
-    /// the one with most free places. Returns its run, or `None` if no place is free.
-    pub fn take(
-        &mut self,
-        now: Duration,
-        excluded: &[Incarnation],
-    ) -> Option<Incarnation> {
+    /// Takes a place for a request at a usable endpoint: the one with most free places.
+    /// Endpoints in `tried` are used only where the entry holds no place at another one,
+    /// since a request would wait for its deadline otherwise. Returns the run of the
+    /// endpoint, or `None` if no place is free.
+    pub fn take(&mut self, now: Duration, tried: &[Incarnation]) -> Option<Incarnation> {
         let allowed = self.allowed(now);
+        let usable = |at: &usize| self.endpoints[*at].known.usable && allowed[*at] > 0;
+        let untried = |at: &usize| !tried.contains(&self.endpoints[*at].known.run);
+        let all = 0..self.endpoints.len();
+        let any_untried = all.clone().any(|at| usable(&at) && untried(&at));
         let free = |at: &usize| {
             let endpoint = &self.endpoints[*at];
-            endpoint.known.usable
-                && endpoint.rests_until <= now
-                && endpoint.used < allowed[*at]
-                && !excluded.contains(&endpoint.known.run)
+            endpoint.rests_until <= now && endpoint.used < allowed[*at]
         };
-        let candidates = (0..self.endpoints.len()).filter(free);
+        let candidates = all.filter(usable).filter(free);
+        let candidates = candidates.filter(|at| !any_untried || untried(at));
         let best = candidates.max_by_key(|at| allowed[*at] - self.endpoints[*at].used)?;
         let endpoint = &mut self.endpoints[best];
         endpoint.used += 1;
@@ -176,12 +176,9 @@
         valid.then(|| (now + LOAN_VALIDITY).saturating_sub(self.until))
     }
 
-    /// Whether there is a usable endpoint that is not in `excluded`.
-    pub fn has_usable(&self, excluded: &[Incarnation]) -> bool {
-        let usable = |endpoint: &EndpointPlaces| {
-            endpoint.known.usable && !excluded.contains(&endpoint.known.run)
-        };
-        self.endpoints.iter().any(usable)
+    /// Whether there is a usable endpoint.
+    pub fn has_usable(&self) -> bool {
+        self.endpoints.iter().any(|endpoint| endpoint.known.usable)
     }
 
     /// The next report to control; `None` if the service is not lent. `waiting` requests
--- a/crates/policy/src/lending/wait_queue.rs
+++ b/crates/policy/src/lending/wait_queue.rs
@@ -13,6 +13,9 @@
 
 /// Weight of the newest request in the mean time of use.
 const HOLD_WEIGHT: f64 = 0.1;
+/// Upper bound of a time of use, as a multiple of the mean, so that one request at an
+/// endpoint that hangs does not stand for all.
+const MAX_HOLD_RATIO: f64 = 4.0;
 /// Lower bound of a time of use, in seconds.
 const MIN_HOLD_SECONDS: f64 = 0.000_1;
 /// Rate below which there is no estimate, in places per second: too few came free within
@@ -79,8 +82,12 @@
         self.count = self.count * decay(now, self.at) + 1.0;
         self.at = self.at.max(now);
         let held = held.as_secs_f64().max(MIN_HOLD_SECONDS);
-        let weight = if self.hold > 0.0 { HOLD_WEIGHT } else { 1.0 };
-        self.hold += (held - self.hold) * weight;
+        if self.hold > 0.0 {
+            let held = held.min(self.hold * MAX_HOLD_RATIO);
+            self.hold += (held - self.hold) * HOLD_WEIGHT;
+        } else {
+            self.hold = held;
+        }
     }
 
     /// Mean time for which a request uses a place; zero if unknown.
--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -340,6 +340,12 @@
     assert_eq!(places.take(ms(10), &[run(0)]), None, "already tried");
     places.release(&run(1));
     assert_eq!(places.take(ms(10), &[run(0)]), Some(run(1)));
+    places.apply(ms(20), 2, &[(run(0), 2)]);
+    assert_eq!(
+        places.take(ms(20), &[run(0)]),
+        Some(run(0)),
+        "no other place"
+    );
 }
 
 /// Load: 303 entries without control before 36 places. Each has a place in some turns,
