--- a/crates/direct/src/lending.rs
+++ b/crates/direct/src/lending.rs
@@ -277,7 +277,6 @@
             if !state.places.is_lent(now) || !state.places.has_usable() {
                 return Ok(None);
             }
-            state.queue.record_arrival(now);
             if let Some(guard) = self.take_free(&mut state, now, request.tried) {
                 return Ok(Some(guard));
             }
--- a/crates/policy/src/lending/wait_queue.rs
+++ b/crates/policy/src/lending/wait_queue.rs
@@ -108,26 +108,6 @@
     }
 }
 
-/// Rate at which requests need places, as measured.
-#[derive(Clone, Debug, Default)]
-struct Arrivals {
-    /// Decayed number of requests, as of `at`.
-    count: f64,
-    at: Duration,
-}
-
-impl Arrivals {
-    fn record(&mut self, now: Duration) {
-        self.count = self.count * decay(now, self.at) + 1.0;
-        self.at = self.at.max(now);
-    }
-
-    /// Requests per second.
-    fn rate(&self, now: Duration) -> f64 {
-        self.count * decay(now, self.at) / RATE_SECONDS
-    }
-}
-
 /// Part of a count as of `at` that is left at `now`.
 fn decay(now: Duration, at: Duration) -> f64 {
     (-now.saturating_sub(at).as_secs_f64() / RATE_SECONDS).exp()
@@ -141,7 +121,6 @@
     bytes: usize,
     next_id: u64,
     drain: Drain,
-    arrivals: Arrivals,
 }
 
 impl<T> Default for WaitQueue<T> {
@@ -151,7 +130,6 @@
             bytes: 0,
             next_id: 0,
             drain: Drain::default(),
-            arrivals: Arrivals::default(),
         }
     }
 }
@@ -172,11 +150,6 @@
         self.drain.record(now, held);
     }
 
-    /// Records that a request needs a place at `now`, whether or not it has to wait.
-    pub fn record_arrival(&mut self, now: Duration) {
-        self.arrivals.record(now);
-    }
-
     /// Sets the number of places held or in use, from which the rate is expected.
     pub fn set_places(&mut self, places: u32) {
         self.drain.places = places;
@@ -215,7 +188,7 @@
             compare(now, &waiting.priority, &priority) != Ordering::Greater
         });
         let full = self.len() >= MAX_WAITING || self.bytes + bytes > MAX_BYTES;
-        let verdict = self.verdict(now, self.rates(now), at, &priority);
+        let verdict = verdict(self.drain.rate(now), at);
         if full || is_late(now, latest, verdict.wait) {
             return Err(verdict);
         }
@@ -247,11 +220,11 @@
     /// Removes the requests whose wait can no longer end in time.
     pub fn remove_late(&mut self, now: Duration) -> Vec<(Waiting<T>, Verdict)> {
         self.sort(now);
-        let rates = self.rates(now);
+        let rate = self.drain.rate(now);
         let mut removed = Vec::new();
         let mut at = 0;
         while at < self.len() {
-            let verdict = self.verdict(now, rates, at, &self.waiting[at].priority);
+            let verdict = verdict(rate, at);
             if is_late(now, self.waiting[at].latest, verdict.wait) {
                 removed.push((self.remove_at(at), verdict));
             } else {
@@ -267,36 +240,6 @@
         Some(wait_for(self.len() as f64, rate))
     }
 
-    /// Rates of free places, if there is an estimate, and of arriving requests.
-    fn rates(&self, now: Duration) -> (Option<f64>, f64) {
-        (self.drain.rate(now), self.arrivals.rate(now))
-    }
-
-    /// Verdict on a request at position `at`. Requests that arrive later pass one that
-    /// can no longer meet its objective, so it gets only the places that those leave.
-    fn verdict(
-        &self,
-        now: Duration,
-        (rate, arrivals): (Option<f64>, f64),
-        at: usize,
-        priority: &Priority,
-    ) -> Verdict {
-        let ahead = at as f64 + 1.0;
-        let wait = rate.map(|rate| {
-            let wait = wait_for(ahead, rate);
-            if now.saturating_add(wait) <= priority.due {
-                wait
-            } else {
-                wait_for(ahead, (rate - arrivals).max(0.0))
-            }
-        });
-        Verdict {
-            ahead: at,
-            wait,
-            rate: rate.unwrap_or_default(),
-        }
-    }
-
     fn remove_at(&mut self, at: usize) -> Waiting<T> {
         let removed = self.waiting.remove(at);
         self.bytes -= removed.bytes;
@@ -318,6 +261,15 @@
     Duration::try_from_secs_f64(count / rate).unwrap_or(Duration::MAX)
 }
 
+/// Verdict on a request with `ahead` others before it.
+fn verdict(rate: Option<f64>, ahead: usize) -> Verdict {
+    Verdict {
+        ahead,
+        wait: rate.map(|rate| wait_for(ahead as f64 + 1.0, rate)),
+        rate: rate.unwrap_or_default(),
+    }
+}
+
 /// Order at `now`: tier, share, whether the objective can still be met, time left.
 fn compare(now: Duration, a: &Priority, b: &Priority) -> Ordering {
     let key = |p: &Priority| (p.tier, p.above, p.due < now, p.due);
