--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -528,27 +528,16 @@
     assert_eq!(pushed.count(), 511);
 }
 
-/// One message of an entry, in any order.
-#[derive(Clone, Copy, Debug)]
-struct Step {
-    entry: usize,
-    wanted: u32,
-    /// Milliseconds since the last step.
-    after: u64,
-    /// Whether the reply arrives.
-    replied: bool,
-    instance: usize,
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    let fields = (0..4_usize, 0..40_u32, 0..400_u64, any::<bool>(), 0..2_usize);
-    fields.prop_map(|(entry, wanted, after, replied, instance)| Step {
-        entry,
-        wanted,
-        after,
-        replied,
-        instance,
-    })
+/// One message: entry, wanted places, milliseconds since the last message, whether the
+/// reply arrives, and control instance.
+fn step() -> impl Strategy<Value = (usize, usize, u64, bool, usize)> {
+    (
+        0..4_usize,
+        0..40_usize,
+        0..400_u64,
+        any::<bool>(),
+        0..2_usize,
+    )
 }
 
 proptest! {
@@ -569,16 +558,16 @@
             places
         }).collect();
         let mut now = ms(0);
-        for step in steps {
-            now += ms(step.after);
-            let lender = &mut lenders[step.instance % instances];
-            let name = format!("entry-{}", step.entry);
-            let places = &mut entries[step.entry];
+        for (entry, wanted, after, replied, instance) in steps {
+            now += ms(after);
+            let lender = &mut lenders[instance % instances];
+            let name = format!("entry-{}", entry);
+            let places = &mut entries[entry];
             places.record_pressure(now);
-            let report = places.report(now, step.wanted as usize);
+            let report = places.report(now, wanted);
             lender.record(now, &name, SERVICE, &report.unwrap_or_default());
             for loan in lender.lend(now, &name) {
-                if step.replied {
+                if replied {
                     places.apply(now, loan.id, &loan.places);
                 }
             }
