--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -561,7 +561,7 @@
         for (entry, wanted, after, replied, instance) in steps {
             now += ms(after);
             let lender = &mut lenders[instance % instances];
-            let name = format!("entry-{}", entry);
+            let name = format!("entry-{entry}");
             let places = &mut entries[entry];
             places.record_pressure(now);
             let report = places.report(now, wanted);
