Lending: an entry keeps the place of its newest loan

Change: the newest loan is renewed where it takes nothing from others, and places stay at its endpoints.

--- a/crates/policy/src/lending/lender.rs
+++ b/crates/policy/src/lending/lender.rs
@@ -357,8 +357,8 @@
     }
 
     /// Spreads `target` places of the entry at index `at` over the endpoints. An endpoint
-    /// at which the entry still holds a loan is preferred, since the loan counts anyway;
-    /// then the one with most free places.
+    /// of its newest loan is preferred, since that counts anyway; then the one with most
+    /// free places.
     fn spread(
         &self,
         now: Duration,
@@ -381,10 +381,17 @@
             before && entry.wanted > 0 && entry.is_current(now) && !entry.holds_any(now)
         };
         let reserved = self.entries.iter().filter(waits).count() as u32;
-        let target = target.min(free.iter().sum::<u32>().saturating_sub(reserved));
+        let newest = own.loans.iter().rev().find(|loan| loan.until > now);
         let held: Vec<u32> = (self.endpoints.iter())
-            .map(|endpoint| own.held(now, &endpoint.run))
+            .map(|endpoint| newest.map_or(0, |loan| loan.at(&endpoint.run)))
             .collect();
+        // Renewing the newest loan takes nothing from others. Where entries alternate, it
+        // has to pass on.
+        let count = self.entries.iter().filter(|e| e.is_current(now)).count() as u32;
+        let keeps = room.iter().sum::<u32>() >= count;
+        let renewed = if keeps { held.iter().sum() } else { 0 };
+        let others = free.iter().sum::<u32>().saturating_sub(reserved);
+        let target = target.min(others.max(renewed));
         for _ in 0..target {
             let usable = (0..room.len()).filter(|i| lent[*i] < free[*i]);
             let best = usable.max_by_key(|i| {
--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -263,6 +263,22 @@
     assert_eq!(report(&mut lender, now, 2, &wants(0, 2, slots(1, 6))), 4);
 }
 
+/// Load: twenty-seven entries whose wants change with every report, before 36 places. An
+/// entry that has a place keeps one.
+#[test]
+fn lend_changing_wants_no_entry_without_place() {
+    let mut random = StdRng::seed_from_u64(5);
+    let mut lender = Lender::new(1);
+    for round in 0..40 {
+        for entry in 0..27 {
+            let now = ms(500 * round + 17 * entry as u64);
+            let used = wants(random.random_range(1..6), 27, slots(3, 6));
+            let places = report(&mut lender, now, entry, &used);
+            assert!(places > 0 || round < 6, "entry {entry} in round {round}");
+        }
+    }
+}
+
 /// Load: forty entries before one endpoint with six slots, so twelve places. Each gets a
 /// place in turn.
 #[test]
