--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -26,7 +26,7 @@
 const REFUSED: [&str; 2] = ["request-refused", "request-abandoned"];
 
 /// Meaning of each outcome, and the events to look at next.
-const CAUSES: [(&str, &str); 22] = [
+const CAUSES: [(&str, &str); 23] = [
     (
         "no-routes",
         "the entry had no route set yet: it had just started, and no control instance had confirmed one; look at control-lost, leadership-changed and routes-in-force",
@@ -52,6 +52,10 @@
         "over-share",
         "its workspace asked for more than its share of a service that was short of room, and there was no room left; the share-refused line has the share, what the workspace asked for at all entries, and the age of the level, service-short what was short and who else was above it",
     ),
+    (
+        "no-place",
+        "the service's endpoints have few slots, and no place at one came free in time; look at place-missed",
+    ),
     ("overload", "the service could not serve it in time"),
     (
         "stopping",
--- a/crates/direct/src/contention.rs
+++ b/crates/direct/src/contention.rs
@@ -4,6 +4,7 @@
 //! it with control. It depends on no other module of the request path, which passes in
 //! what the parts need to know.
 
+use crate::lending::Lending;
 use crate::pace::Prober;
 use crate::settings::Features;
 use crate::shares::Shares;
@@ -21,6 +22,8 @@
     pub prober: Option<Prober>,
     /// Shares of services among workspaces, if they are on.
     pub shares: Option<Arc<Shares>>,
+    /// Places at endpoints with few slots.
+    pub lending: Lending,
 }
 
 impl Contention {
@@ -31,6 +34,7 @@
             features,
             prober: features.pace.then(|| Prober::new(metrics)),
             shares: features.shares.then(shares),
+            lending: Lending::default(),
         }
     }
 
@@ -39,6 +43,7 @@
         let shares = self.shares.as_ref();
         let report = ContentionReport {
             shares: shares.map(|shares| shares.report(now)).unwrap_or_default(),
+            places: self.lending.report(now),
             ..ContentionReport::default()
         };
         report.non_empty()
@@ -50,6 +55,9 @@
         if let Some(shares) = &self.shares {
             shares.apply(reported_at, reply.shares.as_deref());
         }
+        if self.features.lending {
+            self.lending.apply(reported_at, &reply.places);
+        }
     }
 
     /// Called at `now` when no control instance replied; this entry is one of `entries`.
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -11,6 +11,7 @@
 mod estimates;
 mod fetch;
 mod in_flight;
+mod lending;
 mod limits;
 mod pace;
 mod queue_position;
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -13,6 +13,7 @@
 mod shares;
 mod stream_start;
 mod target;
+mod waiting;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
 use crate::directory::{Endpoint, LatencyClass, Placement, PrefixFetch, QueuePosition};
@@ -20,6 +21,7 @@
     self, CompleteResponse, EndpointResponse, Loss, OutboundRequest, SendContext,
     SendOutcome,
 };
+use crate::lending::PlaceGuard;
 use crate::race::{Winner, race_response};
 use crate::request::SharedState;
 use crate::response::{RefusalCause, ResponseBody};
@@ -34,6 +36,7 @@
 use dogwoodhill_policy::quarantine::SUSPECT_CRASHES;
 use dogwoodhill_route::prelude::*;
 use http::{HeaderMap, Response, StatusCode};
+use refusal::loss_cause;
 use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -90,6 +93,10 @@
     /// Whether the next send is already debited from the budget.
     prepaid: bool,
     may_have_run: bool,
+    /// Whether the service has neither an engine nor streams.
+    plain: bool,
+    /// Place of the current send, if the service's places are lent.
+    place: Option<PlaceGuard>,
     /// Counts the request as usage once an endpoint has started it.
     start_counter: Arc<StartCounter>,
     _drain_guard: DrainGuard,
@@ -131,6 +138,8 @@
         record.routes_version = table.version();
         record.fingerprint = short_form(fingerprint);
         shared.credit_resend(&service);
+        let engine = table.declaration(&service).and_then(|d| d.engine.as_ref());
+        let plain = engine.is_none() && table.pauses(&service).is_none();
         let (min_pause, max_pause) = table.pauses(&service).unwrap_or_default();
         let separate_classes = shared
             .directory
@@ -168,6 +177,8 @@
             broken_connections: 0,
             prepaid: false,
             may_have_run: false,
+            plain,
+            place: None,
             start_counter,
             _drain_guard: drain_guard,
         };
@@ -308,8 +319,9 @@
                 return DispatchResult::Refuse(self.exhausted_cause());
             }
             self.shared.list_tracker.await_unexpired().await;
-            let Some(placement) = self.place().await else {
-                return DispatchResult::Refuse(self.exhausted_cause());
+            let placement = match self.place().await {
+                Ok(placement) => placement,
+                Err(cause) => return DispatchResult::Refuse(cause),
             };
             let endpoint = Arc::clone(&placement.endpoint);
             let sends = self.sends + 1;
@@ -329,6 +341,7 @@
                 }
                 SendOutcome::Refused(reason) => {
                     self.sends += 1;
+                    self.record_refusal(&endpoint, reason);
                     self.log_failed_send(&endpoint, &reason.to_string());
                 }
                 SendOutcome::NotAdmitted(error) => {
@@ -442,15 +455,6 @@
     }
 }
 
-fn loss_cause(loss: Loss) -> RefusalCause {
-    match loss {
-        Loss::Timeout => RefusalCause::Timeout,
-        Loss::ConnectionBroken | Loss::Mismatched | Loss::Invalid | Loss::Withdrawn => {
-            RefusalCause::Lost
-        }
-    }
-}
-
 fn build_response(
     status: StatusCode,
     headers: HeaderMap,
--- a/crates/direct/src/dispatch/moving.rs
+++ b/crates/direct/src/dispatch/moving.rs
@@ -16,7 +16,7 @@
 impl Dispatch {
     /// Chooses an endpoint, after asking the likely ones for their pace if that is of
     /// use.
-    pub(super) async fn place(&self) -> Option<Placement> {
+    pub(super) async fn place_by_pace(&self) -> Option<Placement> {
         let prober = self.shared.contention.prober.as_ref();
         if let Some(prober) = prober {
             self.refresh_candidates(prober).await;
--- a/crates/direct/src/dispatch/shares.rs
+++ b/crates/direct/src/dispatch/shares.rs
@@ -6,6 +6,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::shares;
+use dogwoodhill_policy::shares::Standing;
 use dogwoodhill_policy::shares::admission::Outlook;
 use dogwoodhill_policy::shares::cost::{Capacity, Cost, Size};
 use dogwoodhill_route::prelude::*;
@@ -89,6 +90,12 @@
         Some(ticket.refuse(now, &self.meta.id, spread).retry_after)
     }
 
+    /// Whether the request is above the share of its workspace.
+    pub(super) fn is_above_share(&self) -> bool {
+        let ticket = self.share.as_ref();
+        ticket.is_some_and(|ticket| ticket.standing() == Standing::Above)
+    }
+
     /// Counts the start of the response in the share.
     pub(super) fn share_responded(&mut self) {
         if let Some(ticket) = &mut self.share {
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -185,6 +185,16 @@
         entry
     }
 
+    /// Like [`Self::start`], with optional behaviour.
+    pub(crate) async fn start_with(
+        name: &str,
+        list: Box<dyn EndpointList>,
+        control: Vec<SocketAddr>,
+        features: Features,
+    ) -> Self {
+        Self::run(name, list, LONG_TIMEOUT, control, None, features).await
+    }
+
     async fn run(
         name: &str,
         list: Box<dyn EndpointList>,
