--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -4,7 +4,7 @@
 //! takes a multiple of its usual time. The two are kept apart ([`track`]): the lasting
 //! pace decides which prefixes an endpoint holds ([`weight`]), the momentary one only
 //! where the next request goes. A momentary value is of use only while it is fresh, so
-//! an entry asks the endpoints that may get a request ([`plan`]) if their pace varies
+//! an entry asks the endpoints that may get a request ([`mod@plan`]) if their pace varies
 //! ([`variation`]).
 
 pub mod agreed;
