--- a/crates/direct/src/contention.rs
+++ b/crates/direct/src/contention.rs
@@ -6,7 +6,7 @@
 
 use crate::lending::Lending;
 use crate::pace::Prober;
-use crate::settings::Features;
+use crate::settings::{Features, ShareMode};
 use crate::shares::Shares;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
@@ -33,7 +33,7 @@
         Self {
             features,
             prober: features.pace.then(|| Prober::new(metrics)),
-            shares: features.shares.then(shares),
+            shares: (features.shares != ShareMode::Off).then(shares),
             lending: Lending::default(),
         }
     }
--- a/crates/direct/src/dispatch/shares.rs
+++ b/crates/direct/src/dispatch/shares.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatch;
 use crate::response::RefusalCause;
+use crate::settings::ShareMode;
 use crate::shares::ShareRequest;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
@@ -68,13 +69,17 @@
     /// Time after which the caller may retry, if the request is above the share of its
     /// workspace and there is no room left for it.
     pub(super) fn refused_by_share(&mut self) -> Option<Duration> {
+        let features = self.shared.contention.features;
+        if features.shares != ShareMode::Refuse {
+            return None;
+        }
         let rank = self.admitted.rank;
         if self.meta.prompt.tokens > 0 && rank.route + 1 < rank.routes {
             // Refusing it would serve less urgent prompts in its place.
             return None;
         }
         let plain = self.meta.prompt.tokens == 0;
-        if plain && self.shared.contention.features.lending {
+        if plain && features.lending {
             // It waits for a place, behind the requests that are within shares.
             return None;
         }
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -62,7 +62,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Features {
     /// Share a service that is short of room among workspaces.
-    pub shares: bool,
+    pub shares: ShareMode,
     /// Ask endpoints whose pace varies for it before choosing one.
     pub pace: bool,
     /// Send to endpoints with few slots within places lent by control.
@@ -71,6 +71,25 @@
     pub prefixes: bool,
 }
 
+/// What happens to requests above the share of their workspace.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ShareMode {
+    /// Shares are not computed.
+    #[default]
+    Off,
+    /// They yield within their tier where an engine orders its queue.
+    Yield,
+    /// They yield, and are refused where they cannot be served in time.
+    Refuse,
+}
+
+impl ShareMode {
+    /// All modes, in the order of [`Self::NAMES`].
+    pub const ALL: [Self; 3] = [Self::Off, Self::Yield, Self::Refuse];
+    /// Names in settings.
+    pub const NAMES: [&'static str; 3] = ["off", "yield", "refuse"];
+}
+
 /// Name of the duty that requires usage counting.
 const USAGE_DUTY: &str = "usage";
 
@@ -118,7 +137,7 @@
         grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
         usage: usage(s),
         features: Features {
-            shares: s.flag("shares", false),
+            shares: ShareMode::ALL[s.word("shares", &ShareMode::NAMES, Some(0))],
             pace: s.flag("pace", false),
             lending: s.flag("lending", false),
             prefixes: s.flag("prefixes", false),
--- a/crates/direct/src/shares.rs
+++ b/crates/direct/src/shares.rs
@@ -54,7 +54,7 @@
     /// The division in force; `None` while the service has room.
     division: Option<Division>,
     /// When control last answered, or the service was first used.
-    heard_at: Duration,
+    answered_at: Duration,
     /// Shortage by the entry's own view, without control.
     own: Shortage,
     /// Sorted by workspace and tier.
@@ -178,7 +178,7 @@
         for (service, state) in services.iter_mut() {
             let found = answer.iter().find(|shares| shares.service == *service);
             let shares = found.and_then(ServiceShares::shares);
-            state.heard_at = reported_at;
+            state.answered_at = reported_at;
             state.own = Shortage::default();
             let division = shares.map(|shares| Division {
                 shares,
@@ -195,7 +195,7 @@
         let level = division.map_or(0.0, |division| division.shares.level);
         let above = division.map_or(0, |division| division.shares.above.len());
         let values = [
-            // An infinite level cuts nobody, as without a level.
+            // An infinite level cuts no workspace, as without a level.
             (
                 "level",
                 (if level.is_finite() { level } else { 0.0 } * MILLI) as i64,
@@ -251,7 +251,7 @@
         let found = all.binary_search_by(|item| item.0.as_str().cmp(service));
         let at = found.unwrap_or_else(|at| {
             let state = Self {
-                heard_at: now,
+                answered_at: now,
                 ..Self::default()
             };
             all.insert(at, (service.to_string(), state));
@@ -296,7 +296,7 @@
 
     /// Divides by the entry's own view, if control has not answered for too long.
     fn use_own_view(&mut self, now: Duration, service: &str) {
-        if now.saturating_sub(self.heard_at) < LEVEL_TTL {
+        if now.saturating_sub(self.answered_at) < LEVEL_TTL {
             return;
         }
         let load = self.usage.load(now, usize::MAX);
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -7,7 +7,7 @@
 use dogwoodhill_direct::dialect::{EndpointList, EndpointRecord};
 use dogwoodhill_direct::direct::Dialects;
 use dogwoodhill_direct::request::SharedState;
-use dogwoodhill_direct::settings::Features;
+use dogwoodhill_direct::settings::{Features, ShareMode};
 use dogwoodhill_direct::{Direct, Settings};
 use dogwoodhill_policy::budget::Allowance;
 use dogwoodhill_route::prelude::*;
@@ -165,7 +165,7 @@
         control: Vec<SocketAddr>,
     ) -> Self {
         let features = Features {
-            shares: true,
+            shares: ShareMode::Refuse,
             ..Features::default()
         };
         Self::with_control_and_features(endpoints, set, control, features).await
--- a/crates/direct/tests/all/pace.rs
+++ b/crates/direct/tests/all/pace.rs
@@ -10,7 +10,7 @@
     Directory, LatencyClass, PlacementQuery, QueuePosition,
 };
 use dogwoodhill_direct::pace::Prober;
-use dogwoodhill_direct::settings::Features;
+use dogwoodhill_direct::settings::{Features, ShareMode};
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_route::prelude::*;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 /// Long enough for a request to be worth probes.
 const WORK: Duration = Duration::from_millis(50);
 const PACE: Features = Features {
-    shares: false,
+    shares: ShareMode::Off,
     pace: true,
     lending: false,
     prefixes: false,
--- a/crates/direct/tests/all/placement.rs
+++ b/crates/direct/tests/all/placement.rs
@@ -193,7 +193,7 @@
 }
 
 /// Entries that read different paces of the same endpoints place a prefix at the same
-/// endpoint once control has told them the lasting paces: a prefix with two homes is
+/// endpoint once control has returned the lasting paces: a prefix with two homes is
 /// prefilled twice. Endpoints that are three times as slow hold fewer prefixes.
 #[test]
 fn place_shared_prefix_by_agreed_pace() {
--- a/crates/direct/tests/all/prefixes.rs
+++ b/crates/direct/tests/all/prefixes.rs
@@ -7,7 +7,7 @@
 use dogwoodhill_direct::directory::{
     Directory, Endpoint, InFlight, LatencyClass, Placement, PlacementQuery, QueuePosition,
 };
-use dogwoodhill_direct::settings::Features;
+use dogwoodhill_direct::settings::{Features, ShareMode};
 use dogwoodhill_policy::prefixes::Link;
 use dogwoodhill_route::prelude::*;
 use std::sync::{Arc, Mutex};
@@ -15,7 +15,7 @@
 /// A large prompt: 6,300 shared tokens and as many of its own.
 const PREFIX: &str = "x-prefix: 7 6300\r\n";
 const ON: Features = Features {
-    shares: false,
+    shares: ShareMode::Off,
     pace: false,
     lending: false,
     prefixes: true,
@@ -187,7 +187,7 @@
 }
 
 /// The endpoint that was to fetch loses the connection: the second send goes elsewhere and
-/// has a decision of its own, so an endpoint is never told to fetch from itself.
+/// has a decision of its own, so an endpoint never fetches from itself.
 #[tokio::test]
 async fn fetch_decided_again_for_second_send() {
     let both = endpoints().await;
--- a/crates/direct/tests/all/settings.rs
+++ b/crates/direct/tests/all/settings.rs
@@ -2,7 +2,7 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::Settings;
-use dogwoodhill_direct::settings::Features;
+use dogwoodhill_direct::settings::{Features, ShareMode};
 
 fn parse(extra_fields: &str) -> Result<Settings, String> {
     let text = format!(
@@ -34,8 +34,11 @@
 fn parse_features_off_by_default() {
     let settings = parse("").expect("defaults are valid");
     assert_eq!(settings.features, Features::default());
-    let settings = parse(r#""shares": true, "lending": true"#).expect("valid flags");
-    assert!(settings.features.shares && settings.features.lending);
+    let settings = parse(r#""shares": "yield", "lending": true"#).expect("valid words");
+    assert_eq!(settings.features.shares, ShareMode::Yield);
+    assert!(settings.features.lending);
     assert!(!settings.features.pace && !settings.features.prefixes);
     parse(r#""pace": 3"#).expect_err("a number is no flag");
+    let refused = parse(r#""shares": "some""#).expect_err("an unknown word");
+    assert!(refused.contains("off, yield, refuse"), "{refused}");
 }
--- a/crates/direct/tests/all/shares.rs
+++ b/crates/direct/tests/all/shares.rs
@@ -105,7 +105,7 @@
     assert_tenth(within(&shares, millis(1_100), HOT));
 }
 
-/// Control is lost: the last level holds for a stated time, and nobody is above a level
+/// Control is lost: the last level holds for a stated time, and no workspace is above a level
 /// after that unless the entry itself sees a shortage.
 #[test]
 fn report_without_control_ends_level() {
--- a/crates/policy/src/pace/agreed.rs
+++ b/crates/policy/src/pace/agreed.rs
@@ -15,7 +15,7 @@
 const MAX_READINGS: usize = 15;
 /// Fewest readings that make a lasting pace: a short slowdown is not the median of five.
 const MIN_READINGS: usize = 5;
-/// Time after which an endpoint that nobody reads is dropped.
+/// Time after which an endpoint without readings is dropped.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Most endpoints that are stored: eight times the design size.
 const MAX_ENDPOINTS: usize = 10_000;
--- a/crates/policy/src/prefixes/range.rs
+++ b/crates/policy/src/prefixes/range.rs
@@ -1,4 +1,4 @@
-//! Which endpoints of a service prompts were placed on lately.
+//! Which endpoints of a service prompts were recently placed on.
 //!
 //! The first endpoints of a service may be reserved for other requests, and their number
 //! follows the demand. A prefix then gets another home, while the former one still holds
--- a/crates/policy/src/shares/level.rs
+++ b/crates/policy/src/shares/level.rs
@@ -17,7 +17,7 @@
 
 /// The work that a service which is short of room can serve in time.
 ///
-/// Engines serve the foreground first, so work above the shares harms nobody, and the room
+/// Engines serve the foreground first, so work above the shares delays no other work, and the room
 /// is what they serve. Where requests are served in the order of arrival, the room is
 /// smaller than that: without a queue, endpoints reject a part of the requests long before
 /// all slots are always in use. It shrinks while work within shares is rejected, and
--- a/crates/policy/tests/agreed.rs
+++ b/crates/policy/tests/agreed.rs
@@ -44,7 +44,7 @@
     assert_eq!(percents(&agreed), [(9, 300)]);
 }
 
-/// Endpoints that nobody reads any more are dropped, others are kept.
+/// Endpoints without further readings are dropped, others are kept.
 #[test]
 fn expire_unread_endpoint() {
     let mut agreed = AgreedPaces::default();
--- a/crates/policy/tests/prefixes.rs
+++ b/crates/policy/tests/prefixes.rs
@@ -118,7 +118,7 @@
 }
 
 /// The home of a prefix drains, hangs, fails, backs off, or is slow, as under a partial
-/// failure at high load: nobody fetches from it.
+/// failure at high load: no endpoint fetches from it.
 #[test]
 fn offers_none_from_unusable_home() {
     let key = hash(b"chapter");
--- a/crates/policy/tests/shares.rs
+++ b/crates/policy/tests/shares.rs
@@ -199,7 +199,7 @@
     }
 }
 
-/// A service that serves everything, though late: nobody is above the level.
+/// A service that serves everything, though late: no workspace is above the level.
 #[test]
 fn level_with_room_cuts_nobody() {
     let shares = FairShares::of(&load(&[(1.0, &[20.0]), (1.0, &[1.0])], 21.0));
