--- a/crates/wire/src/contention.rs
+++ b/crates/wire/src/contention.rs
@@ -1,5 +1,5 @@
 //! The part of the exchange between entries and control that concerns contention for
-//! endpoints: shares of workspaces and places at endpoints with few slots.
+//! endpoints: shares of workspaces, places at endpoints with few slots, and paces.
 //!
 //! Both messages are absent from the exchange while they are empty, so deployments
 //! without contention send the same bytes as without these features.
