--- a/crates/policy/src/lending/wait_queue.rs
+++ b/crates/policy/src/lending/wait_queue.rs
@@ -62,7 +62,7 @@
     pub rate: f64,
 }
 
-/// Rate at which places come free: as measured, or as expected from the places and the
+/// Rate at which places come free: as observed, or as expected from the places and the
 /// time for which requests use them, if that is more. The measured rate is low after a
 /// time with few requests.
 #[derive(Clone, Debug, Default)]
