Log members, seeds and the search for the cluster

The record of an incident could not tell which members a cluster had, which seeds a process was given, and whether an instance found its cluster. One line a change; a search that finds nobody logs every five seconds.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -35,6 +35,8 @@
 /// Delay between attempts to join. A new deployment must accept its first change within
 /// seconds of its start.
 const JOIN_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Interval of log lines while an instance looks for its cluster.
+const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Time without contact after which an instance checks whether it is still a member;
 /// longer than a typical election.
 const MEMBERSHIP_CHECK_DELAY: Duration = Duration::from_millis(1_500);
@@ -140,7 +142,11 @@
     while changed.changed().await.is_ok() {
         let settings = changed.borrow_and_update().clone();
         if let Some(settings) = settings {
-            addresses.send_replace(configured_addresses(&settings));
+            let known = configured_addresses(&settings);
+            Event::new("peers-configured")
+                .field("addresses", join_addresses(&known))
+                .info();
+            addresses.send_replace(known);
         }
     }
 }
@@ -245,6 +251,10 @@
             .field("node", format!("{:016x}", self.member.id))
             .field("operators", self.operators())
             .field("internal", self.internal())
+            .field(
+                "peers",
+                join_addresses(&self.settings.peer_addresses().borrow()),
+            )
             .info();
         let service = self.service();
         let presence = Presence::default();
@@ -370,6 +380,12 @@
     others.collect()
 }
 
+/// Addresses for a log line.
+pub(crate) fn join_addresses(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    texts.join(",")
+}
+
 /// Whether an instance without state creates the cluster.
 fn creates_cluster(settings: &Settings) -> bool {
     let seeds = &settings.seeds;
@@ -427,14 +443,26 @@
     settings: &Settings,
     client: &PeerClient,
 ) -> Result<u128, Report<ControlError>> {
-    let end = Instant::now() + JOIN_TIMEOUT;
-    while Instant::now() < end {
+    let start = Instant::now();
+    let mut next_line = Duration::ZERO;
+    while start.elapsed() < JOIN_TIMEOUT {
         let addresses = settings.peer_addresses().borrow().clone();
-        for address in addresses {
+        for &address in &addresses {
             if let Some(cluster) = fetch_cluster_id(client, address).await {
+                Event::new("cluster-found")
+                    .field("address", address)
+                    .field("ms", start.elapsed().as_millis())
+                    .info();
                 return Ok(cluster);
             }
         }
+        if start.elapsed() >= next_line {
+            next_line = start.elapsed() + SEARCH_LOG_INTERVAL;
+            Event::new("cluster-sought")
+                .field("addresses", join_addresses(&addresses))
+                .field("ms", start.elapsed().as_millis())
+                .warn();
+        }
         sleep(JOIN_RETRY_DELAY).await;
     }
     Err(Report::new(ControlError::NoPeerAnswered))
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -8,6 +8,7 @@
 //! addresses on: operators are redirected, entries receive the addresses of the control
 //! instances, and an instance that lost its disk finds its cluster again.
 
+use crate::control::{configured_addresses, join_addresses};
 use crate::internal::{self, CLUSTER_PATH, JOIN_PATH, MEMBER_PATH};
 use crate::settings::Settings;
 use axum::Router;
@@ -142,6 +143,7 @@
         .field("name", &settings.name)
         .field("operators", operator_listener.address())
         .field("internal", internal_listener.address())
+        .field("peers", join_addresses(&configured_addresses(&settings)))
         .field("reason", "no-disk")
         .info();
     let instances = AnnouncedInstances {
--- a/crates/direct/src/route_follower.rs
+++ b/crates/direct/src/route_follower.rs
@@ -161,6 +161,9 @@
         loop {
             for address in self.control().all() {
                 if !polled.contains(&address) {
+                    Event::new("control-polled")
+                        .field("address", address)
+                        .info();
                     polled.push(address);
                     tasks.spawn(Arc::clone(&self).poll(address));
                 }
