Control: every way of seeds leads to the cluster

Cause: an instance without a disk only waited for announcements, and a member announces itself only to its own seeds. An instance with an empty disk answered nobody until it had found its cluster. The search and the join asked one address after the other, a second for each that hangs.

Change: * `discovery` decides without I/O whom to ask: the own seeds, what they know, and whoever asked. Only what an instance says of itself makes it a member, for 4 s; an address is passed on only from the own settings or if its instance was heard from within 30 s. A round of 200 ms asks 8 addresses at most, the one that waits longest first, of 40 at most beside the seeds: each step to a member takes at most six rounds. * An instance without a disk runs it always and takes changed seeds, one with an empty disk until it has found its cluster, a member while it has no contact. * An instance that searches listens, and serves what one without a disk serves. It is not ready, and answers operators 503. The sockets stay bound when it becomes a member (`Listener::serve_meanwhile`). * Calls to several addresses run at once, one at a time to each (`calls`): search, join, forwarded joins, `refuse_second_cluster`. * Clusters: a join first compares the id of the cluster behind an address; before, an address of a foreign cluster confirmed that the instance is no member, and took it in. An instance that knows members of two clusters, or has not yet asked all it knows, names none and answers 409, which `refuse_second_cluster` takes for a cluster. * `cluster-found` has `by` in place of `address`; `cluster-sought` comes first after 1 s, from instances without a disk and members without contact, too; `foreign-cluster-passed` is new.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,45 +1,38 @@
 //! Life cycle of a control instance, from start to drain.
 
-use crate::forward::{self, ANNOUNCE_PATH, Announcement};
-use crate::internal;
-use crate::internal::{CLUSTER_PATH, InternalApi, JOIN_PATH, MEMBER_PATH};
+use crate::contacts::{self, Contacts};
+use crate::discovery::{ANNOUNCE_PATH, Announcement};
+use crate::forward;
+use crate::internal::{self, InternalApi};
+use crate::joining::Joining;
 use crate::operators::{self, OperatorApi};
 use crate::peers::Peers;
 use crate::presence::{INTERVAL, PRESENCE_PATH, Presence};
 use crate::replica::{
-    Driver, Input, Replica, ReplicaConfig, ReplicaParts, ReplicaStatus, build_replica,
+    Driver, Input, Replica, ReplicaConfig, ReplicaParts, build_replica,
 };
 use crate::reporter::{Reporter, ReporterMetrics, UsageSink};
+use crate::search::{Listeners, find_cluster, refuse_second_cluster};
 use crate::service::Service;
 use crate::settings::{Settings, Start};
 use axum::Router;
 use derive_more::{Display, Error};
-use dogwoodhill_consensus::NodeId;
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_store::{DiskFiles, Identity, Opened, Store, StoreError};
 use dogwoodhill_wire::client::PeerClient;
-use dogwoodhill_wire::control::ControlReply;
 use error_stack::{Report, ResultExt};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-/// Longest time for which a joining instance looks for its cluster.
-const JOIN_TIMEOUT: Duration = Duration::from_secs(60);
-/// Delay between attempts to join. A new deployment must accept its first change within
-/// seconds of its start.
-const JOIN_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Interval of log lines while an instance looks for its cluster.
-const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(5);
-/// Time without contact after which an instance checks whether it is still a member;
-/// longer than a typical election.
-const MEMBERSHIP_CHECK_DELAY: Duration = Duration::from_millis(1_500);
+/// Interval of announcements without contact.
+const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Timeout of a call to one peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for another instance to become leader.
@@ -105,13 +98,13 @@
     changed: ReloadedSettings<Settings>,
     extensions: Extensions,
 ) -> Result<(), String> {
+    let addresses = watch::Sender::new(configured_addresses(&settings));
+    settings.address_updates = Some(addresses.subscribe());
+    let _refresh = spawn_task(publish_addresses(changed, addresses));
     if settings.data.as_os_str().is_empty() {
         return forward::run(settings, drain).await;
     }
-    let addresses = watch::Sender::new(configured_addresses(&settings));
-    let _refresh = spawn_task(publish_addresses(changed, addresses.clone()));
     loop {
-        settings.address_updates = Some(addresses.subscribe());
         let started = tokio::select! {
             bound = Control::bind(settings.clone(), drain.clone()) => bound,
             () = drain.wait_begun() => break,
@@ -154,8 +147,8 @@
 /// A control instance with bound listeners.
 #[derive(Debug)]
 pub struct Control {
-    operators: Listener,
-    internal: Listener,
+    listeners: Listeners,
+    contacts: Contacts,
     settings: Settings,
     member: Member,
     cluster: u128,
@@ -176,21 +169,17 @@
         drain: Drain,
     ) -> Result<Self, Report<ControlError>> {
         let client = PeerClient::new(settings.secret.clone());
-        // Opened before the listeners are bound: a refused connection is better for
-        // callers than one that nobody serves yet.
-        let opened = open_store(&settings, &client).await?;
-        let operators = Listener::bind(settings.listen)
-            .await
-            .change_context(ControlError::Listen)?;
-        let internal = Listener::bind(settings.internal)
-            .await
-            .change_context(ControlError::Listen)?;
+        let Opening {
+            opened,
+            listeners,
+            contacts,
+        } = open(&settings, &client).await?;
         let identity = opened.identity.clone();
         let fresh = opened.durable.hard_state.term == 0;
         let member = Member {
             id: identity.node,
             name: settings.name.clone(),
-            address: internal.address(),
+            address: listeners.internal.address(),
             voter: false,
             seat: fresh && (settings.start != Start::Seeded || settings.seeds.founding),
         };
@@ -203,9 +192,15 @@
         if fresh && creates_cluster(&settings) {
             driver.bootstrap(member.clone());
         }
+        let announcement = Announcement {
+            cluster: identity.cluster,
+            internal: listeners.internal.address(),
+            operators: listeners.operators.address(),
+        };
+        let contacts = contacts.with_member(announcement, replica.status.clone());
         Ok(Self {
-            operators,
-            internal,
+            listeners,
+            contacts,
             settings,
             member,
             cluster: identity.cluster,
@@ -218,12 +213,12 @@
 
     /// Address of the operator API.
     pub fn operators(&self) -> SocketAddr {
-        self.operators.address()
+        self.listeners.operators.address()
     }
 
     /// Address for other processes of the router.
     pub fn internal(&self) -> SocketAddr {
-        self.internal.address()
+        self.listeners.internal.address()
     }
 
     /// Access to the cluster through this instance.
@@ -262,8 +257,12 @@
         let operator_api =
             OperatorApi::new(service.clone(), presence.clone(), &self.settings.teams);
         let secret = self.settings.secret.clone();
-        let internal_api =
-            InternalApi::new(service.clone(), presence.clone(), self.cluster, secret);
+        let internal_api = InternalApi::new(
+            service.clone(),
+            presence.clone(),
+            self.cluster,
+            secret.clone(),
+        );
         let usage = internal_api.usage.clone();
         let metrics = Metrics::default();
         let reporter = extensions.usage.zip(self.settings.usage.clone());
@@ -280,9 +279,12 @@
         let public = operators::routes(operator_api)
             .merge(health.clone())
             .merge(platform_routes);
-        let private =
-            internal::end_polls(internal::routes(internal_api), self.drain.clone());
-        let private = private.merge(health);
+        let known = internal::require_key(
+            contacts::routes(self.contacts.clone()),
+            Arc::new(secret),
+        );
+        let private = internal::routes(internal_api).merge(known);
+        let private = internal::end_polls(private, self.drain.clone()).merge(health);
         let replica = self.replica.clone();
         let stop = shut_down(replica.clone(), self.drain.clone(), reporter);
         let drain = self.drain.clone();
@@ -294,6 +296,15 @@
             internal: self.internal(),
             operators: self.operators(),
         };
+        let status = replica.status.clone();
+        let joining = Joining {
+            replica: replica.clone(),
+            member: self.member,
+            cluster: self.cluster,
+            addresses: addresses.clone(),
+            contacts: self.contacts.clone(),
+            client: self.client.clone(),
+        };
         // Aborted when this future is dropped.
         let mut driver = AbortOnDropHandle::new(tokio::spawn(self.driver.run()));
         let _tasks = [
@@ -308,19 +319,21 @@
                 addresses.clone(),
                 self.client.clone(),
             )),
-            spawn_task(ensure_member(
-                replica,
-                self.member,
-                addresses,
-                self.client,
-                drain,
-            )),
+            spawn_task(
+                self.contacts
+                    .run(addresses, move || !status.borrow().contact),
+            ),
+            spawn_task(joining.run(drain)),
         ];
         let stopping = Drain::default();
         let serve = async {
             tokio::join!(
-                self.operators.serve(public, stopping.clone(), linger),
-                self.internal.serve(private, stopping.clone(), linger),
+                self.listeners
+                    .operators
+                    .serve(public, stopping.clone(), linger),
+                self.listeners
+                    .internal
+                    .serve(private, stopping.clone(), linger),
                 async {
                     stop.await;
                     stopping.begin();
@@ -397,22 +410,69 @@
     }
 }
 
+/// Whether an instance without state has to find a cluster to join.
+fn joins_cluster(settings: &Settings) -> bool {
+    match settings.start {
+        Start::Join => true,
+        Start::Seeded => !creates_cluster(settings),
+        Start::Existing | Start::Bootstrap => false,
+    }
+}
+
+/// State and listeners of an instance that starts.
+struct Opening {
+    opened: Opened,
+    listeners: Listeners,
+    contacts: Contacts,
+}
+
+/// Opens the data folder and binds the listeners. An instance that has to find a cluster
+/// listens while it searches. Otherwise the folder is opened first: a refused connection
+/// is better for callers than one that nobody serves yet.
+async fn open(
+    settings: &Settings,
+    client: &PeerClient,
+) -> Result<Opening, Report<ControlError>> {
+    let files = DiskFiles::open(&settings.data).change_context(ControlError::Store)?;
+    let is_new = Store::is_uninitialized(&files).change_context(ControlError::Store)?;
+    let known = |listeners: &Listeners| {
+        Contacts::new(listeners.internal.address(), client.clone())
+    };
+    if is_new && joins_cluster(settings) {
+        let listeners = Listeners::bind(settings).await?;
+        let contacts = known(&listeners);
+        let cluster = find_cluster(settings, &contacts, &listeners, client).await?;
+        let opened = create_store(files, cluster).change_context(ControlError::Store)?;
+        return Ok(Opening {
+            opened,
+            listeners,
+            contacts,
+        });
+    }
+    let opened = open_store(settings, files, is_new, client).await?;
+    let listeners = Listeners::bind(settings).await?;
+    Ok(Opening {
+        contacts: known(&listeners),
+        opened,
+        listeners,
+    })
+}
+
+/// Opens the existing state, or creates that of a new cluster.
 async fn open_store(
     settings: &Settings,
+    files: DiskFiles,
+    is_new: bool,
     client: &PeerClient,
 ) -> Result<Opened, Report<ControlError>> {
-    let error = ControlError::Store;
-    let files = DiskFiles::open(&settings.data).change_context(error)?;
-    let is_new = Store::is_uninitialized(&files).change_context(ControlError::Store)?;
     let opened = match (is_new, settings.start) {
         (true, Start::Existing) => Err(StoreError::Uninitialized),
         (false, Start::Bootstrap) => Err(StoreError::AlreadyInitialized),
         (false, _) => Store::open(Box::new(files)),
-        (true, _) if creates_cluster(settings) => {
+        (true, _) => {
             refuse_second_cluster(settings, client).await?;
             create_store(files, rand::rng().random())
         }
-        (true, _) => create_store(files, find_cluster_id(settings, client).await?),
     };
     opened.change_context(ControlError::Store)
 }
@@ -425,114 +485,6 @@
     Store::create(Box::new(files), identity)
 }
 
-/// Refuses to create a second cluster next to an existing one; it would serve older
-/// documents.
-async fn refuse_second_cluster(
-    settings: &Settings,
-    client: &PeerClient,
-) -> Result<(), Report<ControlError>> {
-    for address in configured_addresses(settings) {
-        if fetch_cluster_id(client, address).await.is_some() {
-            return Err(Report::new(ControlError::AlreadyInCluster { address }));
-        }
-    }
-    Ok(())
-}
-
-async fn find_cluster_id(
-    settings: &Settings,
-    client: &PeerClient,
-) -> Result<u128, Report<ControlError>> {
-    let start = Instant::now();
-    let mut next_line = Duration::ZERO;
-    while start.elapsed() < JOIN_TIMEOUT {
-        let addresses = settings.peer_addresses().borrow().clone();
-        for &address in &addresses {
-            if let Some(cluster) = fetch_cluster_id(client, address).await {
-                Event::new("cluster-found")
-                    .field("address", address)
-                    .field("ms", start.elapsed().as_millis())
-                    .info();
-                return Ok(cluster);
-            }
-        }
-        if start.elapsed() >= next_line {
-            next_line = start.elapsed() + SEARCH_LOG_INTERVAL;
-            Event::new("cluster-sought")
-                .field("addresses", join_addresses(&addresses))
-                .field("ms", start.elapsed().as_millis())
-                .warn();
-        }
-        sleep(JOIN_RETRY_DELAY).await;
-    }
-    Err(Report::new(ControlError::NoPeerAnswered))
-}
-
-async fn fetch_cluster_id(client: &PeerClient, address: SocketAddr) -> Option<u128> {
-    let call = client.call::<(), u128>(address, CLUSTER_PATH, &());
-    timeout(PEER_TIMEOUT, call).await.ok()?.ok()
-}
-
-/// Requests to be added whenever this instance is not a member, either because it is new
-/// or because it was removed as failed. An instance that is stopping does not, since the
-/// cluster would rely on it.
-async fn ensure_member(
-    replica: Replica,
-    mut member: Member,
-    addresses: watch::Receiver<Vec<SocketAddr>>,
-    client: PeerClient,
-    drain: Drain,
-) {
-    let mut last_contact = Instant::now();
-    while !drain.has_begun() {
-        let status = replica.status.borrow().clone();
-        let is_member = status.members.get(member.id).is_some();
-        // A removed member has lost its seat to its replacement. With a second seat, the
-        // cluster would reserve a place that is never filled and could not replace
-        // another member.
-        member.seat &= !(is_member && status.contact);
-        if status.contact {
-            last_contact = Instant::now();
-        } else if !is_member || last_contact.elapsed() >= MEMBERSHIP_CHECK_DELAY {
-            let addresses = addresses.borrow().clone();
-            for address in others(&status, &addresses) {
-                let removed = !is_member || is_removed(&client, address, member.id).await;
-                if removed && request_join(&client, address, &member).await {
-                    break;
-                }
-            }
-        }
-        sleep(JOIN_RETRY_DELAY).await;
-    }
-}
-
-/// Addresses of other instances, from the log and from the settings.
-fn others(status: &ReplicaStatus, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
-    let members = status.members.iter().filter(|m| m.id != status.node);
-    let mut all: Vec<SocketAddr> = members.map(|member| member.address).collect();
-    all.extend(addresses);
-    all.sort_unstable();
-    all.dedup();
-    all
-}
-
-/// Whether the instance at `address` confirms that `id` is not a member.
-async fn is_removed(client: &PeerClient, address: SocketAddr, id: NodeId) -> bool {
-    let call = client.call::<_, ControlReply<bool>>(address, MEMBER_PATH, &id);
-    matches!(timeout(PEER_TIMEOUT, call).await, Ok(Ok(Ok(false))))
-}
-
-async fn request_join(client: &PeerClient, address: SocketAddr, member: &Member) -> bool {
-    let call = client.call::<_, ControlReply<()>>(address, JOIN_PATH, member);
-    let answer = timeout(PEER_TIMEOUT, call).await;
-    let joined = matches!(answer, Ok(Ok(Ok(()))));
-    Event::new("join-asked")
-        .field("address", address)
-        .field("accepted", joined)
-        .info();
-    joined
-}
-
 /// Sends the entries that poll this instance to the other instances.
 async fn share_presence(replica: Replica, presence: Presence, client: PeerClient) {
     loop {
@@ -582,7 +534,7 @@
         let interval = if status.contact {
             INTERVAL
         } else {
-            JOIN_RETRY_DELAY
+            ANNOUNCE_RETRY_DELAY
         };
         sleep(interval).await;
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,12 +9,16 @@
 //! idempotent, because a sender that loses a reply sends again: a document is identified
 //! by its version, a claim and a lease by their holder.
 
+mod calls;
 pub mod command;
+mod contacts;
 pub mod contention;
 pub mod control;
 pub mod demand;
+pub mod discovery;
 pub mod forward;
 pub mod internal;
+mod joining;
 pub mod lending;
 pub mod limits;
 pub mod lists;
@@ -27,6 +31,7 @@
 pub mod reporter;
 pub mod route_sets;
 pub mod routes;
+mod search;
 pub mod service;
 pub mod settings;
 pub mod shares;
--- a/crates/control/tests/paths.rs
+++ b/crates/control/tests/paths.rs
@@ -4,13 +4,21 @@
 mod site;
 mod support;
 
-use site::{Instance, addresses, put, start_members, wait_for_entry};
-use std::net::SocketAddr;
+use dogwoodhill_core::prelude::*;
+use site::{
+    Instance, addresses, get, poll, put, start_members, wait_for_entry, wait_until,
+};
+use std::net::{SocketAddr, TcpListener};
 use support::address;
+use tokio::time::{Instant as Time, sleep};
 
 /// Version of the route set that is in force before a test looks for a way to it.
 const VERSION: u64 = 5;
 
+/// Time within which an instance would have done what it must not do: well above the
+/// interval of its attempts.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
 /// Starts an instance without a disk that names `seeds`.
 fn forwarder(name: &str, seeds: &[SocketAddr]) -> Instance {
     let mut forwarder = Instance::without_disk(name);
@@ -80,14 +88,36 @@
     newcomer.wait_for_version(VERSION).await;
 }
 
+/// An address at which connections are accepted and nothing answers, for as long as the
+/// socket is kept.
+fn silent_address() -> (TcpListener, SocketAddr) {
+    let socket = TcpListener::bind((address().ip(), 0)).expect("a free port");
+    let address = socket.local_addr().expect("is bound");
+    (socket, address)
+}
+
+/// Guards against calls that wait for each other: ten addresses that hang delayed the
+/// search and then the join by a second each.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_addresses_delay_no_join() {
+    let silent: Vec<(TcpListener, SocketAddr)> =
+        (0..10).map(|_| silent_address()).collect();
+    let members = start_members(["silent-1", "silent-2", "silent-3"], VERSION).await;
+    let mut seeds: Vec<SocketAddr> = silent.iter().map(|(_, address)| *address).collect();
+    seeds.extend(addresses(&members));
+    let started = Time::now();
+    let newcomer = newcomer("silent-4", &seeds);
+    newcomer.wait_for_version(VERSION).await;
+    let elapsed = started.elapsed();
+    assert!(elapsed < Duration::from_secs(8), "took {elapsed:?}");
+}
+
 /// Guards against a search that goes round in a circle, or waits for addresses at which
 /// nobody listens or nobody answers.
 #[tokio::test(flavor = "multi_thread")]
 async fn circle_with_dead_addresses_leads_to_members() {
     let members = start_members(["circle-1", "circle-2", "circle-3"], VERSION).await;
-    let silent = std::net::TcpListener::bind((address().ip(), 0)).expect("a free port");
-    let silent = silent.local_addr().map(|address| (silent, address));
-    let (_socket, silent) = silent.expect("is bound");
+    let (_socket, silent) = silent_address();
     let mut first = Instance::without_disk("circle-f1");
     let mut second = Instance::without_disk("circle-f2");
     let member = members[2].internal();
@@ -126,3 +156,138 @@
     wait_for_entry(&[forwarder.internal()], VERSION).await;
     newcomer.wait_for_version(VERSION).await;
 }
+
+/// Guards against an instance without a disk that knows only the member in its seeds, and
+/// nobody once that one is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarder_outlives_its_only_seed() {
+    let mut members = start_members(["gone-1", "gone-2", "gone-3"], VERSION).await;
+    let forwarder = forwarder("gone-f1", &addresses(&members)[..1]);
+    wait_until("the forwarder knows all members", async || {
+        let status = poll(forwarder.internal()).await;
+        status.is_some_and(|status| status.control.len() == 3)
+    })
+    .await;
+    members[0].kill().await;
+    sleep(SETTLE_TIME).await;
+    let newcomer = newcomer("gone-4", &[forwarder.internal()]);
+    newcomer.wait_for_version(VERSION).await;
+}
+
+/// Guards against an instance that is taken for a working one while it looks for its
+/// cluster.
+#[tokio::test(flavor = "multi_thread")]
+async fn searching_instance_is_not_ready() {
+    let searching = newcomer("unready-1", &[address()]);
+    let listeners = [searching.settings.listen, searching.internal()];
+    wait_until("it listens", async || {
+        get(listeners[0], "/healthz").await == Some(200)
+    })
+    .await;
+    for listener in listeners {
+        assert_eq!(get(listener, "/readyz").await, Some(503));
+    }
+    assert_eq!(get(listeners[0], "/v1/status").await, Some(503));
+    assert_eq!(get(listeners[0], "/v1/routes").await, Some(503));
+}
+
+/// Guards against an instance that is not ready again after its search, or whose listeners
+/// are lost between the search and the member.
+#[tokio::test(flavor = "multi_thread")]
+async fn found_instance_becomes_ready() {
+    let members = start_members(["ready-1", "ready-2", "ready-3"], VERSION).await;
+    let mut forwarder = forwarder("ready-f1", &[address()]);
+    let newcomer = newcomer("ready-4", &[forwarder.internal()]);
+    let listen = newcomer.settings.listen;
+    wait_until("it listens", async || {
+        get(listen, "/readyz").await == Some(503)
+    })
+    .await;
+    forwarder.reload_seeds(&addresses(&members));
+    wait_until("it is ready", async || {
+        get(listen, "/readyz").await == Some(200)
+    })
+    .await;
+    newcomer.wait_for_version(VERSION).await;
+}
+
+/// Guards against a member that joins another cluster, whose members do not count it as
+/// theirs, after its own has lost its majority.
+#[tokio::test(flavor = "multi_thread")]
+async fn foreign_cluster_is_not_joined() {
+    let mut own = start_members(["own-1", "own-2", "own-3"], VERSION).await;
+    let other = start_members(["other-1", "other-2", "other-3"], VERSION).await;
+    let forwarder = forwarder("other-f1", &addresses(&other));
+    wait_for_entry(&[forwarder.internal()], VERSION).await;
+    own[0].kill().await;
+    own[1].kill().await;
+    own[2].reload_seeds(&[forwarder.internal(), other[0].internal()]);
+    let end = Time::now() + SETTLE_TIME;
+    while Time::now() < end {
+        let status = poll(other[1].internal()).await;
+        let members = status.expect("has a majority").control;
+        assert!(!members.contains(&own[2].internal()), "{members:?}");
+        sleep(SETTLE_TIME / 40).await;
+    }
+}
+
+/// Guards against a new instance that joins whichever of two clusters is named first.
+#[tokio::test(flavor = "multi_thread")]
+async fn neither_of_two_clusters_is_joined() {
+    let first = start_members(["two-1", "two-2", "two-3"], VERSION).await;
+    let second = start_members(["two-4", "two-5", "two-6"], VERSION).await;
+    let seeds = [first[0].internal(), second[0].internal()];
+    let forwarder = forwarder("two-f1", &seeds);
+    wait_until("the forwarder knows both", async || {
+        let status = poll(forwarder.internal()).await;
+        status.is_some_and(|status| status.control.len() == 6)
+    })
+    .await;
+    let newcomer = newcomer("two-7", &[forwarder.internal()]);
+    sleep(SETTLE_TIME).await;
+    for member in [&first[1], &second[1]] {
+        let status = poll(member.internal()).await;
+        let members = status.expect("has a majority").control;
+        assert!(!members.contains(&newcomer.internal()), "{members:?}");
+    }
+}
+
+/// Guards against a third cluster beside two that an instance without a disk knows: it
+/// names neither, which is no answer that there is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn founder_refuses_beside_two_clusters() {
+    let mut founder = Instance::with_disk("third-0");
+    let first = start_members(["third-1", "third-2", "third-3"], VERSION).await;
+    let second = start_members(["third-4", "third-5", "third-6"], VERSION).await;
+    let seeds = [first[0].internal(), second[0].internal()];
+    let forwarder = forwarder("third-f1", &seeds);
+    wait_until("the forwarder knows both", async || {
+        let status = poll(forwarder.internal()).await;
+        status.is_some_and(|status| status.control.len() == 6)
+    })
+    .await;
+    assert_stays_without_cluster(&mut founder, &forwarder).await;
+}
+
+/// Starts `founder` as the first instance, and asserts that it creates no cluster.
+async fn assert_stays_without_cluster(founder: &mut Instance, forwarder: &Instance) {
+    founder.start(&[founder.internal(), forwarder.internal()], true);
+    let end = Time::now() + SETTLE_TIME;
+    while Time::now() < end {
+        let cluster: Option<u128> = founder.call("/internal/cluster", &()).await;
+        assert_eq!(cluster, None, "no cluster of its own");
+        sleep(SETTLE_TIME / 40).await;
+    }
+}
+
+/// Guards against a second cluster: the instance that creates the first one lost its disk,
+/// and its other seeds name instances without a disk.
+#[tokio::test(flavor = "multi_thread")]
+async fn wiped_founder_creates_no_second_cluster() {
+    // Addresses rise, so this one has the lowest.
+    let mut founder = Instance::with_disk("found-0");
+    let members = start_members(["found-1", "found-2", "found-3"], VERSION).await;
+    let forwarder = forwarder("found-f1", &addresses(&members));
+    wait_for_entry(&[forwarder.internal()], VERSION).await;
+    assert_stays_without_cluster(&mut founder, &forwarder).await;
+}
--- a/crates/control/tests/site/mod.rs
+++ b/crates/control/tests/site/mod.rs
@@ -13,6 +13,8 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
@@ -160,6 +162,22 @@
     reply.ok()
 }
 
+/// Status of the response to a GET request over HTTP/1, without following redirects.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<u16> {
+    let request =
+        format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(request.as_bytes()).await?;
+        let mut response = Vec::new();
+        stream.read_to_end(&mut response).await?;
+        Ok::<_, std::io::Error>(response)
+    };
+    let response = timeout(CALL_TIMEOUT, exchange).await.ok()?.ok()?;
+    let head = String::from_utf8_lossy(&response);
+    head.split(' ').nth(1)?.parse().ok()
+}
+
 /// Follows the addresses that instances return, like an entry, until one returns the set
 /// `version`.
 pub(crate) async fn wait_for_entry(seeds: &[SocketAddr], version: Version) {
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -71,17 +71,34 @@
     /// is closed. New connections are accepted during `linger`, so that a load balancer
     /// that has not yet polled the changed `/readyz` loses no request.
     pub async fn serve(self, router: Router, drain: Drain, linger: Duration) {
-        let graceful = GracefulShutdown::new();
-        let server = server();
         let stop = async {
             drain.wait_begun().await;
             tokio::time::sleep(linger).await;
         };
+        let connections = self.accept_until(router, stop).await;
+        drop(self.socket);
+        connections.shutdown().await;
+    }
+
+    /// Serves `router` until `drain` has begun and every connection is closed. The socket
+    /// remains bound: connections that arrive afterwards wait for the next router.
+    pub async fn serve_meanwhile(&self, router: Router, drain: Drain) {
+        let connections = self.accept_until(router, drain.wait_begun()).await;
+        connections.shutdown().await;
+    }
+
+    async fn accept_until(
+        &self,
+        router: Router,
+        stop: impl Future<Output = ()>,
+    ) -> GracefulShutdown {
+        let graceful = GracefulShutdown::new();
+        let server = server();
         tokio::pin!(stop);
         loop {
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
-                () = &mut stop => break,
+                () = &mut stop => break graceful,
             };
             match accepted {
                 Ok((stream, _)) => spawn(&server, &graceful, stream, router.clone()),
@@ -91,8 +108,6 @@
                 }
             }
         }
-        drop(self.socket);
-        graceful.shutdown().await;
     }
 }
 
