Failing tests: a majority survives tolerated losses, on a clock

Restarts, freezes, lost disks, power losses of all, replacements with and without notice, within what may be lost at once; then as many disks as may be lost and all others without power. With four voters, one gone, a lost disk leaves two of four.

--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -1,5 +1,6 @@
 //! The replicated log under message loss, crashes, lost disks and clock skew.
 
+mod losses;
 mod support;
 
 use proptest::prelude::*;
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A simulated cluster of nodes, with a network, disks and clocks that fail on command.
 
+pub(crate) mod schedule;
+
 use dogwoodhill_consensus::log::{Entry, Payload};
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_consensus::message::Message;
