Store: a new identity never opens files of an earlier one

Found by reading, while ruling out causes of the incident; not its cause. A process whose folder is emptied while it runs may write one more generation before it ends. The next start created an identity and left that generation in place; the start after it opened the older identity's files, as the newest generation, and lost what the new one had acknowledged. Creating removes them.

create_after_lost_identity_starts_empty failed before: entries [] instead of the one acknowledged.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -89,9 +89,15 @@
         mut files: Box<dyn Files>,
         identity: Identity,
     ) -> Result<Opened, StoreError> {
-        if !Self::is_uninitialized(files.as_ref())? {
+        let names = names(files.as_ref())?;
+        if names.iter().any(|name| name == IDENTITY_FILE) {
             return Err(StoreError::AlreadyInitialized);
         }
+        // Files of an earlier identity would be opened as the newest generation.
+        for name in names.iter().filter(|name| is_store_file(name)) {
+            let removed = files.remove(name);
+            removed.map_err(|source| StoreError::from_io(name, source))?;
+        }
         let mut bytes = header();
         encode_record(&mut bytes, 1, true, &identity);
         write_file(files.as_mut(), &temporary_name(IDENTITY_FILE), &bytes)?;
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -84,6 +84,25 @@
     assert!(matches!(again, Err(StoreError::AlreadyInitialized)));
 }
 
+/// Guards against state of an earlier identity: a process that ran while its folder was
+/// emptied left a later generation, and the next start of the new identity returned that
+/// one instead of what it had acknowledged itself.
+#[test]
+fn create_after_lost_identity_starts_empty() {
+    let mut files = MemoryFiles::default();
+    let mut earlier = create(&files);
+    write(&mut earlier, 1..=3);
+    compact(&mut earlier, 2).unwrap();
+    drop(earlier);
+    files.remove("identity").unwrap();
+    let mut store = create(&files);
+    write(&mut store, 1..=1);
+    files.crash(ALL_LOST);
+    let durable = open(&files).unwrap();
+    assert_eq!(durable.entries, [entry(1)]);
+    assert_eq!(durable.snapshot, Snapshot::default());
+}
+
 #[test]
 fn open_damaged_last_batch_truncated() {
     let files = MemoryFiles::default();
