Consensus: no seat passes while another member may just have failed

A member that stops was removed first.

Now the successor of a member that stops is promoted with its seat, which leaves a vote to the one that stops until a second change removes it; a voter without a seat is removed by whoever leads. A member that does not reply goes before one that stops, no member is removed unless a majority of the rest replies, and an instance that stops waits up to 3 s for its removal once a leader has promised it.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -8,14 +8,19 @@
 //!   removed, and its seat passes to the learner.
 //! * A learner with a seat is promoted to a voter.
 //! * A learner without a seat is a replacement. It takes over the seat of a member that
-//!   is about to stop or does not reply, which is removed.
+//!   does not reply, or of one that is about to stop.
 //!
 //! A replacement does not vote beside all others: with four voters, one of them gone, one
-//! more lost disk would leave two of four. The removal comes before the promotion, so
-//! that each change adds or removes one voter, the majorities before and after it share
-//! an instance, and whichever instance leads next completes the second change without
-//! another timeout. An instance that was removed while it was only slow discovers its
-//! removal when it requests votes, and joins again as a replacement.
+//! more lost disk would leave two of four. Each change adds or removes one voter, so that
+//! the majorities before and after it share an instance. A member that does not reply is
+//! removed before its successor is promoted: whichever instance leads next completes the
+//! exchange without another timeout. A member that is about to stop loses its seat with
+//! the promotion of its successor and is removed afterwards, since another one may just
+//! have failed; it waits for its removal. No member is removed unless a majority of the
+//! others replies.
+//!
+//! An instance that was removed while it was only slow discovers its removal when it
+//! requests votes, and joins again as a replacement.
 
 use crate::log::Payload;
 use crate::members::{Member, Members};
@@ -71,8 +76,8 @@
     }
 
     /// Passes the seat of the member `id`, which is about to stop, to a replacement.
-    /// Returns whether the member still has a seat that a replacement will take over; it
-    /// should then wait and ask again.
+    /// Returns whether a replacement will take over, but the member still votes. It should
+    /// then wait and ask again.
     ///
     /// # Errors
     ///
@@ -82,16 +87,19 @@
         now: Moment,
         id: NodeId,
     ) -> Result<bool, RequestError> {
-        let has_seat = self.members().get(id).is_some_and(|member| member.seat);
+        let member = self.members().get(id).cloned();
         let has_successor = self.successor(now, id).is_some();
         let Role::Leader(leader) = &mut self.role else {
             return Err(RequestError::NotLeader);
         };
-        let released = has_seat && has_successor;
+        let Some(member) = member.filter(|member| member.voter) else {
+            return Ok(false);
+        };
+        let released = member.seat && has_successor;
         if released && !leader.leaving.contains(&id) {
             leader.leaving.push(id);
         }
-        Ok(released)
+        Ok(released || !member.seat)
     }
 
     /// Makes the next change on which the leader decides on its own, if there is one.
@@ -99,7 +107,9 @@
         let next = self
             .without_earlier(now)
             .or_else(|| self.with_promoted(now))
-            .or_else(|| self.with_seat_passed(now))
+            .or_else(|| self.without_overdue(now))
+            .or_else(|| self.without_extra_voter(now))
+            .or_else(|| self.with_leaving_replaced(now))
             .or_else(|| self.without_abandoned(now));
         if let Some(members) = next {
             // A change that is rejected is retried at the next tick.
@@ -123,6 +133,7 @@
                 let earlier = others.next()?.id;
                 Some(members.without_passing_seat(earlier, learner.id))
             })
+            .filter(|members| self.has_responsive_majority(now, members))
     }
 
     /// With a learner promoted that has caught up and has a seat, or gets one because
@@ -140,39 +151,68 @@
         }))
     }
 
-    /// Without a member that is about to stop, or else the one that has not replied for
-    /// longest. Its seat passes to a replacement.
-    fn with_seat_passed(&self, now: Moment) -> Option<Members> {
+    /// Without the member that has not replied for longest. Its seat passes to a
+    /// replacement.
+    fn without_overdue(&self, now: Moment) -> Option<Members> {
+        let members = self.members();
+        let overdue = self.unanswered.iter().filter(|(id, since)| {
+            members.get(*id).is_some_and(|member| member.seat)
+                && *id != self.id
+                && now >= *since + self.timing.seat_timeout
+        });
+        let (lost, _) = *overdue.min_by_key(|(_, since)| *since)?;
+        let successor = self.successor(now, lost)?;
+        let members = members.without_passing_seat(lost, successor);
+        self.has_responsive_majority(now, &members)
+            .then_some(members)
+    }
+
+    /// With a replacement promoted that takes over the seat of a member that is about to
+    /// stop.
+    fn with_leaving_replaced(&self, now: Moment) -> Option<Members> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
         let members = self.members();
-        let has_seat = |id: NodeId| members.get(id).is_some_and(|member| member.seat);
-        let leaving = leader.leaving.iter().copied().find(|id| has_seat(*id));
-        let overdue = || {
-            let silent = self.unanswered.iter().filter(|(id, since)| {
-                has_seat(*id) && now >= *since + self.timing.seat_timeout
-            });
-            silent.min_by_key(|(_, since)| *since).map(|(id, _)| *id)
-        };
-        let lost = leaving.or_else(overdue).filter(|id| *id != self.id)?;
-        let successor = self.successor(now, lost)?;
-        Some(members.without_passing_seat(lost, successor))
+        let seated = |id: &NodeId| members.get(*id).filter(|member| member.seat);
+        let leaving = leader.leaving.iter().filter(|id| **id != self.id);
+        let lost = leaving.filter_map(seated).next()?;
+        let successor = members.get(self.successor(now, lost.id)?)?;
+        let next = members.with(Member {
+            seat: false,
+            ..lost.clone()
+        });
+        let next = next.with(Member {
+            voter: true,
+            seat: true,
+            ..successor.clone()
+        });
+        self.has_responsive_majority(now, &next).then_some(next)
     }
 
-    /// A member that can take over the seat of `lost`.
+    /// Without a voter that has no seat: its replacement votes.
+    fn without_extra_voter(&self, now: Moment) -> Option<Members> {
+        let members = self.members();
+        let mut extra = members.iter().filter(|member| member.voter && !member.seat);
+        let extra = extra.find(|member| member.id != self.id)?;
+        let next = members.without(extra.id);
+        self.has_responsive_majority(now, &next).then_some(next)
+    }
+
+    /// A learner that can take over the seat of `lost`.
     fn successor(&self, now: Moment, lost: NodeId) -> Option<NodeId> {
-        let is_ready = |member: &&Member| {
-            let votes = member.voter
-                && (member.id == self.id || self.is_responsive(now, member.id));
-            votes || self.is_caught_up_learner(now, member)
-        };
-        let mut without_seat = self.members().iter().filter(|member| !member.seat);
-        without_seat
-            .find(|member| member.id != lost && is_ready(member))
+        let mut learners = self.members().iter().filter(|member| !member.seat);
+        learners
+            .find(|member| member.id != lost && self.is_caught_up_learner(now, member))
             .map(|member| member.id)
     }
 
+    /// Whether a majority of the voters in `members` replies.
+    fn has_responsive_majority(&self, now: Moment, members: &Members) -> bool {
+        let replies = |id: &NodeId| *id == self.id || self.is_responsive(now, *id);
+        members.voters().filter(replies).count() >= members.majority()
+    }
+
     /// Without a member that has no seat and has not replied for too long.
     fn without_abandoned(&self, now: Moment) -> Option<Members> {
         let Role::Leader(leader) = &self.role else {
--- a/crates/consensus/tests/losses/mod.rs
+++ b/crates/consensus/tests/losses/mod.rs
@@ -1,7 +1,9 @@
 //! Whether a majority survives the losses that a deployment tolerates, in virtual time.
 
 use crate::support::schedule::Schedule;
-use std::time::Duration;
+
+/// Events before the last fault.
+const EVENTS: usize = 6;
 
 /// Runs `seeds` random schedules of a cluster and returns those after which no change is
 /// committed, with what happened.
@@ -9,10 +11,9 @@
     let mut failures = Vec::new();
     for seed in seeds {
         let mut schedule = Schedule::new(seed, count, losses);
-        for _ in 0..4 {
+        for _ in 0..EVENTS {
             schedule.disturb();
-            let pause = Duration::from_millis(seed % 7 * 400);
-            schedule.run_for(pause);
+            schedule.pause();
         }
         if let Err(failure) = schedule.last_fault() {
             let events = schedule.events.join("\n  ");
--- a/crates/consensus/tests/support/schedule.rs
+++ b/crates/consensus/tests/support/schedule.rs
@@ -18,6 +18,8 @@
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Time after the return of all instances within which changes must be committed.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
+/// Longest time for which an instance that stops waits for its seat to pass.
+const MAX_RELEASE_TIME: Duration = Duration::from_secs(3);
 /// Longest time between an acknowledged change and the last fault.
 const MAX_FAULT_DELAY_MS: u64 = 400;
 
@@ -36,6 +38,8 @@
     successor: Option<usize>,
     /// When the instance stops for good, after a stop signal.
     leaves_at: Option<Moment>,
+    /// Until when it waits for a replacement to take over its seat.
+    waits_until: Moment,
 }
 
 impl Machine {
@@ -47,6 +51,7 @@
             gone: false,
             successor: None,
             leaves_at: None,
+            waits_until: Moment::ZERO,
         }
     }
 }
@@ -72,7 +77,7 @@
         let now = cluster.now;
         let mut random = SmallRng::seed_from_u64(seed);
         let loss = [0.0, 0.0, 0.02, 0.08].choose(&mut random).copied();
-        Self {
+        let mut schedule = Self {
             machines: vec![Machine::running(now); count],
             cluster,
             random,
@@ -81,7 +86,9 @@
             next_join: now,
             next_change: now,
             events: Vec::new(),
-        }
+        };
+        schedule.run_for(CATCH_UP_TIME);
+        schedule
     }
 
     fn note(&mut self, event: &str) {
@@ -101,6 +108,14 @@
         }
     }
 
+    /// Lets a random time pass, or none, so that events may overlap.
+    pub(crate) fn pause(&mut self) {
+        if self.random.random_ratio(2, 3) {
+            let pause = self.millis(0..2_500);
+            self.run_for(pause);
+        }
+    }
+
     fn is_frozen(&self, i: usize) -> bool {
         self.cluster.now < self.machines[i].frozen_until
     }
@@ -136,7 +151,8 @@
             self.cluster.restart(i);
             self.note(&format!("{i} returns"));
         }
-        if self.machines[i].leaves_at.is_some_and(|at| now >= at) {
+        let waits = now < self.machines[i].waits_until;
+        if !waits && self.machines[i].leaves_at.is_some_and(|at| now >= at) {
             self.machines[i].leaves_at = None;
             self.machines[i].gone = true;
             self.cluster.stop(i);
@@ -219,11 +235,15 @@
             }
             let id = self.cluster.hosts[i].id;
             for leader in (0..self.machines.len()).filter(|leader| *leader != i) {
-                if !self.is_frozen(leader) && !self.random.random_bool(self.loss) {
-                    self.cluster.with_node(leader, |node| {
-                        // Requested again if it is refused.
-                        let _ = node.release_seat(now, id);
-                    });
+                if self.is_frozen(leader) || self.random.random_bool(self.loss) {
+                    continue;
+                }
+                let mut released = None;
+                self.cluster.with_node(leader, |node| {
+                    released = node.release_seat(now, id).ok();
+                });
+                if released == Some(false) {
+                    self.machines[i].waits_until = Moment::ZERO;
                 }
             }
         }
@@ -331,6 +351,7 @@
         self.cluster
             .with_node(i, |node| node.transfer_leadership(now));
         self.machines[i].leaves_at = Some(now + self.millis(1_000..2_500));
+        self.machines[i].waits_until = now + MAX_RELEASE_TIME;
     }
 
     /// The disk of `i` is lost; it starts again after `back`.
--- a/crates/control/src/shutdown.rs
+++ b/crates/control/src/shutdown.rs
@@ -12,7 +12,7 @@
 use dogwoodhill_consensus::NodeId;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_wire::control::ControlReply;
+use dogwoodhill_wire::control::{ControlReply, ControlUnavailable};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -22,8 +22,11 @@
 const LEADER_TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which the transfer is requested again: one request may be lost.
 const LEADER_TRANSFER_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest wait for the seat to pass to a replacement.
-const SEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the seat to pass to a replacement: the time after which the seat of
+/// another member that has just failed passes first, and that of an election.
+const SEAT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of one request.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between requests for the seat to be passed on.
 const SEAT_RETRY_DELAY: Duration = Duration::from_millis(40);
 
@@ -60,15 +63,15 @@
 async fn release_seat(service: &Service, id: NodeId) {
     let start = Instant::now();
     let mut reply = ControlReply::Ok(true);
+    let mut promised = false;
     while start.elapsed() < SEAT_TIMEOUT {
         let call = service.forward::<_, bool>(RELEASE_PATH, &id);
-        reply = match timeout(SEAT_TIMEOUT, call).await {
-            Ok(reply) => reply,
-            Err(_) => break,
-        };
-        let elects = service.replica().status.borrow().leader.is_none();
-        // Without a leader, all instances may be stopping.
-        if matches!(reply, Ok(false)) || elects {
+        let answer = timeout(CALL_TIMEOUT, call).await;
+        reply = answer.unwrap_or(Err(ControlUnavailable::NoMajority));
+        // Without an answer all instances may be stopping, unless one promised to take
+        // over.
+        promised |= matches!(reply, Ok(true));
+        if matches!(reply, Ok(false)) || (reply.is_err() && !promised) {
             break;
         }
         sleep(SEAT_RETRY_DELAY).await;
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -412,3 +412,33 @@
     }
     panic!("members are {last:?}, not {expected:?}");
 }
+
+/// Guards against a majority that is lost for good after a planned replacement: the
+/// instance that stopped still had a vote when the next one lost its disk and all others
+/// lost power.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_passes_seat_to_replacement() {
+    let names = ["stop-1", "stop-2", "stop-3", "stop-4"];
+    let mut instances: Vec<Instance> = names.map(Instance::new).into();
+    let seeds = internal_addresses(&instances)[..3].to_vec();
+    for instance in &mut instances[..3] {
+        instance.start(&seeds, true);
+    }
+    put_until_accepted(&instances, 1).await;
+    instances[3].start(&seeds, false);
+    wait_for_members(&instances, &[0, 1, 2, 3]).await;
+    wait_for_version(&instances[3], 1).await;
+    let (drain, task) = instances[2].running.take().expect("runs");
+    drain.begin();
+    let ended = timeout(TEST_TIMEOUT, task).await.expect("stops");
+    assert_eq!(ended.expect("no panic"), Ok(()));
+    for instance in &mut instances {
+        instance.kill().await;
+    }
+    instances[0].wipe();
+    for at in [1, 3, 0] {
+        instances[at].start(&seeds, false);
+    }
+    put_until_accepted(&instances, 2).await;
+    wait_for_version(&instances[0], 2).await;
+}
