Consensus: a new learner gets entries until it replies

What callers would see: an instance that lost its disk joins, and stays a learner for 20 s, until it is removed and joins again.

Cause: a reply goes to the address in the own list of members, and a new instance has no list before it has entries. It starts behind the leader's log, so the first message is one that it can't reply to; the entries follow at 0.2 s. From 0.4 s of silence on the leader sends probes only. Where the entries of these 0.2 s are late or lost, neither side can break the silence.

Evidence: the new test fails on the code before at heartbeat 5 with a probe in place of three entries.

Change: a silent learner that never replied gets its entries with each heartbeat. The queue to a peer and the removal after 20 s bound them.

Not changed: a learner that is lost itself keeps its seat for 20 s and takes it along. rejoin_after_removal_has_no_seat meets this under load, where it kills an instance that is still a learner, and takes 23 s then.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -116,9 +116,12 @@
     }
 
     /// Sends the next entries, a snapshot or, if `allow_empty` is set, a heartbeat to one
-    /// peer. A silent peer is sent only probes, and one with a large message in flight
-    /// only heartbeats; both only if `allow_empty` is set.
+    /// peer. A silent peer is sent only probes, unless it is a learner that never replied,
+    /// and one with a large message in flight only heartbeats; all of these only if
+    /// `allow_empty` is set. A learner that never replies is removed in the end, which
+    /// bounds what is sent to it.
     fn send_to(&mut self, id: NodeId, allow_empty: bool) {
+        let is_learner = !self.log.members().is_voter(id);
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -130,11 +133,16 @@
         let Some(peer) = leader.peers.iter_mut().find(|peer| peer.id == id) else {
             return;
         };
-        if peer.last_contact < last_heartbeat.saturating_sub(interval * SILENT_HEARTBEATS)
-        {
-            if allow_empty {
-                self.send_probe(id, round);
-            }
+        // A new instance finds the addresses to reply to in the entries, so probes alone
+        // would keep it silent.
+        let is_new = is_learner && peer.match_index == 0;
+        let max_silence = interval * SILENT_HEARTBEATS;
+        let is_silent = peer.last_contact < last_heartbeat.saturating_sub(max_silence);
+        if is_silent && !allow_empty {
+            return;
+        }
+        if is_silent && !is_new {
+            self.send_probe(id, round);
             return;
         }
         if peer.in_flight.is_some() {
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -324,6 +324,35 @@
     assert!(votes(&node, 4));
 }
 
+/// Guards against a new instance that stays a learner for 20 s, until it is removed and
+/// joins again. It knows nobody's address before it has entries, so it can't reply to
+/// probes. Where the first entries were late by 0.4 s, it counted as silent and got only
+/// probes from then on.
+#[test]
+fn replicate_new_learner_gets_entries_until_it_replies() {
+    let mut node = leader(vec![entry(1, 1)]);
+    let term = node.term();
+    let interval = Timing::default().heartbeat;
+    node.receive(LATE, matched(2, term, 2));
+    node.add_learner(LATE, member(4)).unwrap();
+    let last = node.log().last();
+    flush(&mut node);
+    for i in 1..=50 {
+        let now = LATE + interval * i;
+        node.receive(now, matched(2, term, last));
+        node.tick(now);
+        let sizes = sent(&flush(&mut node), 4);
+        if i > 2 {
+            assert_eq!(sizes, Some(vec![last as usize]), "heartbeat {i}");
+        }
+    }
+    let now = LATE + interval * 51;
+    node.receive(now, matched(4, term, last));
+    node.tick(now);
+    let sizes = sent(&flush(&mut node), 4);
+    assert_eq!(sizes, Some(vec![0, 1]), "a heartbeat, then its promotion");
+}
+
 /// Number of entries in all messages to `to`.
 fn entry_count(ready: &Ready, to: NodeId) -> usize {
     sent(ready, to).map_or(0, |sizes| sizes.iter().sum())
