Control: an instance can reply to any sender

What callers saw: no majority after the last fault, so no configuration and no routes. A reply went to the address in the own list of members, and was dropped without one. An instance that lost its disk or is new has no list, and the first part of the log that it receives names the members of then: if the present leader joined later, its replies are dropped for as long as that leader leads. The leader counts it as silent after 0.4 s, sends it probes, removes it after 20 s, and it joins again into the same. Until then the list names one that is gone, and the next lost disk leaves one of three. A voter with an older list could not answer a candidate that it did not know either.

--- a/crates/consensus/tests/support/schedule.rs
+++ b/crates/consensus/tests/support/schedule.rs
@@ -66,6 +66,8 @@
     loss: f64,
     next_join: Moment,
     next_change: Moment,
+    /// Pairs of a running instance and another from which it has received a message.
+    senders: Vec<(NodeId, NodeId)>,
     /// What happened, for the message of a failing test.
     pub(crate) events: Vec<String>,
 }
@@ -85,6 +87,7 @@
             loss: loss.expect("the list is not empty"),
             next_join: now,
             next_change: now,
+            senders: Vec::new(),
             events: Vec::new(),
         };
         schedule.run_for(CATCH_UP_TIME);
@@ -148,6 +151,8 @@
         if self.machines[i].returns_at.is_some_and(|at| now >= at) {
             self.machines[i].returns_at = None;
             self.machines[i].started_at = now;
+            let id = self.cluster.hosts[i].id;
+            self.senders.retain(|(receiver, _)| *receiver != id);
             self.cluster.restart(i);
             self.note(&format!("{i} returns"));
         }
@@ -173,6 +178,10 @@
                 });
             if arrives && !self.random.random_bool(self.loss) {
                 self.report_delivered(&message);
+                let pair = (message.to, message.from);
+                if !self.senders.contains(&pair) {
+                    self.senders.push(pair);
+                }
                 self.cluster.deliver(message);
             } else {
                 self.cluster.report_undelivered(&message);
@@ -180,8 +189,12 @@
         }
     }
 
-    /// Whether the list of members of the sender has the receiver's address.
+    /// Whether the sender has the receiver's address, from its list of members or from an
+    /// earlier message.
     fn knows_receiver(&self, message: &Message) -> bool {
+        if self.senders.contains(&(message.from, message.to)) {
+            return true;
+        }
         let mut hosts = self.cluster.hosts.iter();
         let sender = hosts.find(|host| host.id == message.from);
         let node = sender.and_then(|host| host.node.as_ref());
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -182,7 +182,7 @@
             voter: false,
             seat: fresh && (settings.start != Start::Seeded || settings.seeds.founding),
         };
-        let peers = Peers::new(identity.cluster, client.clone());
+        let peers = Peers::new(identity.cluster, member.address, client.clone());
         let seed = rand::rng().random();
         let ReplicaParts {
             replica,
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -5,7 +5,7 @@
 use crate::demand::Demand;
 use crate::limits::LimitTracker;
 use crate::lists::EndpointLists;
-use crate::peers::{Envelope, LOG_PATH};
+use crate::peers::{Envelope, LOG_PATH, LogQuery};
 use crate::presence::{EntryNames, PRESENCE_PATH, Presence};
 use crate::quarantine::{self, QuarantineTracker};
 use crate::replica::Input;
@@ -14,7 +14,7 @@
 use crate::usage::UsageTracker;
 use crate::{routes, watch};
 use axum::Router;
-use axum::extract::{DefaultBodyLimit, Request, State};
+use axum::extract::{DefaultBodyLimit, Query, Request, State};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
@@ -196,10 +196,17 @@
     }
 }
 
-async fn log(State(api): State<InternalApi>, bytes: Bytes) -> Response {
+async fn log(
+    State(api): State<InternalApi>,
+    Query(query): Query<LogQuery>,
+    bytes: Bytes,
+) -> Response {
     handle(bytes, |envelope: Envelope| async move {
         if envelope.cluster == api.cluster {
-            let input = Input::Messages(envelope.messages);
+            let input = Input::Messages {
+                sender: query.sender,
+                messages: envelope.messages,
+            };
             api.service.replica().input(input).await;
         } else {
             Event::new("foreign-cluster-refused").warn();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod route_sets;
 pub mod routes;
 mod search;
+pub mod senders;
 pub mod service;
 pub mod settings;
 pub mod shares;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -26,6 +26,16 @@
 const LARGE_QUEUE: usize = 2;
 /// Timeout of a delivery, in addition to the transfer time of its content.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Query of [`LOG_PATH`].
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct LogQuery {
+    /// Address of the sender. The receiver may have no list of members yet, or an older
+    /// one without the sender, and must reply all the same. Earlier versions do not send
+    /// it.
+    pub sender: Option<SocketAddr>,
+}
+
 /// Messages between instances of one cluster.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Envelope {
@@ -47,6 +57,7 @@
 #[derive(Debug)]
 pub struct Peers {
     cluster: u128,
+    own: SocketAddr,
     client: PeerClient,
     /// Uses separate connections.
     large_client: PeerClient,
@@ -65,11 +76,13 @@
 }
 
 impl Peers {
-    /// Senders for a cluster; a peer is added with the first message to it.
-    pub fn new(cluster: u128, client: PeerClient) -> Self {
+    /// Senders of the instance at `own` to its cluster; a peer is added with the first
+    /// message to it.
+    pub fn new(cluster: u128, own: SocketAddr, client: PeerClient) -> Self {
         let (sender, receiver) = mpsc::unbounded_channel();
         Self {
             cluster,
+            own,
             large_client: client.with_own_pool(),
             client,
             peers: Vec::new(),
@@ -118,6 +131,7 @@
         let connection = Connection {
             client: self.client.clone(),
             cluster: self.cluster,
+            own: self.own,
             address,
         };
         tokio::spawn(connection.deliver_small(messages));
@@ -125,6 +139,7 @@
         let connection = Connection {
             client: self.large_client.clone(),
             cluster: self.cluster,
+            own: self.own,
             address,
         };
         let sender = self.sender.clone();
@@ -143,6 +158,7 @@
 struct Connection {
     client: PeerClient,
     cluster: u128,
+    own: SocketAddr,
     address: SocketAddr,
 }
 
@@ -180,7 +196,8 @@
         let bytes = envelope.messages.iter().map(Message::size).sum::<usize>();
         let large = envelope.messages.iter().any(Message::is_large);
         let begun = Instant::now();
-        let call = self.client.call::<_, ()>(self.address, LOG_PATH, &envelope);
+        let path = format!("{LOG_PATH}?sender={}", self.own);
+        let call = self.client.call::<_, ()>(self.address, &path, &envelope);
         let delivered = matches!(
             timeout(DELIVERY_TIMEOUT + max_transfer_time(bytes), call).await,
             Ok(Ok(()))
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -12,6 +12,7 @@
 use crate::command::{Action, Command, Reply};
 use crate::peers::{Delivery, Peers};
 use crate::route_sets::RouteSets;
+use crate::senders::Senders;
 use crate::state::{Documents, Quarantined, State};
 use arc_swap::ArcSwap;
 use derive_more::{Display, Error};
@@ -62,6 +63,7 @@
     store: Option<Store>,
     state: State,
     peers: Peers,
+    senders: Senders,
     inputs: mpsc::Receiver<Input>,
     /// Outcomes of large messages.
     deliveries: mpsc::UnboundedReceiver<Delivery>,
@@ -168,6 +170,7 @@
         store: Some(opened.store),
         state,
         peers,
+        senders: Senders::default(),
         inputs,
         deliveries,
         documents,
@@ -241,8 +244,11 @@
     fn take(&mut self, input: Input) {
         let now = self.start.elapsed();
         match input {
-            Input::Messages(messages) => {
+            Input::Messages { sender, messages } => {
                 for message in messages {
+                    if let Some(sender) = sender {
+                        self.senders.record(message.from, sender);
+                    }
                     self.node.receive(now, message);
                 }
             }
@@ -365,7 +371,8 @@
     fn send(&mut self, messages: Vec<Message>) {
         for message in messages {
             let member = self.node.members().get(message.to);
-            if let Some(address) = member.map(|member| member.address) {
+            let address = member.map(|member| member.address);
+            if let Some(address) = address.or_else(|| self.senders.get(message.to)) {
                 self.peers.send(address, message);
             }
         }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -17,7 +17,12 @@
 #[derive(Debug)]
 pub enum Input {
     /// Consensus messages from another instance.
-    Messages(Vec<Message>),
+    Messages {
+        /// Its address, if it sent it.
+        sender: Option<SocketAddr>,
+        /// The messages, in order.
+        messages: Vec<Message>,
+    },
     /// A command to append to the log.
     Propose {
         /// What the command does.
--- a/crates/direct/tests/all/control.rs
+++ b/crates/direct/tests/all/control.rs
@@ -48,7 +48,7 @@
         };
         let opened = Store::create(Box::new(MemoryFiles::default()), identity.clone());
         let caller = PeerClient::new("secret".to_string());
-        let peers = Peers::new(identity.cluster, caller.clone());
+        let peers = Peers::new(identity.cluster, address, caller.clone());
         let limits = ReplicaConfig {
             compact_after: 1_000,
             min_voters: 1,
