Consensus: what the review of passing seats found

A leader that asked for its own seat blocked all others, a request of an instance that had long returned went before a silent one, and a leader that lost its majority kept the times of unanswered requests. Requests are dated and count for a second, the leader's own is ignored, stepping down clears the times.

Two mutations that no test caught are caught now: any voter instead of a majority of them (remove_extra_voter_only_with_responsive_majority), and a timeout that begins anew with a leader (seat_timeout_continues_from_candidacy).

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -95,9 +95,10 @@
         let Some(member) = member.filter(|member| member.voter) else {
             return Ok(false);
         };
-        let released = member.seat && has_successor;
-        if released && !leader.leaving.contains(&id) {
-            leader.leaving.push(id);
+        let released = member.seat && has_successor && id != self.id;
+        if released {
+            leader.leaving.retain(|(other, _)| *other != id);
+            leader.leaving.push((id, now));
         }
         Ok(released || !member.seat)
     }
@@ -174,9 +175,12 @@
             return None;
         };
         let members = self.members();
-        let seated = |id: &NodeId| members.get(*id).filter(|member| member.seat);
-        let leaving = leader.leaving.iter().filter(|id| **id != self.id);
-        let lost = leaving.filter_map(seated).next()?;
+        // A member that no longer asks has stopped, and may be back.
+        let max_age = self.timing.election * 2;
+        let leaving = leader.leaving.iter().filter(|(_, at)| now < *at + max_age);
+        let mut seated =
+            leaving.filter_map(|(id, _)| members.get(*id).filter(|member| member.seat));
+        let lost = seated.next()?;
         let successor = members.get(self.successor(now, lost.id)?)?;
         let next = members.with(Member {
             seat: false,
@@ -277,7 +281,7 @@
         let own = self.id;
         if let Role::Leader(leader) = &mut self.role {
             leader.peers.retain(|peer| members.get(peer.id).is_some());
-            leader.leaving.retain(|id| members.get(*id).is_some());
+            leader.leaving.retain(|(id, _)| members.get(*id).is_some());
             for member in members.iter().filter(|member| member.id != own) {
                 if !leader.peers.iter().any(|peer| peer.id == member.id) {
                     leader.peers.push(Peer::new(member.id, last, now));
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -86,8 +86,9 @@
     pub(crate) round_requested: bool,
     /// Reads that are not confirmed yet.
     pub(crate) reads: Vec<PendingRead>,
-    /// Members that are about to stop and whose seats pass to replacements.
-    pub(crate) leaving: Vec<NodeId>,
+    /// Members that are about to stop, with the times of their last requests to be
+    /// replaced.
+    pub(crate) leaving: Vec<(NodeId, Moment)>,
     /// Deadline of a leadership transfer in progress; [`Moment::ZERO`] once a voter was
     /// sent the request to start an election.
     pub(crate) transfer_until: Option<Moment>,
@@ -475,6 +476,8 @@
         if let Role::Leader(state) = &mut self.role {
             let reads = state.reads.drain(..).map(|read| read.id);
             self.ready.failed_reads.extend(reads);
+            // Replies may have been lost together with the majority.
+            self.unanswered.clear();
         }
         self.role = Role::Follower;
         self.leader = leader;
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -485,3 +485,94 @@
         "a late reply to an earlier message"
     );
 }
+
+/// An entry with the members 1 to 5; 2 votes without a seat.
+fn entry_with_extra_voter() -> Entry {
+    let members = (1..=5).map(|id| Member {
+        seat: id != 2,
+        ..member(id)
+    });
+    Entry {
+        payload: Payload::Members(Members::new(members.collect())),
+        ..entry(1, 1)
+    }
+}
+
+/// Guards against a removal that leaves a majority of instances that do not reply: the
+/// change would never be committed, and no other leader could be elected.
+#[test]
+fn remove_extra_voter_only_with_responsive_majority() {
+    let mut node = node(HardState::default(), vec![entry_with_extra_voter()]);
+    node.tick(LATE);
+    let term = node.term() + 1;
+    for granted in [
+        Body::PreVoteReply { granted: true },
+        Body::VoteReply { granted: true },
+    ] {
+        for id in [2, 3] {
+            flush(&mut node);
+            node.receive(LATE, message(id, term, granted.clone()));
+        }
+    }
+    assert!(node.is_leader());
+    flush(&mut node);
+    // By then 4 and 5 have been silent for too long to count as responsive.
+    let late = LATE + Timing::default().election * 2;
+    let last = node.log().last();
+    for id in [2, 3] {
+        node.receive(late, matched(id, term, last));
+    }
+    node.tick(late);
+    flush(&mut node);
+    assert!(node.members().is_voter(2), "two of the other four reply");
+    node.receive(late, matched(4, term, last));
+    node.tick(late);
+    assert!(
+        node.members().get(2).is_none(),
+        "three of the other four reply"
+    );
+}
+
+/// Guards against a timeout that begins anew with each leader: a seat passed too late
+/// for the next loss.
+#[test]
+fn seat_timeout_continues_from_candidacy() {
+    let mut node = node(HardState::default(), vec![entry(1, 1)]);
+    start_election(&mut node);
+    let term = node.term();
+    let elected = LATE + Timing::default().election * 2;
+    let granted = Body::VoteReply { granted: true };
+    node.receive(elected, message(2, term, granted));
+    assert!(node.is_leader());
+    flush(&mut node);
+    node.receive(elected, matched(2, term, node.log().last()));
+    flush(&mut node);
+    node.add_learner(
+        elected,
+        Member {
+            seat: false,
+            ..member(4)
+        },
+    )
+    .expect("no other change is in progress");
+    let mut now = elected;
+    while now < LATE + Timing::default().seat_timeout {
+        for id in [2, 4] {
+            node.receive(now, matched(id, term, node.log().last()));
+        }
+        node.tick(now);
+        flush(&mut node);
+        now += Timing::default().heartbeat;
+    }
+    assert!(node.members().is_voter(3), "not before the timeout");
+    for _ in 0..3 {
+        for id in [2, 4] {
+            node.receive(now, matched(id, term, node.log().last()));
+        }
+        node.tick(now);
+        flush(&mut node);
+        now += Timing::default().heartbeat;
+    }
+    assert!(node.members().get(3).is_none(), "1.5 s after the candidacy");
+    assert!(node.members().is_voter(4));
+}
