Control: a leader that stops passes its seat, too

It transferred its leadership, found no leader yet at its first request and gave up. It waits up to 1 s for a leader now. The test stops each of three instances in turn, one of which leads.

--- a/crates/control/src/shutdown.rs
+++ b/crates/control/src/shutdown.rs
@@ -25,6 +25,8 @@
 /// Longest wait for the seat to pass to a replacement: the time after which the seat of
 /// another member that has just failed passes first, and that of an election.
 const SEAT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for a leader, which may just have been elected.
+const ELECTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of one request.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between requests for the seat to be passed on.
@@ -62,22 +64,27 @@
 /// Requests of the leader that the seat pass to a replacement, and waits until it has.
 async fn release_seat(service: &Service, id: NodeId) {
     let start = Instant::now();
-    let mut reply = ControlReply::Ok(true);
+    let mut replaced = false;
     let mut promised = false;
-    while start.elapsed() < SEAT_TIMEOUT {
-        let call = service.forward::<_, bool>(RELEASE_PATH, &id);
-        let answer = timeout(CALL_TIMEOUT, call).await;
-        reply = answer.unwrap_or(Err(ControlUnavailable::NoMajority));
-        // Without an answer all instances may be stopping, unless one promised to take
-        // over.
+    while !replaced && start.elapsed() < SEAT_TIMEOUT {
+        let reply = request_release(service, id).await;
+        replaced = matches!(reply, Ok(false));
         promised |= matches!(reply, Ok(true));
-        if matches!(reply, Ok(false)) || (reply.is_err() && !promised) {
+        // Without a leader for that long, all instances may be stopping.
+        if reply.is_err() && !promised && start.elapsed() >= ELECTION_TIMEOUT {
             break;
         }
         sleep(SEAT_RETRY_DELAY).await;
     }
     Event::new("seat-released")
         .field("ms", start.elapsed().as_millis())
-        .field("pending", !matches!(reply, Ok(false)))
+        .field("replaced", replaced)
         .info();
 }
+
+/// Whether a replacement will take over, but `id` still votes.
+async fn request_release(service: &Service, id: NodeId) -> ControlReply<bool> {
+    let call = service.forward::<_, bool>(RELEASE_PATH, &id);
+    let answer = timeout(CALL_TIMEOUT, call).await;
+    answer.unwrap_or(Err(ControlUnavailable::NoMajority))
+}
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -418,8 +418,16 @@
 /// lost power.
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_passes_seat_to_replacement() {
-    let names = ["stop-1", "stop-2", "stop-3", "stop-4"];
-    let mut instances: Vec<Instance> = names.map(Instance::new).into();
+    // One of them leads.
+    for stopped in 0..3 {
+        check_stop_passes_seat(stopped).await;
+    }
+}
+
+async fn check_stop_passes_seat(stopped: usize) {
+    let names = ["1", "2", "3", "4"].map(|at| format!("stop-{stopped}-{at}"));
+    let mut instances: Vec<Instance> =
+        names.iter().map(|name| Instance::new(name)).collect();
     let seeds = internal_addresses(&instances)[..3].to_vec();
     for instance in &mut instances[..3] {
         instance.start(&seeds, true);
@@ -428,17 +436,18 @@
     instances[3].start(&seeds, false);
     wait_for_members(&instances, &[0, 1, 2, 3]).await;
     wait_for_version(&instances[3], 1).await;
-    let (drain, task) = instances[2].running.take().expect("runs");
+    let (drain, task) = instances[stopped].running.take().expect("runs");
     drain.begin();
     let ended = timeout(TEST_TIMEOUT, task).await.expect("stops");
     assert_eq!(ended.expect("no panic"), Ok(()));
     for instance in &mut instances {
         instance.kill().await;
     }
-    instances[0].wipe();
-    for at in [1, 3, 0] {
+    let wiped = (stopped + 1) % 3;
+    instances[wiped].wipe();
+    for at in [(stopped + 2) % 3, 3, wiped] {
         instances[at].start(&seeds, false);
     }
     put_until_accepted(&instances, 2).await;
-    wait_for_version(&instances[0], 2).await;
+    wait_for_version(&instances[wiped], 2).await;
 }
