--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -34,7 +34,15 @@
     /// the operating system.
     pub fn open(folder: &Path) -> Result<Self, StoreError> {
         let error = |source| StoreError::from_io(&folder.display().to_string(), source);
-        std::fs::create_dir_all(folder).map_err(error)?;
+        if !folder.exists() {
+            std::fs::create_dir_all(folder).map_err(error)?;
+            if let Some(parent) = folder.parent().filter(|p| !p.as_os_str().is_empty()) {
+                // Otherwise the whole folder may be gone after a loss of power.
+                File::open(parent)
+                    .and_then(|parent| parent.sync_all())
+                    .map_err(error)?;
+            }
+        }
         let lock = OpenOptions::new()
             .create(true)
             .truncate(false)
