Entries keep their seeds, and no list of an instance without contact

Seven announced instances displaced all seeds, so an entry that was cut off while they were replaced could not return. A member without contact, perhaps removed, answered with the list in its own log.

--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -146,9 +146,11 @@
     if watch.known.is_none() && newest.is_none() {
         return Err(ControlUnavailable::NoMajority);
     }
+    // Without contact the list may be outdated; the entry keeps the one that it has.
+    let members = status.members.iter().filter(|_| status.contact);
     Ok(RoutesStatus {
         newest,
-        control: status.members.iter().map(|member| member.address).collect(),
+        control: members.map(|member| member.address).collect(),
         entries: *presence.count().borrow(),
     })
 }
--- a/crates/direct/src/route_follower.rs
+++ b/crates/direct/src/route_follower.rs
@@ -38,7 +38,7 @@
 const PIECE_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which polling of newly announced instances is started.
 const SCAN_INTERVAL: Duration = Duration::from_millis(500);
-/// Upper bound on polled control instances.
+/// Upper bound on polled control instances besides those in the settings.
 const MAX_INSTANCES: usize = 7;
 
 /// Receiver of route sets.
@@ -78,15 +78,14 @@
 }
 
 impl ControlAddresses {
-    /// All addresses, the announced ones first.
+    /// All addresses, the announced ones first. The seeds always remain: all announced
+    /// instances may be replaced while this entry is cut off.
     fn all(&self) -> Vec<SocketAddr> {
-        let mut all = self.announced.clone();
-        all.extend(
-            self.seeds
-                .iter()
-                .filter(|seed| !self.announced.contains(seed)),
-        );
-        all.truncate(MAX_INSTANCES);
+        let announced = self.announced.iter().copied();
+        let mut all: Vec<SocketAddr> = announced.take(MAX_INSTANCES).collect();
+        let seeds = self.seeds.iter().filter(|seed| !all.contains(seed));
+        let seeds: Vec<SocketAddr> = seeds.copied().collect();
+        all.extend(seeds);
         all
     }
 
