--- a/crates/control/src/senders.rs
+++ b/crates/control/src/senders.rs
@@ -19,7 +19,7 @@
 }
 
 impl Senders {
-    /// Records the address of a sender. Beyond [`MAX_SENDERS`] the sender recorded first
+    /// Records the address of a sender. Of too many, the one recorded first
     /// is dropped.
     pub fn record(&mut self, id: NodeId, address: SocketAddr) {
         if self.known.last() == Some(&(id, address)) {
