--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -5,7 +5,7 @@
 use crate::demand::Demand;
 use crate::limits::LimitTracker;
 use crate::lists::EndpointLists;
-use crate::peers::{Envelope, LOG_PATH};
+use crate::peers::{Envelope, LOG_PATH, LogQuery};
 use crate::presence::{EntryNames, PRESENCE_PATH, Presence};
 use crate::quarantine::{self, QuarantineTracker};
 use crate::replica::Input;
@@ -14,7 +14,7 @@
 use crate::usage::UsageTracker;
 use crate::{routes, watch};
 use axum::Router;
-use axum::extract::{DefaultBodyLimit, Request, State};
+use axum::extract::{DefaultBodyLimit, Query, Request, State};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
@@ -45,6 +45,8 @@
 pub const JOIN_PATH: &str = "/internal/join";
 /// Returns whether an instance is a member.
 pub const MEMBER_PATH: &str = "/internal/member";
+/// Passes the seat of an instance that stops to a replacement; served by the leader only.
+pub const RELEASE_PATH: &str = "/internal/release";
 /// Adds a new instance; served by the leader only.
 const ADD_PATH: &str = "/internal/add";
 /// Largest message: a snapshot.
@@ -119,6 +121,7 @@
         .route(JOIN_PATH, post(join))
         .route(ADD_PATH, post(add))
         .route(MEMBER_PATH, post(member))
+        .route(RELEASE_PATH, post(release))
         .route(ROUTES_PATH, post(watch_routes))
         .route(PIECE_PATH, post(fetch_routes))
         .route(DEMAND_PATH, post(demand))
@@ -193,10 +196,17 @@
     }
 }
 
-async fn log(State(api): State<InternalApi>, bytes: Bytes) -> Response {
+async fn log(
+    State(api): State<InternalApi>,
+    Query(query): Query<LogQuery>,
+    bytes: Bytes,
+) -> Response {
     handle(bytes, |envelope: Envelope| async move {
         if envelope.cluster == api.cluster {
-            let input = Input::Messages(envelope.messages);
+            let input = Input::Messages {
+                sender: query.sender,
+                messages: envelope.messages,
+            };
             api.service.replica().input(input).await;
         } else {
             Event::new("foreign-cluster-refused").warn();
@@ -286,6 +296,14 @@
     .await
 }
 
+async fn release(State(api): State<InternalApi>, bytes: Bytes) -> Response {
+    handle(bytes, |id: NodeId| async move {
+        let released: ControlReply<bool> = api.service.replica().release_seat(id).await;
+        released
+    })
+    .await
+}
+
 /// Returns whether an instance is a member, confirmed by a majority.
 async fn member(State(api): State<InternalApi>, bytes: Bytes) -> Response {
     handle(bytes, |id: NodeId| async move {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -12,6 +12,7 @@
 use crate::command::{Action, Command, Reply};
 use crate::peers::{Delivery, Peers};
 use crate::route_sets::RouteSets;
+use crate::senders::Senders;
 use crate::state::{Documents, Quarantined, State};
 use arc_swap::ArcSwap;
 use derive_more::{Display, Error};
@@ -62,6 +63,7 @@
     store: Option<Store>,
     state: State,
     peers: Peers,
+    senders: Senders,
     inputs: mpsc::Receiver<Input>,
     /// Outcomes of large messages.
     deliveries: mpsc::UnboundedReceiver<Delivery>,
@@ -144,7 +146,8 @@
         opened.durable,
         Moment::ZERO,
         random,
-    );
+    )
+    .with_min_seats(config.min_voters);
     let documents = Arc::new(ArcSwap::from_pointee(state.documents.clone()));
     let mut sets = RouteSets::default();
     sets.take(state.routes.as_ref());
@@ -167,6 +170,7 @@
         store: Some(opened.store),
         state,
         peers,
+        senders: Senders::default(),
         inputs,
         deliveries,
         documents,
@@ -240,8 +244,11 @@
     fn take(&mut self, input: Input) {
         let now = self.start.elapsed();
         match input {
-            Input::Messages(messages) => {
+            Input::Messages { sender, messages } => {
                 for message in messages {
+                    if let Some(sender) = sender {
+                        self.senders.record(message.from, sender);
+                    }
                     self.node.receive(now, message);
                 }
             }
@@ -251,6 +258,11 @@
                 let added = self.node.add_learner(now, member);
                 let _ = reply.send(added.map_err(|refused| self.to_unavailable(refused)));
             }
+            Input::ReleaseSeat { id, reply } => {
+                let released = self.node.release_seat(now, id);
+                let _ =
+                    reply.send(released.map_err(|refused| self.to_unavailable(refused)));
+            }
             Input::TransferLeadership => self.node.transfer_leadership(now),
             Input::Stop => {}
         }
@@ -359,7 +371,8 @@
     fn send(&mut self, messages: Vec<Message>) {
         for message in messages {
             let member = self.node.members().get(message.to);
-            if let Some(address) = member.map(|member| member.address) {
+            let address = member.map(|member| member.address);
+            if let Some(address) = address.or_else(|| self.senders.get(message.to)) {
                 self.peers.send(address, message);
             }
         }
