--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -547,7 +547,7 @@
         self.status.send_if_modified(|old| {
             let changed = *old != status;
             if old.members != status.members {
-                log_members(&status);
+                status.log_members();
             }
             if old.leader.is_some() && status.leader.is_none() {
                 Event::new("leader-lost")
@@ -571,26 +571,6 @@
     }
 }
 
-/// Logs the members in force, committed or not.
-fn log_members(status: &ReplicaStatus) {
-    let role = |member: &Member| match (member.voter, member.seat) {
-        (true, true) => "voter",
-        (true, false) => "extra-voter",
-        (false, true) => "learner",
-        (false, false) => "extra-learner",
-    };
-    let texts: Vec<String> = status
-        .members
-        .iter()
-        .map(|member| format!("{}:{:016x}:{}", member.name, member.id, role(member)))
-        .collect();
-    Event::new("members-changed")
-        .field("leads", status.leads)
-        .field("term", status.term)
-        .field("members", texts.join(","))
-        .info();
-}
-
 /// Result of a write on the blocking thread.
 struct Written {
     store: Store,
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -74,6 +74,27 @@
     pub claims: usize,
 }
 
+impl ReplicaStatus {
+    /// Logs the members in force, committed or not.
+    pub(super) fn log_members(&self) {
+        let role = |member: &Member| match (member.voter, member.seat) {
+            (true, true) => "voter",
+            (true, false) => "extra-voter",
+            (false, true) => "learner",
+            (false, false) => "extra-learner",
+        };
+        let text = |member: &Member| {
+            format!("{}:{:016x}:{}", member.name, member.id, role(member))
+        };
+        let texts: Vec<String> = self.members.iter().map(text).collect();
+        Event::new("members-changed")
+            .field("leads", self.leads)
+            .field("term", self.term)
+            .field("members", texts.join(","))
+            .info();
+    }
+}
+
 /// Duties and usage reports in the applied state.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DutyView {
