--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -136,8 +136,8 @@
         let Some(peer) = leader.peers.iter_mut().find(|peer| peer.id == id) else {
             return;
         };
-        // A new instance finds the addresses to reply to in the entries, so probes alone
-        // would keep it silent.
+        // Probes alone would keep an instance of an earlier version silent, which replies
+        // only to addresses in its entries.
         let is_new = is_learner && peer.match_index == 0;
         let max_silence = interval * SILENT_HEARTBEATS;
         let is_silent = peer.last_contact < last_heartbeat.saturating_sub(max_silence);
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -433,7 +433,7 @@
 
 /// Opens the data folder and binds the listeners. An instance that has to find a cluster
 /// listens while it searches. Otherwise the folder is opened first: a refused connection
-/// is better for callers than one that nobody serves yet.
+/// is better for callers than one that is not served yet.
 async fn open(
     settings: &Settings,
     client: &PeerClient,
--- a/crates/control/src/discovery.rs
+++ b/crates/control/src/discovery.rs
@@ -11,8 +11,8 @@
 //!
 //! * only what an instance says of itself makes it a member, and only for [`MEMBER_TTL`]:
 //!   what others say of it only adds an address to ask;
-//! * an address is passed on only if it stands in the own settings or if its instance was
-//!   heard from within [`CONTACT_TTL`], so that addresses of lost machines die out;
+//! * an address is passed on only if it is in the own settings or if its instance sent a
+//!   message within [`CONTACT_TTL`], so that addresses of lost machines die out;
 //! * a round asks at most [`MAX_ASKED`] addresses, those first that have waited for
 //!   longest since they were learned or asked, and at most [`MAX_LEARNED`] addresses are
 //!   known beside the own settings. Every known address is therefore asked within a
@@ -35,8 +35,8 @@
 pub const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// How long an instance counts as a member after it last said so.
 pub const MEMBER_TTL: Duration = Duration::from_secs(4);
-/// How long an address outside the own settings is known after its instance was last
-/// heard from. Longer than a restart of all machines.
+/// How long an address outside the own settings is known after the last message of its
+/// instance. Longer than a restart of all machines.
 pub const CONTACT_TTL: Duration = Duration::from_secs(30);
 /// Largest number of addresses asked in a round.
 pub const MAX_ASKED: usize = 8;
@@ -77,10 +77,10 @@
     address: SocketAddr,
     /// Whether the own settings name it.
     named: bool,
-    /// When it was learned or its instance was last heard from.
+    /// When it was learned, or the time of its instance's last message.
     since: Moment,
-    /// Whether its instance was heard from.
-    heard: bool,
+    /// Whether its instance has sent a message.
+    responded: bool,
     asked: Option<Moment>,
     /// Whether it was asked in an earlier round than the last time.
     asked_before: bool,
@@ -96,7 +96,7 @@
             address,
             named: false,
             since: now,
-            heard: false,
+            responded: false,
             asked: None,
             asked_before: false,
             queued: Some(now),
@@ -154,7 +154,7 @@
     /// Records that an instance announced itself. Returns whether it was not known as a
     /// member.
     pub fn record_member(&mut self, now: Moment, announcement: Announcement) -> bool {
-        let Some(contact) = self.hear(now, announcement.internal) else {
+        let Some(contact) = self.record_contact(now, announcement.internal) else {
             return false;
         };
         let is_new = contact.announced(now).is_none();
@@ -164,7 +164,7 @@
 
     /// Records that the instance at `address` asked this one.
     pub fn record_inquiry(&mut self, now: Moment, address: SocketAddr) {
-        self.hear(now, address);
+        self.record_contact(now, address);
     }
 
     /// Records the answer of the instance at `address`. Returns whether it was not known
@@ -175,7 +175,7 @@
         address: SocketAddr,
         answer: &Directions,
     ) -> bool {
-        if let Some(contact) = self.hear(now, address)
+        if let Some(contact) = self.record_contact(now, address)
             && answer.member.is_none()
         {
             // An instance that lost its disk is no longer a member.
@@ -213,7 +213,8 @@
         due.into_iter().map(ask).collect()
     }
 
-    /// Instances that lately said that they store the log, sorted by address.
+    /// Instances that announced within [`MEMBER_TTL`] that they store the log, sorted by
+    /// address.
     pub fn members(&self, now: Moment) -> Vec<Announcement> {
         let announced = |contact: &Contact| contact.announced(now);
         self.contacts.iter().filter_map(announced).collect()
@@ -234,7 +235,7 @@
     pub fn settled_cluster(&self, now: Moment) -> Option<u128> {
         let settled = |contact: &Contact| {
             let waited = contact.asked.is_some_and(|asked| now >= asked + ROUND);
-            contact.heard || contact.asked_before || waited
+            contact.responded || contact.asked_before || waited
         };
         let settled = self.contacts.iter().all(settled);
         self.cluster(now).filter(|_| settled)
@@ -242,8 +243,9 @@
 
     /// Addresses to pass on, sorted.
     pub fn addresses(&self, now: Moment) -> Vec<SocketAddr> {
-        let passed_on =
-            |contact: &&Contact| contact.named || contact.heard && !contact.expired(now);
+        let passed_on = |contact: &&Contact| {
+            contact.named || contact.responded && !contact.expired(now)
+        };
         let contacts = self.contacts.iter().filter(passed_on);
         contacts.map(|contact| contact.address).collect()
     }
@@ -253,11 +255,15 @@
             .binary_search_by_key(&address, |contact| contact.address)
     }
 
-    /// The contact at `address`, which was just heard from; `None` if there is no room.
-    fn hear(&mut self, now: Moment, address: SocketAddr) -> Option<&mut Contact> {
+    /// The contact at `address`, which just sent a message; `None` if there is no room.
+    fn record_contact(
+        &mut self,
+        now: Moment,
+        address: SocketAddr,
+    ) -> Option<&mut Contact> {
         let at = self.learn(now, address)?;
         let contact = &mut self.contacts[at];
-        contact.heard = true;
+        contact.responded = true;
         contact.since = now;
         Some(contact)
     }
@@ -283,7 +289,7 @@
         if learned.count() < MAX_LEARNED {
             return Some(());
         }
-        let silent = |contact: &Contact| !contact.named && !contact.heard;
+        let silent = |contact: &Contact| !contact.named && !contact.responded;
         let candidates = self.contacts.iter().filter(|contact| silent(contact));
         let asked =
             candidates.filter_map(|contact| Some((contact.asked?, contact.address)));
--- a/crates/control/src/senders.rs
+++ b/crates/control/src/senders.rs
@@ -2,8 +2,8 @@
 //!
 //! A reply normally goes to the address in the list of members. An instance that is new
 //! has no list yet, and one that was away has an older list: without these addresses it
-//! could reply neither to a leader nor to a candidate that joined after it last heard from
-//! the cluster. The leader would take it for failed, and a majority that needs its vote
+//! could reply neither to a leader nor to a candidate that joined after its last contact
+//! with the cluster. The leader would take it for failed, and a majority that needs its vote
 //! would never form.
 
 use dogwoodhill_consensus::NodeId;
@@ -19,8 +19,7 @@
 }
 
 impl Senders {
-    /// Records the address of a sender. Of too many, the one recorded first
-    /// is dropped.
+    /// Records the address of a sender. Of too many, the one recorded first is dropped.
     pub fn record(&mut self, id: NodeId, address: SocketAddr) {
         if self.known.last() == Some(&(id, address)) {
             return;
