Consensus: a new leader waits for a replacement to reply

Read in the code: the leader that it handed over to had no reply of the replacement yet, so it saw nothing to take over the seat and said so, and the instance exited at once.

release_seat_waits_for_learner_unknown_to_new_leader failed before: Ok(false).

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -88,14 +88,18 @@
         id: NodeId,
     ) -> Result<bool, RequestError> {
         let member = self.members().get(id).cloned();
-        let has_successor = self.successor(now, id).is_some();
+        let has_candidate = self.members().iter().any(|member| {
+            let is_learner = !member.seat && !member.voter;
+            is_learner && member.id != id && self.is_responsive(now, member.id)
+        });
         let Role::Leader(leader) = &mut self.role else {
             return Err(RequestError::NotLeader);
         };
         let Some(member) = member.filter(|member| member.voter) else {
             return Ok(false);
         };
-        let released = member.seat && has_successor && id != self.id;
+        // A new leader does not know yet which learners have caught up.
+        let released = member.seat && has_candidate && id != self.id;
         if released {
             leader.leaving.retain(|(other, _)| *other != id);
             leader.leaving.push((id, now));
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -576,3 +576,22 @@
     assert!(node.members().get(3).is_none(), "1.5 s after the candidacy");
     assert!(node.members().is_voter(4));
 }
+
+/// Guards against an instance that stops with its seat because the leader, elected when
+/// it gave up its own leadership, had no reply of the replacement yet.
+#[test]
+fn release_seat_waits_for_learner_unknown_to_new_leader() {
+    let members = (1..=4).map(|id| Member {
+        voter: id != 4,
+        seat: id != 4,
+        ..member(id)
+    });
+    let first = Entry {
+        payload: Payload::Members(Members::new(members.collect())),
+        ..entry(1, 1)
+    };
+    let mut node = leader(vec![first]);
+    assert_eq!(node.release_seat(LATE, 3), Ok(true));
+    let late = LATE + Timing::default().election * 2;
+    assert_eq!(node.release_seat(late, 3), Ok(false), "no learner replies");
+}
