Quarantine: log what takes a crash back and why a verdict is deferred

New events: crash-disproved, suspect-served, verdict-deferred, suspects-evicted. No change of logic.

--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -13,7 +13,7 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::quarantine::{
-    LostRequest, NewQuarantine, Quarantine, SuspectNotice,
+    Deferred, LostRequest, NewQuarantine, Quarantine, SuspectNotice,
 };
 use dogwoodhill_policy::shared_health::RECENT_WINDOW;
 use dogwoodhill_wire::demand::{DemandReport, SuspectRequest, Suspects};
@@ -30,10 +30,15 @@
 /// Delay between two attempts.
 const LOG_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Deferred suspects that are logged for one report.
+const MAX_DEFERRED_LINES: usize = 8;
+
 /// Losses and findings, and the requests quarantined in the log.
 #[derive(Debug, Default)]
 struct State {
     quarantine: Quarantine,
+    /// Suspects whose deferral is logged.
+    deferred: Vec<Deferred>,
     log: Option<watch::Receiver<Vec<(Quarantined, Duration)>>>,
 }
 
@@ -89,15 +94,34 @@
         }
         for served in report.served.iter().take(MAX_LOSSES) {
             let age = served.age.saturating_add(transit);
-            if let Some(at) = now.checked_sub(age) {
-                quarantine.record_served(entry, served.request, at);
+            let Some(at) = now.checked_sub(age) else {
+                continue;
+            };
+            let cleared = quarantine.record_served(entry, served.request, at);
+            if cleared > 0 {
+                Event::new("suspect-served")
+                    .field("content", short_form(served.request))
+                    .field("entry", &report.entry)
+                    .field("age_ms", age.as_millis())
+                    .field("cleared", cleared)
+                    .info();
             }
         }
+        let max_age = transit.saturating_add(RECENT_WINDOW);
         for run in responding {
-            let max_age = transit.saturating_add(RECENT_WINDOW);
-            quarantine.record_alive(run, now.saturating_sub(max_age));
+            let disproved = quarantine.record_alive(run, now.saturating_sub(max_age));
+            if disproved > 0 {
+                Event::new("crash-disproved")
+                    .field("endpoint", run)
+                    .field("entry", &report.entry)
+                    .field("age_ms", max_age.as_millis())
+                    .field("suspects", disproved)
+                    .info();
+            }
         }
-        quarantine.evaluate(now)
+        let found = quarantine.evaluate(now);
+        state.log_judgement(now);
+        found
     }
 
     /// The suspected requests, unless the entry already has the version with the hash
@@ -125,6 +149,23 @@
 }
 
 impl State {
+    /// Logs suspects that are newly deferred or for another reason than before, and those
+    /// dropped for lack of room.
+    fn log_judgement(&mut self, now: Duration) {
+        let deferred = self.quarantine.deferred(now);
+        let known = |one: &&Deferred| !self.deferred.contains(one);
+        for one in deferred.iter().filter(known).take(MAX_DEFERRED_LINES) {
+            one.event().info();
+        }
+        self.deferred = deferred;
+        let evicted = self.quarantine.take_evicted();
+        if evicted > 0 {
+            Event::new("suspects-evicted")
+                .field("count", evicted)
+                .warn();
+        }
+    }
+
     /// Processes requests that were quarantined in the log since the last call.
     fn apply_log(&mut self, now: Duration) {
         let Some(log) = &mut self.log else {
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -324,7 +324,13 @@
             return;
         }
         self.losses.retain(|own| own.loss.request != request);
-        self.quarantine.record_served(entry, request, at);
+        let cleared = self.quarantine.record_served(entry, request, at);
+        if cleared > 0 {
+            Event::new("suspect-served")
+                .field("content", short_form(request))
+                .field("cleared", cleared)
+                .info();
+        }
         if self.served_suspects.len() < MAX_SERVED {
             self.served_suspects.push((request, at));
         }
@@ -342,7 +348,18 @@
             let survived = last_activity
                 .is_some_and(|last_activity| outlived(own.loss.at, last_activity));
             if survived {
-                quarantine.record_alive(&own.loss.run, last_activity.unwrap_or_default());
+                let run = &own.loss.run;
+                let suspects =
+                    quarantine.record_alive(run, last_activity.unwrap_or_default());
+                // The first loss with an endpoint takes those of other requests along.
+                if suspects > 0 {
+                    Event::new("crash-disproved")
+                        .field("endpoint", run)
+                        .field("age_ms", silence.unwrap_or_default().as_millis())
+                        .field("lost_ms", now.saturating_sub(own.loss.at).as_millis())
+                        .field("suspects", suspects)
+                        .info();
+                }
             }
             !survived && now.saturating_sub(own.loss.at) < CRASH_RETENTION
         });
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -38,6 +38,7 @@
 mod suspect;
 
 use crash::{Candidate, Crash, contains, events};
+use derive_more::Display;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
@@ -155,6 +156,52 @@
     }
 }
 
+/// Why a suspect with enough crashes is not quarantined.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Deferral {
+    /// Another suspect accounts for all of its crashes.
+    #[display("rival")]
+    Rival(Fingerprint),
+    /// More likely suspects together account for all of its crashes.
+    #[display("accounted")]
+    Accounted,
+}
+
+/// A suspect with enough crashes that is not quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deferred {
+    /// Fingerprint of the request's content, or of the part.
+    pub request: Fingerprint,
+    /// Whether it is a part of prompts.
+    pub is_part: bool,
+    /// Its crashes that are not attributed to others.
+    pub crashes: usize,
+    /// Why it is not quarantined.
+    pub deferral: Deferral,
+}
+
+impl Deferred {
+    /// The log event for operators.
+    pub fn event(&self) -> Event {
+        let key = if self.is_part { "part" } else { "content" };
+        let event = Event::new("verdict-deferred")
+            .field(key, short_form(self.request))
+            .field("crashes", self.crashes)
+            .field("reason", self.deferral);
+        match self.deferral {
+            Deferral::Rival(rival) => event.field("rival", short_form(rival)),
+            Deferral::Accounted => event,
+        }
+    }
+}
+
+/// A suspect with enough crashes: its index, its crashes, and why it is not the cause.
+struct Judged {
+    index: usize,
+    crashes: usize,
+    deferral: Option<Deferral>,
+}
+
 /// Whether bytes received from an endpoint at `received` prove that it did not crash at
 /// `lost`.
 pub fn outlived(lost: Duration, received: Duration) -> bool {
@@ -184,6 +231,8 @@
     suspects: Vec<Suspect>,
     /// Sorted by run.
     lost: Vec<LostEndpoint>,
+    /// Suspects dropped for lack of room.
+    evicted: usize,
 }
 
 impl Quarantine {
@@ -247,6 +296,7 @@
         if let Ok(at) = find(&self.suspects) {
             return at;
         }
+        let before = self.suspects.len();
         let same_workspace = |suspect: &&Suspect| suspect.workspace == workspace;
         if self.suspects.iter().filter(same_workspace).count() >= MAX_PER_WORKSPACE {
             remove_oldest(&mut self.suspects, |suspect| {
@@ -256,48 +306,62 @@
         if self.suspects.len() >= MAX_SUSPECTS {
             remove_oldest(&mut self.suspects, |suspect| Some(suspect.newest()));
         }
+        self.evicted += before - self.suspects.len();
         let at = find(&self.suspects).unwrap_or_else(|at| at);
         self.suspects.insert(at, Suspect::new(request, workspace));
         at
     }
 
+    /// Returns and resets the number of suspects dropped for lack of room.
+    pub fn take_evicted(&mut self) -> usize {
+        std::mem::take(&mut self.evicted)
+    }
+
     /// Endpoints reported lost within the last 10 s.
     pub fn lost_endpoints(&self) -> impl Iterator<Item = &Incarnation> {
         self.lost.iter().map(|lost| &lost.run)
     }
 
     /// Records that bytes were received from an endpoint at `received` or later, and
-    /// drops the crashes that this disproves.
-    pub fn record_alive(&mut self, run: &Incarnation, received: Duration) {
+    /// drops the crashes that this disproves. Returns the number of suspects that lose a
+    /// crash.
+    pub fn record_alive(&mut self, run: &Incarnation, received: Duration) -> usize {
         self.lost
             .retain(|lost| lost.run != *run || !outlived(lost.at, received));
+        let mut disproved = 0;
         for suspect in &mut self.suspects {
+            let before = suspect.crashes.len();
             let crashes = &mut suspect.crashes;
             crashes.retain(|crash| crash.run != *run || !outlived(crash.at, received));
+            disproved += usize::from(suspect.crashes.len() < before);
         }
         self.remove_idle();
+        disproved
     }
 
     /// Records that `entry` served a request, or one with this part, at `at`. The request
     /// is not the cause of crashes before that or within [`HARMLESS_PERIOD`] after; a part
     /// is not while this was reported for half as many times as there were crashes.
+    /// Returns the number of crashes that no longer count against the request.
     pub fn record_served(
         &mut self,
         entry: EntryHash,
         request: Fingerprint,
         at: Duration,
-    ) {
+    ) -> usize {
         let Ok(index) = self.find(request) else {
-            return;
+            return 0;
         };
         let suspect = &mut self.suspects[index];
-        match suspect.kind {
-            Kind::Part { .. } => suspect.record_part_served(entry, at),
-            Kind::Request => {
-                suspect.record_served(at);
-                self.remove_idle();
-            }
+        if suspect.kind != Kind::Request {
+            suspect.record_part_served(entry, at);
+            return 0;
         }
+        let before = suspect.crashes.len();
+        suspect.record_served(at);
+        let cleared = before - suspect.crashes.len();
+        self.remove_idle();
+        cleared
     }
 
     /// Applies the `times`th quarantine of a request, decided by another instance, that
@@ -341,9 +405,30 @@
     }
 
     /// The request or part to quarantine next: its index and the number of its crashes.
-    /// Only confirmed crashes count that are not attributed to a quarantined one. Suspects
-    /// with more crashes come first.
     fn likely_cause(&self, now: Duration) -> Option<(usize, usize)> {
+        let judged = self.judge(now).into_iter();
+        let mut causes = judged.filter(|judged| judged.deferral.is_none());
+        causes.next().map(|cause| (cause.index, cause.crashes))
+    }
+
+    /// Suspects with enough crashes that are not quarantined, and why, for the log.
+    pub fn deferred(&self, now: Duration) -> Vec<Deferred> {
+        let judged = self.judge(now).into_iter();
+        let deferred = judged.filter_map(|judged| {
+            let suspect = &self.suspects[judged.index];
+            Some(Deferred {
+                request: suspect.request,
+                is_part: suspect.kind != Kind::Request,
+                crashes: judged.crashes,
+                deferral: judged.deferral?,
+            })
+        });
+        deferred.collect()
+    }
+
+    /// Judges the suspects with enough crashes; those with more come first. Only confirmed
+    /// crashes count that are not attributed to a quarantined request.
+    fn judge(&self, now: Duration) -> Vec<Judged> {
         let enough = |suspect: &&Suspect| {
             suspect.until.is_none()
                 && suspect.crashes.len() >= QUARANTINE_CRASHES
@@ -351,7 +436,9 @@
         };
         // In the usual case nothing has enough crashes but parts that all prompts of a
         // workspace share, and nothing has to be compared.
-        self.suspects.iter().find(enough)?;
+        if !self.suspects.iter().any(|suspect| enough(&suspect)) {
+            return Vec::new();
+        }
         let explained = self.explained_crashes();
         let counts = |crash: &&Crash| {
             explained.binary_search(&&crash.run).is_err() && self.confirmed(now, crash)
@@ -383,32 +470,46 @@
             let kind = self.suspects[c.index].kind;
             (Reverse(c.events), Reverse(kind), c.run_time, c.index)
         });
-        let cause = candidates.into_iter().find(|candidate| {
-            match self.suspects[candidate.index].kind {
-                Kind::Request => {
-                    candidate.events >= CERTAIN_CRASHES
-                        || self.is_sole_request(candidate, &open)
-                }
-                Kind::Part { .. } => self.is_sole_part(now, candidate, &open),
-            }
+        let judged = candidates.iter().map(|candidate| Judged {
+            index: candidate.index,
+            crashes: candidate.events,
+            deferral: self.deferral(now, candidate, &open),
         });
-        cause.map(|candidate| (candidate.index, candidate.events))
+        judged.collect()
     }
 
-    /// Whether no other suspect in `open` accounts for all crashes of a request, except
-    /// its own parts.
-    fn is_sole_request(
+    /// Why a candidate is not quarantined; `None` if it is the cause.
+    fn deferral(
         &self,
+        now: Duration,
         candidate: &Candidate<'_>,
         open: &[(usize, Vec<&Crash>)],
-    ) -> bool {
-        !open.iter().any(|(at, crashes)| {
+    ) -> Option<Deferral> {
+        match self.suspects[candidate.index].kind {
+            Kind::Request if candidate.events >= CERTAIN_CRASHES => None,
+            Kind::Request => self.request_rival(candidate, open).map(Deferral::Rival),
+            Kind::Part { .. } => {
+                let sole = self.is_sole_part(now, candidate, open);
+                (!sole).then_some(Deferral::Accounted)
+            }
+        }
+    }
+
+    /// Another suspect in `open` that accounts for all crashes of a request, except its
+    /// own parts.
+    fn request_rival(
+        &self,
+        candidate: &Candidate<'_>,
+        open: &[(usize, Vec<&Crash>)],
+    ) -> Option<Fingerprint> {
+        let rival = open.iter().find(|(at, crashes)| {
             let other = &self.suspects[*at];
             let own_part = other.kind != Kind::Request
                 && !other.has_several_contents()
                 && contains(candidate.crashes, crashes);
             *at != candidate.index && !own_part && contains(crashes, candidate.crashes)
-        })
+        });
+        rival.map(|(at, _)| self.suspects[*at].request)
     }
 
     /// Whether the crashes under a part are not accounted for by more likely suspects:
