--- /dev/null
+++ b/crates/direct/tests/all/crash_evidence.rs
@@ -0,0 +1,205 @@
+//! What counts as evidence for and against the crash of an endpoint under a request.
+//!
+//! Guards against a request that ends 18 endpoints because its crashes are forgotten: a
+//! successor at the address of an ended endpoint, or a response that says nothing about
+//! the request, must not clear it, and a send that was given up is still the cause if its
+//! endpoint ends under it.
+
+use crate::endpoint::{Act, ScriptedEndpoint};
+use crate::entry::{Entry, route_set};
+use crate::fleet::wait_until;
+use dogwoodhill_core::fingerprint::{Fingerprinter, RequestContent};
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_direct::dialect::EndpointRecord;
+use dogwoodhill_route::prelude::*;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// Body of the request under which the endpoint ends.
+const BODY: &str = "same";
+/// Time after a loss within which late data may still be read.
+const READ_LAG: Duration = Duration::from_millis(500);
+
+fn fingerprint(target: &str) -> Fingerprint {
+    Fingerprinter::new("secret").of(&RequestContent {
+        workspace: None,
+        method: "POST",
+        host: "test",
+        target,
+        body: BODY.as_bytes(),
+    })
+}
+
+fn crashes(entry: &Entry, target: &str) -> usize {
+    entry.shared.suspects.status(fingerprint(target)).crashes
+}
+
+/// An entry that knows one endpoint, `i-0` at `address`.
+async fn entry_before(address: SocketAddr) -> Entry {
+    let entry = Entry::without_routes(&[]).await;
+    entry.shared.activate_routes(RouteTable::new(route_set()));
+    entry.shared.directory.update(vec![EndpointRecord {
+        run: Incarnation::new("i-0", None),
+        service: "service".to_string(),
+        address,
+        domain: "here".to_string(),
+        slots: 8,
+        leaving: false,
+        version: "v1".to_string(),
+    }]);
+    entry
+}
+
+async fn read_some(stream: &mut TcpStream) -> String {
+    let mut buffer = [0; 4_096];
+    let read = stream.read(&mut buffer).await.expect("a request");
+    String::from_utf8_lossy(&buffer[..read]).into_owned()
+}
+
+/// Ends the endpoint that listens at `socket` under the request of the next connection.
+async fn end_under_request(socket: TcpListener) {
+    let (mut stream, _) = socket.accept().await.expect("the entry connects");
+    read_some(&mut stream).await;
+    drop((stream, socket));
+}
+
+/// Serves one request at `address` as another run, which says that it is not the intended
+/// one.
+async fn misdirect_one(address: SocketAddr) {
+    let socket = TcpListener::bind(address).await.expect("the port is free");
+    loop {
+        let (mut stream, _) = socket.accept().await.expect("the entry connects");
+        let head = read_some(&mut stream).await;
+        let mut lines = head.lines();
+        let Some(id) = lines.find_map(|line| line.strip_prefix("x-request-id: ")) else {
+            continue;
+        };
+        let text = format!(
+            "HTTP/1.1 421 Other\r\nx-request-id: {id}\r\nx-not-run: 1\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        let _ = stream.write_all(text.as_bytes()).await;
+        return;
+    }
+}
+
+/// A successor at the address of an ended endpoint refuses a request that was meant for
+/// that one. This is no sign of life of the run that ended.
+#[tokio::test]
+async fn crash_kept_when_successor_responds() {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("is bound");
+    let entry = entry_before(address).await;
+    let call = entry.call("POST /once/", "", BODY);
+    let (got, ()) = tokio::join!(call, end_under_request(socket));
+    assert_eq!(got.status, 502);
+    wait_until("the crash is recorded", async || {
+        crashes(&entry, "/once/") == 1
+    })
+    .await;
+    sleep(READ_LAG + Duration::from_millis(100)).await;
+    let other = entry.call("POST /once/", "", "other");
+    let (got, ()) = tokio::join!(other, misdirect_one(address));
+    assert_ne!(got.status, 200, "{got:?}");
+    // A report to control drops the crashes of endpoints that are alive.
+    let report = entry.shared.suspects.report(1);
+    assert_eq!(report.losses.len(), 1, "the crash is still reported");
+    assert_eq!(crashes(&entry, "/once/"), 1);
+    let (_, responding) = entry.shared.list_tracker.take_observations();
+    assert!(
+        responding.iter().all(|byte| *byte == 0),
+        "the run that ended is not reported as responding"
+    );
+}
+
+/// An endpoint that fails requests responds with 500 to the one that crashed another
+/// endpoint. It has not shown that the request can be served.
+#[tokio::test]
+async fn failed_response_clears_no_crash() {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("is bound");
+    let entry = entry_before(address).await;
+    let call = entry.call("POST /once/", "", BODY);
+    let (got, ()) = tokio::join!(call, end_under_request(socket));
+    assert_eq!(got.status, 502);
+    wait_until("the crash is recorded", async || {
+        crashes(&entry, "/once/") == 1
+    })
+    .await;
+    for status in [500, 400] {
+        let endpoint = ScriptedEndpoint::start(vec![Act::Answer(status, "failed")]).await;
+        entry.set_endpoints(&[&endpoint]);
+        let got = entry.call("POST /once/", "", BODY).await;
+        assert_eq!(got.status, status, "{got:?}");
+        assert_eq!(crashes(&entry, "/once/"), 1, "after {status}");
+    }
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    entry.set_endpoints(&[&endpoint]);
+    let got = entry.call("POST /once/", "", BODY).await;
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(crashes(&entry, "/once/"), 0, "served");
+}
+
+/// The caller leaves while its request is at an endpoint, which ends right after that. A
+/// successor is up before the entry contacts the address again.
+#[tokio::test]
+async fn request_of_departed_caller_counts_as_lost() {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("is bound");
+    let entry = entry_before(address).await;
+    let mut stream = {
+        let call = entry.call("POST /once/", "", BODY);
+        let sent = async {
+            let (mut stream, _) = socket.accept().await.expect("the entry connects");
+            read_some(&mut stream).await;
+            stream
+        };
+        // Dropping the call closes the caller's connection.
+        tokio::select! {
+            got = call => panic!("no response is due: {got:?}"),
+            stream = sent => stream,
+        }
+    };
+    let mut byte = [0];
+    let closed = stream.read(&mut byte).await;
+    assert!(matches!(closed, Ok(0) | Err(_)), "the entry closes");
+    drop((stream, socket));
+    let other = entry.call("POST /once/", "", "other");
+    let (got, ()) = tokio::join!(other, misdirect_one(address));
+    assert_ne!(got.status, 200, "{got:?}");
+    wait_until("the crash is recorded", async || {
+        crashes(&entry, "/once/") == 1
+    })
+    .await;
+}
+
+/// A connection breaks only when a successor, which knows nothing of it, resets it, as
+/// after a network partition. The check finds that the address accepts connections.
+#[tokio::test]
+async fn crash_found_after_successor_accepts_connections() {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = socket.local_addr().expect("is bound");
+    let entry = entry_before(address).await;
+    let call = entry.call("POST /once/", "", BODY);
+    let reset = async {
+        let (mut stream, _) = socket.accept().await.expect("the entry connects");
+        read_some(&mut stream).await;
+        drop(stream);
+        // The check.
+        let check = socket.accept().await.expect("the entry connects");
+        sleep(Duration::from_millis(100)).await;
+        drop((check, socket));
+    };
+    let (got, ()) = tokio::join!(call, reset);
+    assert_eq!(got.status, 502);
+    assert_eq!(crashes(&entry, "/once/"), 0, "it may still be alive");
+    let other = entry.call("POST /once/", "", "other");
+    let (got, ()) = tokio::join!(other, misdirect_one(address));
+    assert_ne!(got.status, 200, "{got:?}");
+    wait_until("the crash is recorded", async || {
+        crashes(&entry, "/once/") == 1
+    })
+    .await;
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod callers;
 mod control;
+mod crash_evidence;
 mod crashing_parts;
 mod dialect;
 mod endpoint;
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -347,3 +347,100 @@
         prop_assert_eq!(quarantined, if known { vec![CULPRIT] } else { vec![] });
     }
 }
+
+/// The request `request` with these parts is lost with endpoint `run` at `at`, as entry
+/// `entry` reports at `reported`.
+fn report_with_parts(
+    quarantine: &mut Quarantine,
+    (entry, reported): (EntryHash, u64),
+    (run, at): (u64, u64),
+    request: Fingerprint,
+    parts: &[Fingerprint],
+) {
+    let lost = LostRequest {
+        parts: parts.to_vec(),
+        ..loss(request, run, at)
+    };
+    quarantine.record_loss(ms(reported), entry, &lost);
+}
+
+/// Guards against a request that ends endpoint after endpoint because a part of its prompt
+/// was lost just as often. Each time another request with that part ran beside it, and
+/// nobody was served with the part meanwhile.
+#[test]
+fn evaluate_part_of_request_is_no_rival() {
+    let mut quarantine = Quarantine::default();
+    for run in 0..3 {
+        let at = run * 3_000;
+        let crash = (run, at);
+        report_with_parts(&mut quarantine, (1, at), crash, CULPRIT, &[50, 51]);
+        let other = 200 + Fingerprint::from(run);
+        report_with_parts(&mut quarantine, (2, at), crash, other, &[50, 52]);
+    }
+    assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), [CULPRIT]);
+    assert_eq!(evaluate(&mut quarantine, 60_000), [], "no part");
+}
+
+/// Guards against a bystander that is quarantined in place of the cause: two entries have
+/// reported a crash, but not yet the one that sent the cause there.
+#[test]
+fn evaluate_late_report_of_cause_awaited() {
+    let bystander = 100;
+    let mut quarantine = Quarantine::default();
+    for run in 0..3 {
+        let at = run * 1_000;
+        crash(
+            &mut quarantine,
+            run,
+            at,
+            [bystander, 300 + Fingerprint::from(run)],
+        );
+        assert_eq!(evaluate(&mut quarantine, at + 150), [], "crash {run}");
+        quarantine.record_loss(ms(at + 500), 9, &loss(CULPRIT, run, at));
+    }
+    assert_eq!(evaluate(&mut quarantine, 2_000 + CONFIRMED_MS), []);
+    crash(&mut quarantine, 3, 4_000, [CULPRIT]);
+    assert_eq!(evaluate(&mut quarantine, 4_000 + CONFIRMED_MS), [CULPRIT]);
+    assert_eq!(quarantine.status(ms(9_000), bystander).remaining, None);
+}
+
+/// Guards against crashes of a cause that count for nothing because a bystander was
+/// quarantined first. The cause was lost with all endpoints that the bystander was lost
+/// with, and with one more after that: the bystander is let on.
+#[test]
+fn evaluate_refuted_quarantine_ends() {
+    let bystander = 100;
+    let mut quarantine = Quarantine::default();
+    for run in 0..3 {
+        crash(&mut quarantine, run, run * 1_000, [bystander]);
+    }
+    assert_eq!(evaluate(&mut quarantine, 2_000 + CONFIRMED_MS), [bystander]);
+    // The entry that sent the cause was out of touch.
+    for run in 0..3 {
+        let late = loss(CULPRIT, run, run * 1_000);
+        quarantine.record_loss(ms(4_000), 9, &late);
+    }
+    assert_eq!(evaluate(&mut quarantine, 4_000 + CONFIRMED_MS), []);
+    crash(&mut quarantine, 3, 6_000, [CULPRIT]);
+    assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), [CULPRIT]);
+    let status = quarantine.status(ms(6_000 + CONFIRMED_MS), bystander);
+    assert_eq!(status.remaining, None, "refuted");
+}
+
+/// A large endpoint is lost with more requests of one workspace, parts included, than are
+/// stored. The request that is lost again and again keeps its crashes.
+#[test]
+fn record_loss_repeated_request_kept() {
+    let mut quarantine = Quarantine::default();
+    let mut next = 1_000;
+    for run in 0..3 {
+        let at = run * 3_000;
+        report_with_parts(&mut quarantine, (1, at), (run, at), CULPRIT, &[50]);
+        for _ in 0..300 {
+            let parts = [50, next + 1, next + 2];
+            report_with_parts(&mut quarantine, (2, at), (run, at), next, &parts);
+            next += 3;
+        }
+    }
+    assert_eq!(quarantine.status(ms(6_000), CULPRIT).crashes, 3);
+}
