Exchange: a refusal of another run is no sign of life

Cause: any head that arrived counted as bytes received from the endpoint it was meant for. At the address of a run that has ended its successor answers 421, some three seconds after the crash, and the crash was dropped at the entry and, by the responding bits, for all. Class: news of one run credited to another at its address. Change: activity, first byte and load are taken only from a response with the request's own id that is no 421, as limits and leaving already were; the connection of a 421 is not kept.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -149,7 +149,7 @@
     forward: &ForwardMeta<'_>,
     context: SendContext<'_>,
 ) -> SendOutcome {
-    let mut in_flight =
+    let in_flight =
         endpoint.begin_fetching(context.prompt, context.position, context.fetch);
     let request = build_request(dialect, outbound, forward, endpoint);
     let mut permit = None;
@@ -164,8 +164,6 @@
     };
     match attempted {
         Attempt::Head(response, connection) => {
-            endpoint.record_activity();
-            in_flight.record_first_byte();
             validate_head(dialect, response, connection, in_flight, context.id)
         }
         Attempt::Unsent(_) => {
@@ -309,21 +307,26 @@
     dialect: &dyn EndpointDialect,
     response: Response<Incoming>,
     connection: Connection,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     id: &str,
 ) -> SendOutcome {
     let (parts, body) = response.into_parts();
     let meta = dialect.read(parts.status, &parts.headers);
-    let endpoint = in_flight.endpoint();
+    let endpoint = Arc::clone(in_flight.endpoint());
+    let endpoint = &endpoint;
     if meta.request_id.as_deref().is_some_and(|other| other != id) {
         endpoint.record_outcome(true);
         return SendOutcome::Lost(Loss::Mismatched);
     }
-    if let Some(load) = meta.load {
-        endpoint.set_load(load);
-    }
+    // Only a response to this very request shows that the intended run is alive: at the
+    // address of a run that has ended, its successor refuses as misdirected.
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if meta.request_id.is_some() && !misdirected {
+        endpoint.record_activity();
+        in_flight.record_first_byte();
+        if let Some(load) = meta.load {
+            endpoint.set_load(load);
+        }
         if meta.leaving {
             endpoint.update_leaving(true);
         }
@@ -340,9 +343,11 @@
             _ => Refusal::Expired,
         };
         if reason == Refusal::Misdirected {
+            // The connection leads to another run.
             endpoint.record_misdirected();
+        } else {
+            drain_refusal(body, connection, &meta, Arc::clone(endpoint));
         }
-        drain_refusal(body, connection, &meta, Arc::clone(endpoint));
         return SendOutcome::Refused(reason);
     }
     // These statuses mean "not run", but the endpoint did not confirm it.
