Quarantine: only a success shows that a request can be served

Callers: beside endpoints that fail requests, a request that ends endpoints could go on. Cause: any complete response counted as served, a 500 of a failing endpoint and a 4xx that ran nothing included; that cleared the request's crashes at the entry for ten seconds and at control for good. Class: an answer taken as proof of something it does not say. Evidence: failed_response_clears_no_crash failed (0 of 1 crashes after the 500), and passes.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -471,7 +471,10 @@
     }
 
     fn deliver(mut self, complete: CompleteResponse) -> Response<ResponseBody> {
-        self.shared.suspects.record_served(&self.causes);
+        // A failure or a rejection says nothing about whether the request can be served.
+        if complete.status.is_success() {
+            self.shared.suspects.record_served(&self.causes);
+        }
         self.share_responded();
         self.record().answered(complete.status.as_u16());
         self.record = None;
