Quarantine: room for parts apart from requests, the most suspected kept

Callers: a request that ends endpoints could go on after a large endpoint was lost. Cause: requests and the parts of their prompts shared 512 places a workspace, and the oldest went first, so the losses of one endpoint pushed out the crashes of the request that is lost again and again. Class: a bound that drops what it is there for. Evidence: record_loss_repeated_request_kept failed (0 of 3 crashes left), and passes. Change: places by kind; the fewest crashes go first, then the oldest.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -74,10 +74,10 @@
 const FIRST_PERIOD: Duration = Duration::from_secs(600);
 /// Upper bound of the length of a quarantine.
 const MAX_PERIOD: Duration = Duration::from_secs(24 * 3_600);
-/// Maximum number of requests that are stored, some 200 bytes each.
+/// Maximum number of requests that are stored, and of parts, some 200 bytes each.
 const MAX_SUSPECTS: usize = 4_096;
-/// Maximum number of requests of one workspace that are stored, so that no workspace can
-/// displace the requests of others.
+/// Maximum number of requests of one workspace that are stored, and of parts, so that no
+/// workspace can displace the requests of others.
 const MAX_PER_WORKSPACE: usize = 512;
 /// Maximum number of lost endpoints that are stored.
 const MAX_LOST: usize = 1_024;
@@ -257,7 +257,7 @@
         let parts = parts.map(|(position, part)| (*part, Kind::Part { position }));
         let all = parts.chain([(loss.request, Kind::Request)]);
         for (fingerprint, kind) in all {
-            let at = self.suspect_index(fingerprint, loss.workspace);
+            let at = self.suspect_index(fingerprint, kind, loss.workspace);
             let crash = Crash {
                 run: loss.run.clone(),
                 domain: loss.domain,
@@ -281,34 +281,44 @@
                 };
                 self.lost.insert(at, lost);
                 if self.lost.len() > MAX_LOST {
-                    remove_oldest(&mut self.lost, |lost| Some(lost.at));
+                    remove_least(&mut self.lost, |lost| Some(lost.at));
                 }
             }
         }
     }
 
-    /// Index of the suspect for a request, which is added if it is missing. Makes room by
-    /// dropping the oldest suspects.
-    fn suspect_index(&mut self, request: Fingerprint, workspace: u64) -> usize {
-        let find = |suspects: &[Suspect]| {
-            suspects.binary_search_by_key(&request, |suspect| suspect.request)
-        };
-        if let Ok(at) = find(&self.suspects) {
+    /// Index of the suspect for a request or part, which is added if it is missing. Makes
+    /// room by dropping the least suspected of the same kind.
+    fn suspect_index(
+        &mut self,
+        request: Fingerprint,
+        kind: Kind,
+        workspace: u64,
+    ) -> usize {
+        if let Ok(at) = self.find(request) {
             return at;
         }
         let before = self.suspects.len();
-        let same_workspace = |suspect: &&Suspect| suspect.workspace == workspace;
-        if self.suspects.iter().filter(same_workspace).count() >= MAX_PER_WORKSPACE {
-            remove_oldest(&mut self.suspects, |suspect| {
-                (suspect.workspace == workspace).then(|| suspect.newest())
+        let is_part = kind != Kind::Request;
+        let same_kind = |suspect: &Suspect| (suspect.kind != Kind::Request) == is_part;
+        let same_workspace =
+            |suspect: &Suspect| same_kind(suspect) && suspect.workspace == workspace;
+        let count = |counts: &dyn Fn(&Suspect) -> bool| {
+            self.suspects.iter().filter(|one| counts(one)).count()
+        };
+        if count(&same_workspace) >= MAX_PER_WORKSPACE {
+            remove_least(&mut self.suspects, |one| {
+                same_workspace(one).then(|| one.weight())
+            });
+        } else if count(&same_kind) >= MAX_SUSPECTS {
+            remove_least(&mut self.suspects, |one| {
+                same_kind(one).then(|| one.weight())
             });
-        }
-        if self.suspects.len() >= MAX_SUSPECTS {
-            remove_oldest(&mut self.suspects, |suspect| Some(suspect.newest()));
         }
         self.evicted += before - self.suspects.len();
-        let at = find(&self.suspects).unwrap_or_else(|at| at);
-        self.suspects.insert(at, Suspect::new(request, workspace));
+        let at = self.find(request).unwrap_or_else(|at| at);
+        self.suspects
+            .insert(at, Suspect::new(request, kind, workspace));
         at
     }
 
@@ -377,7 +387,7 @@
         if remaining.is_zero() {
             return;
         }
-        let at = self.suspect_index(request, workspace);
+        let at = self.suspect_index(request, Kind::Request, workspace);
         let suspect = &mut self.suspects[at];
         suspect.until = suspect.until.max(Some(now.saturating_add(remaining)));
         suspect.times = suspect.times.max(times);
@@ -636,11 +646,11 @@
     now.saturating_sub(crash.at) >= CONFIRM_AFTER
 }
 
-/// Removes the item with the earliest time, ignoring those without one.
-fn remove_oldest<T>(items: &mut Vec<T>, time: impl Fn(&T) -> Option<Duration>) {
-    let timed = items.iter().enumerate();
-    let timed = timed.filter_map(|(at, item)| Some((time(item)?, at)));
-    if let Some((_, at)) = timed.min() {
+/// Removes the item with the least weight, ignoring those without one.
+fn remove_least<T, W: Ord>(items: &mut Vec<T>, weight: impl Fn(&T) -> Option<W>) {
+    let weighed = items.iter().enumerate();
+    let weighed = weighed.filter_map(|(at, item)| Some((weight(item)?, at)));
+    if let Some((_, at)) = weighed.min() {
         items.remove(at);
     }
 }
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -61,11 +61,11 @@
 }
 
 impl Suspect {
-    /// A request without crashes.
-    pub(super) fn new(request: Fingerprint, workspace: u64) -> Self {
+    /// A request or part without crashes.
+    pub(super) fn new(request: Fingerprint, kind: Kind, workspace: u64) -> Self {
         Self {
             request,
-            kind: Kind::Request,
+            kind,
             workspace,
             crashes: Vec::new(),
             until: None,
@@ -151,11 +151,13 @@
         self.kind == Kind::Request || self.suspected.is_some_and(due)
     }
 
-    /// The later of its last crash and the end of its quarantine, by which old suspects
-    /// are replaced.
-    pub(super) fn newest(&self) -> Duration {
-        let crash = self.crashes.last().map(|crash| crash.at);
-        crash.max(self.until).unwrap_or_default()
+    /// Order in which suspects are kept if there are too many: quarantined ones, those with
+    /// the most crashes, the newest, and those that were sent last before a crash.
+    pub(super) fn weight(&self) -> (Option<Duration>, usize, Duration, Duration) {
+        let newest = self.crashes.last();
+        let at = newest.map_or(Duration::ZERO, |crash| crash.at);
+        let sent = newest.map_or(Duration::ZERO, |crash| crash.sent);
+        (self.until, self.crashes.len(), at, sent)
     }
 
     /// Its crashes and its quarantine.
