Quarantine: the parts of a request do not compete with it

Cause: a part that other lost requests share counted as a rival that accounts for the request's crashes, so the request waited for six crashes. But every part of a request is lost in each of its crashes, and while others run beside it the part has several requests: any request with a common first part waited. Class: a necessary companion taken for an alternative cause. If either the request or its part is the cause, the request crashes endpoints, so it is right to hold it back in both cases. Change: own parts are no rivals, nor are parts that are served too often to be quarantined.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -24,9 +24,9 @@
 //! * A request that was served recently is not the cause.
 //! * If several requests were lost with the same endpoints, none of them is quarantined
 //!   until their crashes differ, or until six crashes.
-//! * Of a request and its parts that were lost with the same endpoints, the one that
-//!   concerns the fewest callers is quarantined: the request, else the part that comes
-//!   last.
+//! * A request and the parts of its prompt do not compete: if either is the cause, the
+//!   request crashes endpoints. A part that others share is quarantined only for crashes
+//!   that no quarantined request accounts for.
 //! * No part is quarantined before entries have had the time to report that it is served.
 //! * A crash attributed to a quarantined request does not count against any other
 //!   request.
@@ -264,8 +264,11 @@
                 sent: loss.sent,
                 at: loss.at,
             };
-            self.suspects[at].add(now, kind, crash);
-            self.suspects[at].add_content(loss.request);
+            let suspect = &mut self.suspects[at];
+            suspect.add(now, kind, crash);
+            if kind == Kind::Request {
+                suspect.set_parts(&loss.parts);
+            }
         }
     }
 
@@ -505,19 +508,20 @@
         }
     }
 
-    /// Another suspect in `open` that accounts for all crashes of a request, except its
-    /// own parts.
+    /// Another suspect in `open` that accounts for all crashes of a request, except the
+    /// parts of its own prompt and parts that are often served.
     fn request_rival(
         &self,
         candidate: &Candidate<'_>,
         open: &[(usize, Vec<&Crash>)],
     ) -> Option<Fingerprint> {
+        let request = &self.suspects[candidate.index];
         let rival = open.iter().find(|(at, crashes)| {
             let other = &self.suspects[*at];
-            let own_part = other.kind != Kind::Request
-                && !other.has_several_contents()
-                && contains(candidate.crashes, crashes);
-            *at != candidate.index && !own_part && contains(crashes, candidate.crashes)
+            *at != candidate.index
+                && !other.is_doubtful()
+                && !request.has_part(other.request)
+                && contains(crashes, candidate.crashes)
         });
         rival.map(|(at, _)| self.suspects[*at].request)
     }
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -53,9 +53,8 @@
     served: usize,
     /// The last of them at each entry, sorted by entry.
     served_at: Vec<(EntryHash, Duration)>,
-    /// A request with the part that was lost, and whether others were lost as well.
-    content: Option<Fingerprint>,
-    several: bool,
+    /// Parts of the request's prompt, sorted.
+    parts: Vec<Fingerprint>,
     /// When it became a suspect.
     suspected: Option<Duration>,
 }
@@ -73,8 +72,7 @@
             ended: Duration::ZERO,
             served: 0,
             served_at: Vec::new(),
-            content: None,
-            several: false,
+            parts: Vec::new(),
             suspected: None,
         }
     }
@@ -96,16 +94,17 @@
         }
     }
 
-    /// Records that a request with the part was lost.
-    pub(super) fn add_content(&mut self, content: Fingerprint) {
-        let first = *self.content.get_or_insert(content);
-        self.several |= first != content;
+    /// Sets the parts of the request's prompt.
+    pub(super) fn set_parts(&mut self, parts: &[Fingerprint]) {
+        if self.parts.is_empty() {
+            self.parts = parts.to_vec();
+            self.parts.sort_unstable();
+        }
     }
 
-    /// Whether different requests with the part were lost, so that no single one explains
-    /// its crashes.
-    pub(super) fn has_several_contents(&self) -> bool {
-        self.several
+    /// Whether `part` is a part of the request's prompt.
+    pub(super) fn has_part(&self, part: Fingerprint) -> bool {
+        self.parts.binary_search(&part).is_ok()
     }
 
     /// Records that the request was served at `at`.
