Quarantine: verdicts on complete reports; a refuted one is taken back

Callers: sound requests were refused for ten minutes, while the one that ended the endpoints went on. The crashes were then attributed to it, and no longer counted against the cause; nothing took a wrong verdict back. Class: a verdict on partial evidence that removes the evidence against itself. Change: every crash counts once all entries have had the time to report it (REPORT_TIME, as for parts before). Until then a request with three crashes is held: entries refuse it as not run, with the rest of that time as Retry-After, and do not withdraw what runs. A crash is attributed to a quarantined request unless the other was lost in all of its crashes and more; a quarantine whose crashes are all those of others is lifted, told to entries as one that has ended and committed to the log with times 0. Where notices are cut, those with the most crashes stay.

--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -12,8 +12,9 @@
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
+use dogwoodhill_policy::quarantine::REPORT_TIME;
 use dogwoodhill_policy::quarantine::{
-    Deferred, LostRequest, NewQuarantine, Quarantine, SuspectNotice,
+    Deferred, Findings, LostRequest, Quarantine, SuspectNotice,
 };
 use dogwoodhill_policy::shared_health::RECENT_WINDOW;
 use dogwoodhill_wire::demand::{DemandReport, SuspectRequest, Suspects};
@@ -71,7 +72,7 @@
         transit: Duration,
         report: &DemandReport,
         responding: &[Incarnation],
-    ) -> Vec<NewQuarantine> {
+    ) -> Findings {
         let mut state = self.state();
         state.apply_log(now);
         let quarantine = &mut state.quarantine;
@@ -90,7 +91,7 @@
                 sent: at.saturating_sub(loss.duration),
                 at,
             };
-            quarantine.record_loss(now, entry, &loss);
+            quarantine.record_loss(now, &loss);
         }
         for served in report.served.iter().take(MAX_LOSSES) {
             let age = served.age.saturating_add(transit);
@@ -119,9 +120,9 @@
                     .info();
             }
         }
-        let found = quarantine.evaluate(now);
-        state.log_judgement(now);
-        found
+        let findings = quarantine.evaluate(now);
+        state.log_judgement(&findings.deferred);
+        findings
     }
 
     /// The suspected requests, unless the entry already has the version with the hash
@@ -151,13 +152,12 @@
 impl State {
     /// Logs suspects that are newly deferred or for another reason than before, and those
     /// dropped for lack of room.
-    fn log_judgement(&mut self, now: Duration) {
-        let deferred = self.quarantine.deferred(now);
-        let known = |one: &&Deferred| !self.deferred.contains(one);
-        for one in deferred.iter().filter(known).take(MAX_DEFERRED_LINES) {
+    fn log_judgement(&mut self, deferred: &[Deferred]) {
+        let is_new = |one: &&Deferred| !self.deferred.contains(one);
+        for one in deferred.iter().filter(is_new).take(MAX_DEFERRED_LINES) {
             one.event().info();
         }
-        self.deferred = deferred;
+        self.deferred = deferred.to_vec();
         let evicted = self.quarantine.take_evicted();
         if evicted > 0 {
             Event::new("suspects-evicted")
@@ -176,6 +176,10 @@
         }
         for (quarantined, remaining) in log.borrow_and_update().iter() {
             let (request, workspace) = (quarantined.request, quarantined.workspace);
+            if quarantined.is_lifted() {
+                self.quarantine.lift(now, request);
+                continue;
+            }
             self.quarantine
                 .take(now, request, workspace, quarantined.times, *remaining);
         }
@@ -189,27 +193,40 @@
     }
     let mut bytes = Vec::with_capacity(suspects.len() * 18);
     for suspect in suspects {
+        let status = suspect.status;
         bytes.extend(suspect.request.to_be_bytes());
-        bytes.push(suspect.status.crashes.min(255) as u8);
-        bytes.push(u8::from(suspect.status.remaining.is_some()));
+        bytes.push(status.crashes.min(255) as u8);
+        // A hold becomes a quarantine, and a quarantine may be lifted.
+        bytes.push(match status.remaining {
+            None => 0,
+            Some(Duration::ZERO) => 1,
+            Some(remaining) if remaining <= REPORT_TIME => 2,
+            Some(_) => 3,
+        });
     }
     hash(&bytes).max(1)
 }
 
 /// Logs findings and commits them to the replicated log in the background.
-pub(crate) fn commit_findings(service: &Service, findings: Vec<NewQuarantine>) {
-    for finding in findings {
-        finding.event().warn();
-        tokio::spawn(commit(service.clone(), finding));
+pub(crate) fn commit_findings(service: &Service, findings: Findings) {
+    for found in findings.quarantined {
+        found.event().warn();
+        let quarantined = Quarantined {
+            request: found.request,
+            workspace: found.workspace,
+            times: found.times,
+        };
+        tokio::spawn(commit(service.clone(), quarantined));
+    }
+    for lifted in findings.lifted {
+        lifted.event().warn();
+        let quarantined = Quarantined::lifted(lifted.request, lifted.workspace);
+        tokio::spawn(commit(service.clone(), quarantined));
     }
 }
 
-async fn commit(service: Service, finding: NewQuarantine) {
-    let action = Action::Quarantine(Quarantined {
-        request: finding.request,
-        workspace: finding.workspace,
-        times: finding.times,
-    });
+async fn commit(service: Service, quarantined: Quarantined) {
+    let action = Action::Quarantine(quarantined);
     for _ in 0..MAX_LOG_ATTEMPTS {
         if service.submit(&action).await.is_ok() {
             return;
@@ -217,6 +234,6 @@
         sleep(LOG_RETRY_DELAY).await;
     }
     Event::new("quarantine-not-logged")
-        .field("content", short_form(finding.request))
+        .field("content", short_form(quarantined.request))
         .warn();
 }
--- a/crates/control/src/state/quarantine.rs
+++ b/crates/control/src/state/quarantine.rs
@@ -8,17 +8,35 @@
 /// About 40 bytes each; the oldest are evicted first.
 const MAX_REQUESTS: usize = 1_024;
 
-/// A quarantined request.
+/// A quarantined request, or one whose quarantine was lifted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
     /// Fingerprint of the request.
     pub request: Fingerprint,
     /// Hash of its workspace.
     pub workspace: u64,
-    /// Number of times the request has been quarantined, including this one.
+    /// Number of times the request has been quarantined, including this one; 0 if its
+    /// quarantine was lifted.
     pub times: u32,
 }
 
+impl Quarantined {
+    /// A request whose quarantine was lifted. It is stored for as long as the quarantine
+    /// would have lasted, so that no instance applies that again.
+    pub(crate) fn lifted(request: Fingerprint, workspace: u64) -> Self {
+        Self {
+            request,
+            workspace,
+            times: 0,
+        }
+    }
+
+    /// Whether the quarantine was lifted.
+    pub(crate) fn is_lifted(&self) -> bool {
+        self.times == 0
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 struct QuarantineEntry {
     request: Quarantined,
@@ -45,7 +63,8 @@
         let same_request =
             |entry: &QuarantineEntry| entry.request.request == request.request;
         if let Some(at) = self.entries.iter().position(same_request) {
-            if self.entries[at].request.times >= request.times {
+            let known = self.entries[at].request.times;
+            if known >= request.times && !request.is_lifted() {
                 return;
             }
             self.entries.remove(at);
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use dogwoodhill_control::quarantine::QuarantineTracker;
 use dogwoodhill_control::state::Quarantined;
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::quarantine::quarantine_period;
+use dogwoodhill_policy::quarantine::{REPORT_TIME, quarantine_period};
 use dogwoodhill_wire::demand::{
     DemandReport, RequestLoss, RequestServed, SuspectRequest, Suspects,
 };
@@ -47,7 +47,7 @@
     for (number, entry) in ["a", "b", "c"].into_iter().enumerate() {
         let report = entry_report(entry, vec![loss(REQUEST, number)]);
         let found = tracker.report(NOW, Duration::ZERO, &report, &[]);
-        assert_eq!(found, []);
+        assert_eq!(found.quarantined, []);
     }
 }
 
@@ -60,10 +60,15 @@
     let tracker = QuarantineTracker::default();
     assert_eq!(tracker.suspects(NOW, 0), None);
     lost_by_three(&tracker);
-    let suspected = tracker.suspects(NOW, 0);
-    assert_eq!(requests(suspected)[0].remaining, None, "one loss per entry");
+    let suspected = requests(tracker.suspects(NOW, 0));
+    let held = REPORT_TIME - ms(20);
+    assert_eq!(
+        suspected[0].remaining,
+        Some(held),
+        "held, not quarantined: one loss per entry"
+    );
     let found = tracker.report(LATER, Duration::ZERO, &entry_report("d", vec![]), &[]);
-    assert_eq!(found[0].request, REQUEST);
+    assert_eq!(found.quarantined[0].request, REQUEST);
     let suspects = tracker.suspects(LATER, 0).expect("held");
     assert_eq!(suspects.requests[0].remaining, Some(quarantine_period(1)));
     assert_eq!(
@@ -81,7 +86,7 @@
     assert_eq!(tracker.lost_endpoints().len(), 3);
     let found =
         tracker.report(LATER, Duration::ZERO, &entry_report("d", vec![]), &[run(1)]);
-    assert_eq!(found, []);
+    assert_eq!(found.quarantined, []);
     assert_eq!(tracker.lost_endpoints(), [run(0), run(2)]);
 }
 
@@ -92,7 +97,7 @@
     lost_by_three(&tracker);
     let responding = [run(1)];
     let found = tracker.report(LATER, ms(3_000), &entry_report("d", vec![]), &responding);
-    assert_eq!(found.len(), 1, "received before the crash");
+    assert_eq!(found.quarantined.len(), 1, "received before the crash");
 }
 
 #[test]
@@ -107,7 +112,8 @@
         served: vec![served],
         ..entry_report("d", vec![])
     };
-    assert_eq!(tracker.report(LATER, Duration::ZERO, &report, &[]), []);
+    let found = tracker.report(LATER, Duration::ZERO, &report, &[]);
+    assert_eq!(found.quarantined, []);
     assert_eq!(
         tracker.suspects(LATER, 1).map(|suspects| suspects.mark),
         Some(0)
@@ -162,3 +168,22 @@
     tracker.report(NOW, ms(1), &entry_report("a", losses), &[run(3)]);
     assert!(tracker.lost_endpoints().len() <= 2);
 }
+
+/// A quarantine that another instance has lifted is returned to entries as ended.
+#[test]
+fn with_log_returns_lifted_requests() {
+    let logged = Quarantined {
+        request: REQUEST,
+        workspace: 1,
+        times: 1,
+    };
+    let (sender, log) = watch::channel(vec![(logged, ms(500_000))]);
+    let tracker = QuarantineTracker::with_log(log);
+    tracker.report(NOW, Duration::ZERO, &entry_report("a", vec![]), &[]);
+    let before = tracker.suspects(NOW, 0).expect("one is quarantined");
+    let lifted = Quarantined { times: 0, ..logged };
+    sender.send_replace(vec![(lifted, ms(400_000))]);
+    tracker.report(LATER, Duration::ZERO, &entry_report("a", vec![]), &[]);
+    let returned = requests(tracker.suspects(LATER, before.mark));
+    assert_eq!(returned[0].remaining, Some(Duration::ZERO));
+}
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -18,7 +18,8 @@
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::quarantine::{
-    CRASH_RETENTION, EntryHash, LostRequest, Quarantine, SuspectStatus, outlived,
+    CRASH_RETENTION, EntryHash, LostRequest, Quarantine, REPORT_TIME, SuspectStatus,
+    outlived,
 };
 use dogwoodhill_policy::served::ServedRequests;
 use dogwoodhill_wire::demand::{
@@ -61,6 +62,9 @@
     /// Suspected requests and parts reported by control, sorted, with their number of
     /// crashes.
     reported: Vec<(Fingerprint, usize)>,
+    /// Requests held while reports about their last crash are awaited, and until when,
+    /// sorted.
+    held: Vec<(Fingerprint, Duration)>,
     mark: u64,
     /// When control responded last, or when it first failed to.
     last_contact: Option<Duration>,
@@ -105,14 +109,12 @@
     }
 
     /// Remaining time of the longest quarantine among a request and the parts of its
-    /// prompt, if any of them is quarantined.
+    /// prompt, if any of them is quarantined, else of its hold.
     pub fn quarantine_remaining(&self, suspects: &[Fingerprint]) -> Option<Duration> {
         let now = uptime();
         let state = self.state();
-        let remaining = suspects.iter();
-        let remaining =
-            remaining.filter_map(|one| state.quarantine.status(now, *one).remaining);
-        remaining.max()
+        let quarantine = state.longest_quarantine(now, suspects);
+        quarantine.or_else(|| state.hold_remaining(now, *suspects.first()?))
     }
 
     /// Known crashes attributed to a request, and the remaining time of its quarantine.
@@ -150,7 +152,8 @@
         loop {
             let mut added = pin!(self.quarantine_added.notified());
             added.as_mut().enable();
-            if self.quarantine_remaining(suspects).is_some() {
+            let quarantined = self.state().longest_quarantine(uptime(), suspects);
+            if quarantined.is_some() {
                 return;
             }
             added.await;
@@ -165,7 +168,7 @@
         if state.served.recently_served(now, loss.request).is_some() {
             return 0;
         }
-        state.quarantine.record_loss(now, self.entry_hash, &loss);
+        state.quarantine.record_loss(now, &loss);
         let request = loss.request;
         if state.losses.len() >= MAX_LOSSES {
             state.losses.remove(0);
@@ -281,6 +284,24 @@
 }
 
 impl State {
+    fn longest_quarantine(
+        &self,
+        now: Duration,
+        suspects: &[Fingerprint],
+    ) -> Option<Duration> {
+        let statuses = suspects.iter().map(|one| self.quarantine.status(now, *one));
+        statuses.filter_map(|status| status.remaining).max()
+    }
+
+    fn hold_remaining(&self, now: Duration, request: Fingerprint) -> Option<Duration> {
+        let found = self
+            .held
+            .binary_search_by_key(&request, |held| held.0)
+            .ok()?;
+        let remaining = self.held[found].1.checked_sub(now)?;
+        (!remaining.is_zero()).then_some(remaining)
+    }
+
     fn take(&mut self, entry: EntryHash, now: Duration, reported: &ReportedSuspects) {
         self.mark = reported.mark;
         let suspected = reported.requests.iter();
@@ -288,12 +309,24 @@
             suspected.map(|suspect| (suspect.request, suspect.crashes as usize));
         self.reported = suspected.collect();
         self.reported.sort_unstable();
+        self.held.clear();
         for request in &reported.requests {
             if let Some(at) = self.served.recently_served(now, request.request) {
                 self.clear_suspect(entry, request.request, at);
             }
+            let Some(left) = request.remaining else {
+                continue;
+            };
             let own = self.quarantine.status(now, request.request).remaining;
-            if let Some(left) = request.remaining.filter(|_| own.is_none()) {
+            if left.is_zero() {
+                if own.is_some() && self.quarantine.lift(now, request.request) {
+                    Event::new("quarantine-lifted")
+                        .field("content", short_form(request.request))
+                        .info();
+                }
+            } else if left <= REPORT_TIME {
+                self.held.push((request.request, now.saturating_add(left)));
+            } else if own.is_none() {
                 Event::new("quarantine-told")
                     .field("content", short_form(request.request))
                     .field("crashes", request.crashes)
@@ -302,13 +335,18 @@
                 self.quarantine.take(now, request.request, 0, 1, left);
             }
         }
+        self.held.sort_unstable();
     }
 
     /// Quarantines requests by the observations of this entry alone.
     fn evaluate_locally(&mut self, now: Duration) {
-        for found in self.quarantine.evaluate(now) {
+        let findings = self.quarantine.evaluate(now);
+        for found in findings.quarantined {
             found.event().warn();
         }
+        for lifted in findings.lifted {
+            lifted.event().warn();
+        }
     }
 
     /// Clears a request or part that was served at `at`, and queues the report if it is
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -19,9 +19,12 @@
 //!
 //! Invariants:
 //!
-//! * An endpoint counts as crashed only if it refused connections after an existing one
-//!   had broken, and no entry has received any data from it since.
+//! * An endpoint counts as crashed only if it is known to have ended after a request was
+//!   lost there, and no entry has received any data from it since.
 //! * A request that was served recently is not the cause.
+//! * Nothing is quarantined for a crash before all entries have had the time to report what
+//!   they lost in it. Until then, requests with enough crashes are held: not forwarded, and
+//!   not blamed.
 //! * If several requests were lost with the same endpoints, none of them is quarantined
 //!   until their crashes differ, or until six crashes.
 //! * A request and the parts of its prompt do not compete: if either is the cause, the
@@ -29,14 +32,17 @@
 //!   that no quarantined request accounts for.
 //! * No part is quarantined before entries have had the time to report that it is served.
 //! * A crash attributed to a quarantined request does not count against any other
-//!   request.
+//!   request, unless the other was lost in all crashes of the quarantined one and more.
+//! * A quarantine ends early if all of its crashes turn out to be those of other causes.
 //! * Endpoints of one failure domain that stop at the same moment, while the request was
 //!   running on each of them, make it a suspect at most.
 //! * The stored state is bounded, also for each workspace, and expires.
 
+mod attribution;
 mod crash;
 mod suspect;
 
+use attribution::Attribution;
 use crash::{Candidate, Crash, contains, events};
 use derive_more::Display;
 use dogwoodhill_core::fingerprint::short_form;
@@ -44,6 +50,8 @@
 use std::cmp::Reverse;
 use suspect::{Kind, Suspect};
 
+pub use suspect::EntryHash;
+
 /// Crashes from which a request is quarantined; fewer occur by chance.
 pub const QUARANTINE_CRASHES: usize = 3;
 /// Crashes from which a request is a suspect.
@@ -58,9 +66,9 @@
 const PART_GRACE: Duration = Duration::from_secs(1);
 /// Maximum number of parts of a request.
 pub const MAX_PARTS: usize = 64;
-/// Silence of an endpoint after which the report of a single entry confirms its crash:
-/// within this time each entry reports which endpoints it received data from.
-const CONFIRM_AFTER: Duration = Duration::from_millis(600);
+/// Time after a crash within which each entry reports what it lost in it, and which
+/// endpoints it received data from.
+pub const REPORT_TIME: Duration = Duration::from_millis(600);
 /// Time after a crash within which an entry may still read bytes that the endpoint sent
 /// before it: a busy entry lags behind its receive buffers.
 const READ_LAG: Duration = Duration::from_millis(500);
@@ -83,9 +91,8 @@
 const MAX_LOST: usize = 1_024;
 /// Maximum number of notices that are sent to entries, 30 bytes each.
 const MAX_NOTICES: usize = 256;
-
-/// Hash of the name of the entry that reports.
-pub type EntryHash = u64;
+/// Maximum number of lifted quarantines that are stored.
+const MAX_LIFTED: usize = 64;
 
 /// A request whose connection to an endpoint broke, after which the endpoint refused new
 /// connections.
@@ -112,7 +119,8 @@
 pub struct SuspectStatus {
     /// Crashes of endpoints that were running it.
     pub crashes: usize,
-    /// Time until its quarantine ends; `None` if it may be forwarded.
+    /// Time until its quarantine or hold ends, zero if its quarantine was lifted; `None` if
+    /// it may be forwarded.
     pub remaining: Option<Duration>,
 }
 
@@ -125,6 +133,17 @@
     pub status: SuspectStatus,
 }
 
+/// Result of [`Quarantine::evaluate`].
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Requests and parts that were quarantined.
+    pub quarantined: Vec<NewQuarantine>,
+    /// Quarantines that were ended early.
+    pub lifted: Vec<LiftedQuarantine>,
+    /// Suspects with enough crashes that were not quarantined.
+    pub deferred: Vec<Deferred>,
+}
+
 /// A request or part that was quarantined by [`Quarantine::evaluate`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewQuarantine {
@@ -202,6 +221,13 @@
     deferral: Option<Deferral>,
 }
 
+impl LiftedQuarantine {
+    /// The log event for operators.
+    pub fn event(&self) -> Event {
+        Event::new("quarantine-lifted").field("content", short_form(self.request))
+    }
+}
+
 /// Whether bytes received from an endpoint at `received` prove that it did not crash at
 /// `lost`.
 pub fn outlived(lost: Duration, received: Duration) -> bool {
@@ -214,14 +240,20 @@
     FIRST_PERIOD.saturating_mul(factor).min(MAX_PERIOD)
 }
 
+/// A quarantine that was ended early, since other causes account for its crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LiftedQuarantine {
+    /// Fingerprint of the request's content, or of the part.
+    pub request: Fingerprint,
+    /// Hash of its workspace.
+    pub workspace: u64,
+}
+
 /// An endpoint that was reported lost.
 #[derive(Clone, Debug)]
 struct LostEndpoint {
     run: Incarnation,
     at: Duration,
-    reporter: EntryHash,
-    /// Whether a second entry reported the loss as well.
-    confirmed: bool,
 }
 
 /// Requests that were lost with endpoints, and requests that are quarantined.
@@ -233,6 +265,8 @@
     lost: Vec<LostEndpoint>,
     /// Suspects dropped for lack of room.
     evicted: usize,
+    /// Requests whose quarantine was lifted, and when; oldest first.
+    lifted: Vec<(Fingerprint, Duration)>,
 }
 
 impl Quarantine {
@@ -241,18 +275,12 @@
         self.suspects.is_empty()
     }
 
-    /// Records a loss reported by the entry `reporter`. Losses older than
-    /// [`CRASH_RETENTION`] are ignored.
-    pub fn record_loss(
-        &mut self,
-        now: Duration,
-        reporter: EntryHash,
-        loss: &LostRequest,
-    ) {
+    /// Records a loss. Losses older than [`CRASH_RETENTION`] are ignored.
+    pub fn record_loss(&mut self, now: Duration, loss: &LostRequest) {
         if now.saturating_sub(loss.at) >= CRASH_RETENTION {
             return;
         }
-        self.record_lost_endpoint(reporter, loss);
+        self.record_lost_endpoint(loss);
         let parts = loss.parts.iter().take(MAX_PARTS).enumerate();
         let parts = parts.map(|(position, part)| (*part, Kind::Part { position }));
         let all = parts.chain([(loss.request, Kind::Request)]);
@@ -272,21 +300,16 @@
         }
     }
 
-    fn record_lost_endpoint(&mut self, reporter: EntryHash, loss: &LostRequest) {
-        match self.lost.binary_search_by(|lost| lost.run.cmp(&loss.run)) {
-            Ok(at) => self.lost[at].confirmed |= self.lost[at].reporter != reporter,
-            Err(at) => {
-                let lost = LostEndpoint {
-                    run: loss.run.clone(),
-                    at: loss.at,
-                    reporter,
-                    confirmed: false,
-                };
-                self.lost.insert(at, lost);
-                if self.lost.len() > MAX_LOST {
-                    remove_least(&mut self.lost, |lost| Some(lost.at));
-                }
-            }
+    fn record_lost_endpoint(&mut self, loss: &LostRequest) {
+        let found = self.lost.binary_search_by(|lost| lost.run.cmp(&loss.run));
+        let Err(at) = found else { return };
+        let lost = LostEndpoint {
+            run: loss.run.clone(),
+            at: loss.at,
+        };
+        self.lost.insert(at, lost);
+        if self.lost.len() > MAX_LOST {
+            remove_least(&mut self.lost, |lost| Some(lost.at));
         }
     }
 
@@ -390,44 +413,110 @@
         if remaining.is_zero() {
             return;
         }
+        self.lifted.retain(|lifted| lifted.0 != request);
         let at = self.suspect_index(request, Kind::Request, workspace);
         let suspect = &mut self.suspects[at];
         suspect.until = suspect.until.max(Some(now.saturating_add(remaining)));
         suspect.times = suspect.times.max(times);
     }
 
+    /// Lifts the quarantine of a request, by the decision of another instance. Returns
+    /// whether it was quarantined.
+    pub fn lift(&mut self, now: Duration, request: Fingerprint) -> bool {
+        self.lifted.retain(|lifted| lifted.0 != request);
+        if self.lifted.len() >= MAX_LIFTED {
+            self.lifted.remove(0);
+        }
+        self.lifted.push((request, now));
+        let Ok(at) = self.find(request) else {
+            return false;
+        };
+        let suspect = &mut self.suspects[at];
+        let quarantined = suspect.until.take().is_some();
+        if quarantined {
+            suspect.times = suspect.times.saturating_sub(1);
+            suspect.crashes.clear();
+        }
+        self.remove_idle();
+        quarantined
+    }
+
+    /// Lifts each quarantine whose crashes are all those of other quarantined requests:
+    /// for a request, of one that was lost with more endpoints. Returns what was lifted.
+    fn lift_refuted(&mut self, now: Duration) -> Vec<LiftedQuarantine> {
+        let refuted: Vec<LiftedQuarantine> = self
+            .suspects
+            .iter()
+            .filter(|suspect| self.is_refuted(suspect))
+            .map(|suspect| LiftedQuarantine {
+                request: suspect.request,
+                workspace: suspect.workspace,
+            })
+            .collect();
+        for one in &refuted {
+            self.lift(now, one.request);
+        }
+        refuted
+    }
+
+    fn is_refuted(&self, suspect: &Suspect) -> bool {
+        if suspect.until.is_none() || suspect.crashes.is_empty() {
+            return false;
+        }
+        let is_part = suspect.kind != Kind::Request;
+        let causes = self.suspects.iter().filter(|other| {
+            other.request != suspect.request
+                && other.until.is_some()
+                && other.kind == Kind::Request
+        });
+        if is_part {
+            let causes: Vec<&Suspect> = causes.collect();
+            let explained =
+                |crash: &Crash| causes.iter().any(|one| one.ran_on(&crash.run));
+            return suspect.crashes.iter().all(explained);
+        }
+        let mut causes = causes;
+        causes.any(|other| other.includes(suspect))
+    }
+
     /// Quarantines each request with at least [`QUARANTINE_CRASHES`] crashes that no
     /// other suspect shares entirely, or with six crashes, and each part with as many that
-    /// more likely suspects do not account for. Returns the new quarantines.
-    pub fn evaluate(&mut self, now: Duration) -> Vec<NewQuarantine> {
+    /// more likely suspects do not account for. Lifts the quarantines that this refutes.
+    pub fn evaluate(&mut self, now: Duration) -> Findings {
         self.expire(now);
-        let mut found = Vec::new();
-        while let Some((at, crashes)) = self.likely_cause(now) {
-            let suspect = &mut self.suspects[at];
-            suspect.times += 1;
-            suspect.until = Some(now + quarantine_period(suspect.times));
-            found.push(NewQuarantine {
-                request: suspect.request,
-                is_part: suspect.kind != Kind::Request,
-                workspace: suspect.workspace,
-                crashes,
-                times: suspect.times,
-            });
+        let mut findings = Findings::default();
+        loop {
+            let judged = self.judge(now);
+            let cause = judged.iter().find(|judged| judged.deferral.is_none());
+            let Some(cause) = cause else {
+                findings.deferred = self.deferred(&judged);
+                break;
+            };
+            findings.quarantined.push(self.quarantine(now, cause));
         }
-        found
+        if !findings.quarantined.is_empty() {
+            findings.lifted = self.lift_refuted(now);
+        }
+        findings
     }
 
-    /// The request or part to quarantine next: its index and the number of its crashes.
-    fn likely_cause(&self, now: Duration) -> Option<(usize, usize)> {
-        let judged = self.judge(now).into_iter();
-        let mut causes = judged.filter(|judged| judged.deferral.is_none());
-        causes.next().map(|cause| (cause.index, cause.crashes))
+    fn quarantine(&mut self, now: Duration, cause: &Judged) -> NewQuarantine {
+        let suspect = &mut self.suspects[cause.index];
+        suspect.times += 1;
+        suspect.until = Some(now + quarantine_period(suspect.times));
+        let request = suspect.request;
+        self.lifted.retain(|lifted| lifted.0 != request);
+        NewQuarantine {
+            request,
+            is_part: suspect.kind != Kind::Request,
+            workspace: suspect.workspace,
+            crashes: cause.crashes,
+            times: suspect.times,
+        }
     }
 
-    /// Suspects with enough crashes that are not quarantined, and why, for the log.
-    pub fn deferred(&self, now: Duration) -> Vec<Deferred> {
-        let judged = self.judge(now).into_iter();
-        let deferred = judged.filter_map(|judged| {
+    fn deferred(&self, judged: &[Judged]) -> Vec<Deferred> {
+        let deferred = judged.iter().filter_map(|judged| {
             let suspect = &self.suspects[judged.index];
             Some(Deferred {
                 request: suspect.request,
@@ -439,27 +528,25 @@
         deferred.collect()
     }
 
-    /// Judges the suspects with enough crashes; those with more come first. Only confirmed
-    /// crashes count that are not attributed to a quarantined request.
+    /// Judges the suspects with enough crashes; those with more come first. Only crashes
+    /// count that all entries have reported and that are not attributed to a quarantined
+    /// request.
     fn judge(&self, now: Duration) -> Vec<Judged> {
-        let enough = |suspect: &&Suspect| {
+        let enough = |suspect: &Suspect| {
             suspect.until.is_none()
                 && suspect.crashes.len() >= QUARANTINE_CRASHES
                 && !suspect.is_doubtful()
         };
         // In the usual case nothing has enough crashes but parts that all prompts of a
         // workspace share, and nothing has to be compared.
-        if !self.suspects.iter().any(|suspect| enough(&suspect)) {
+        if !self.suspects.iter().any(enough) {
             return Vec::new();
         }
-        let explained = self.explained_crashes();
-        let counts = |crash: &&Crash| {
-            explained.binary_search(&&crash.run).is_err() && self.confirmed(now, crash)
-        };
+        let attribution = Attribution::new(&self.suspects);
         let open: Vec<(usize, Vec<&Crash>)> = (0..)
             .zip(&self.suspects)
             .filter(|(_, suspect)| suspect.until.is_none() && !suspect.is_innocent())
-            .map(|(at, suspect)| (at, suspect.crashes.iter().filter(counts).collect()))
+            .map(|(at, suspect)| (at, attribution.open_crashes(suspect)))
             .collect();
         let complete: Vec<(usize, Vec<&Crash>)> = open
             .iter()
@@ -468,10 +555,8 @@
                 suspect.is_due(now) && !suspect.is_doubtful()
             })
             .map(|(at, crashes)| {
-                let is_part = self.suspects[*at].kind != Kind::Request;
-                let crashes = crashes.iter();
-                let counted = crashes.filter(|crash| !is_part || is_reported(now, crash));
-                (*at, counted.copied().collect())
+                let reported = crashes.iter().filter(|crash| is_reported(now, crash));
+                (*at, reported.copied().collect())
             })
             .collect();
         let mut candidates: Vec<Candidate<'_>> = complete
@@ -555,27 +640,6 @@
             .all(|crash| rivals.iter().any(|rival| contains(rival, &[*crash])))
     }
 
-    /// Endpoints whose crashes are attributed to quarantined requests, sorted.
-    fn explained_crashes(&self) -> Vec<&Incarnation> {
-        let quarantined = self
-            .suspects
-            .iter()
-            .filter(|suspect| suspect.until.is_some());
-        let mut runs: Vec<&Incarnation> = quarantined
-            .flat_map(|suspect| suspect.crashes.iter().map(|crash| &crash.run))
-            .collect();
-        runs.sort_unstable();
-        runs
-    }
-
-    /// Whether two entries reported the crash, or one did and nothing disproved it for
-    /// [`CONFIRM_AFTER`].
-    fn confirmed(&self, now: Duration, crash: &Crash) -> bool {
-        let found = self.lost.binary_search_by(|lost| lost.run.cmp(&crash.run));
-        let confirmed = found.is_ok_and(|at| self.lost[at].confirmed);
-        confirmed || now.saturating_sub(crash.at) >= CONFIRM_AFTER
-    }
-
     /// The crashes and the quarantine of a request.
     pub fn status(&self, now: Duration, request: Fingerprint) -> SuspectStatus {
         let Ok(at) = self.find(request) else {
@@ -584,8 +648,25 @@
         self.suspects[at].status(now)
     }
 
+    /// Time for which a request with enough crashes is not to be forwarded, until all
+    /// entries have reported what they lost in the last one.
+    fn hold(
+        &self,
+        now: Duration,
+        attribution: &Attribution<'_>,
+        suspect: &Suspect,
+    ) -> Option<Duration> {
+        let enough = suspect.kind == Kind::Request
+            && suspect.until.is_none()
+            && suspect.crashes.len() >= QUARANTINE_CRASHES;
+        let newest = suspect.crashes.last().filter(|_| enough)?;
+        let remaining = REPORT_TIME.checked_sub(now.saturating_sub(newest.at))?;
+        let open = attribution.open_crashes(suspect);
+        (events(&open) >= QUARANTINE_CRASHES && !remaining.is_zero()).then_some(remaining)
+    }
+
     /// The quarantined requests and the suspects, sorted by request. If there are too
-    /// many, quarantined ones take precedence.
+    /// many, quarantined ones take precedence, then those with the most crashes.
     pub fn notices(&self, now: Duration) -> Vec<SuspectNotice> {
         // Cheap check first: after an outage there are thousands of requests with one
         // crash.
@@ -593,23 +674,41 @@
             suspect.until.is_some()
                 || suspect.crashes.len() >= SUSPECT_CRASHES && !suspect.is_innocent()
         };
-        let all = self
-            .suspects
-            .iter()
-            .filter(relevant)
-            .map(|suspect| SuspectNotice {
+        let attribution = Attribution::new(&self.suspects);
+        let suspects = self.suspects.iter().filter(relevant).map(|suspect| {
+            let status = suspect.status(now);
+            let hold = || self.hold(now, &attribution, suspect);
+            let remaining = status.remaining.or_else(hold);
+            SuspectNotice {
                 request: suspect.request,
-                status: suspect.status(now),
-            });
-        let mut notices: Vec<SuspectNotice> = all
+                status: SuspectStatus {
+                    remaining,
+                    ..status
+                },
+            }
+        });
+        let lifted = self.lifted.iter().map(|(request, _)| SuspectNotice {
+            request: *request,
+            status: SuspectStatus {
+                crashes: 0,
+                remaining: Some(Duration::ZERO),
+            },
+        });
+        let mut notices: Vec<SuspectNotice> = suspects
             .filter(|notice| {
                 let status = notice.status;
                 status.remaining.is_some() || status.crashes >= SUSPECT_CRASHES
             })
+            .chain(lifted)
             .collect();
-        notices.sort_by_key(|notice| (notice.status.remaining.is_none(), notice.request));
+        notices.sort_by_key(|notice| {
+            let status = notice.status;
+            let crashes = Reverse(status.crashes);
+            (Reverse(status.remaining), crashes, notice.request)
+        });
         notices.truncate(MAX_NOTICES);
         notices.sort_by_key(|notice| notice.request);
+        notices.dedup_by_key(|notice| notice.request);
         notices
     }
 
@@ -630,6 +729,8 @@
         }
         self.lost
             .retain(|lost| now.saturating_sub(lost.at) < LOSS_RETENTION);
+        self.lifted
+            .retain(|lifted| now.saturating_sub(lifted.1) < FIRST_PERIOD);
         self.remove_idle();
     }
 
@@ -644,10 +745,9 @@
     }
 }
 
-/// Whether all entries have reported what they lost in a crash. Of the reports, one about
-/// a part that others share may come first.
+/// Whether all entries have had the time to report what they lost in a crash.
 fn is_reported(now: Duration, crash: &Crash) -> bool {
-    now.saturating_sub(crash.at) >= CONFIRM_AFTER
+    now.saturating_sub(crash.at) >= REPORT_TIME
 }
 
 /// Removes the item with the least weight, ignoring those without one.
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -2,11 +2,14 @@
 
 use super::crash::{Crash, events};
 use super::{
-    CRASH_RETENTION, EntryHash, HARMLESS_PERIOD, PART_GRACE, QUARANTINE_CRASHES,
-    SUSPECT_CRASHES, SuspectStatus,
+    CRASH_RETENTION, HARMLESS_PERIOD, PART_GRACE, QUARANTINE_CRASHES, SUSPECT_CRASHES,
+    SuspectStatus,
 };
 use dogwoodhill_core::prelude::*;
 
+/// Hash of the name of the entry that reports.
+pub type EntryHash = u64;
+
 /// Maximum number of crashes that are stored for a request.
 const MAX_CRASHES: usize = 16;
 
@@ -107,6 +110,17 @@
         self.parts.binary_search(&part).is_ok()
     }
 
+    /// Whether it was lost with an endpoint.
+    pub(super) fn ran_on(&self, run: &Incarnation) -> bool {
+        self.crashes.iter().any(|crash| crash.run == *run)
+    }
+
+    /// Whether it was lost with all endpoints that `other` was lost with, and with more.
+    pub(super) fn includes(&self, other: &Self) -> bool {
+        let more = self.crashes.len() > other.crashes.len();
+        more && other.crashes.iter().all(|crash| self.ran_on(&crash.run))
+    }
+
     /// Records that the request was served at `at`.
     pub(super) fn record_served(&mut self, at: Duration) {
         self.crashes
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -150,7 +150,7 @@
                     self.report(now, at);
                 }
             }
-            let found = self.quarantine.evaluate(now);
+            let found = self.quarantine.evaluate(now).quarantined;
             self.quarantined
                 .extend(found.iter().map(|found| found.request));
         }
@@ -206,7 +206,7 @@
     fn report(&mut self, now: Duration, at: usize) {
         let entry = &mut self.entries[at];
         for loss in entry.losses.drain(..) {
-            self.quarantine.record_loss(now, at as u64, &loss);
+            self.quarantine.record_loss(now, &loss);
         }
         let entry_hash = at as u64;
         for (one, at) in entry.cleared.drain(..) {
@@ -331,9 +331,9 @@
                 sent: at.saturating_sub(STEP),
                 at,
             };
-            quarantine.record_loss(at, request as u64, &loss);
+            quarantine.record_loss(at, &loss);
         }
-        let found = quarantine.evaluate(at + Duration::from_secs(5));
+        let found = quarantine.evaluate(at + Duration::from_secs(5)).quarantined;
         found.iter().map(|found| found.request).collect::<Vec<_>>()
     };
     for number in 1..=3 {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::quarantine::{
-    CRASH_RETENTION, EntryHash, LostRequest, Quarantine, quarantine_period,
+    CRASH_RETENTION, LostRequest, Quarantine, quarantine_period,
 };
 use dogwoodhill_policy::served::ServedRequests;
 use proptest::prelude::*;
@@ -39,12 +39,12 @@
 ) {
     for request in requests {
         let loss = loss(request, run, at);
-        quarantine.record_loss(ms(at), request as EntryHash, &loss);
+        quarantine.record_loss(ms(at), &loss);
     }
 }
 
 fn evaluate(quarantine: &mut Quarantine, now: u64) -> Vec<Fingerprint> {
-    let found = quarantine.evaluate(ms(now));
+    let found = quarantine.evaluate(ms(now)).quarantined;
     found.into_iter().map(|found| found.request).collect()
 }
 
@@ -79,14 +79,18 @@
     );
 }
 
-/// A crash reported by one entry is confirmed only after a while, one reported by two at
-/// once.
+/// A request is not forwarded from the report of its third crash on. It is quarantined once
+/// all entries have had the time to report what they lost in that crash.
 #[test]
-fn evaluate_crash_reported_twice_found_at_once() {
+fn notices_third_crash_held_until_reported() {
     let mut quarantine = crashes(3);
     assert_eq!(evaluate(&mut quarantine, 20_001), []);
-    crash(&mut quarantine, 2, 20_001, [7]);
-    assert_eq!(evaluate(&mut quarantine, 20_002), [CULPRIT]);
+    let held = quarantine.notices(ms(20_001));
+    assert_eq!(held[0].status.remaining, Some(ms(599)));
+    assert_eq!(evaluate(&mut quarantine, 20_599), []);
+    assert_eq!(evaluate(&mut quarantine, 20_600), [CULPRIT]);
+    let held = crashes(2).notices(ms(10_001));
+    assert_eq!(held[0].status.remaining, None, "two may be chance");
 }
 
 /// A connection broke and others were refused, as by an engine with a long queue, but
@@ -147,7 +151,7 @@
             sent: ms(run * 300),
             ..loss(0, run, run * 1_000)
         };
-        quarantine.record_loss(ms(run * 1_000), 5, &longer);
+        quarantine.record_loss(ms(run * 1_000), &longer);
         let expected = if run < 5 { vec![] } else { vec![CULPRIT] };
         assert_eq!(
             evaluate(&mut quarantine, run * 1_000 + 700),
@@ -211,7 +215,7 @@
             sent: ms(1_001 + run * 10),
             ..loss(CULPRIT, run, 1_025 + run * 10)
         };
-        quarantine.record_loss(ms(1_100), 1, &lost);
+        quarantine.record_loss(ms(1_100), &lost);
     }
     assert_eq!(evaluate(&mut quarantine, 1_100 + CONFIRMED_MS), [CULPRIT]);
 }
@@ -299,7 +303,7 @@
             workspace: 2,
             ..loss(request, 50, 22_000)
         };
-        quarantine.record_loss(ms(22_000), 1, &loss);
+        quarantine.record_loss(ms(22_000), &loss);
     }
     assert!(quarantine.status(ms(22_000), CULPRIT).remaining.is_some());
     let kept = (1_000..9_000)
@@ -348,11 +352,9 @@
     }
 }
 
-/// The request `request` with these parts is lost with endpoint `run` at `at`, as entry
-/// `entry` reports at `reported`.
-fn report_with_parts(
+/// The request `request` with these parts is lost with endpoint `run` at `at`.
+fn lose_with_parts(
     quarantine: &mut Quarantine,
-    (entry, reported): (EntryHash, u64),
     (run, at): (u64, u64),
     request: Fingerprint,
     parts: &[Fingerprint],
@@ -361,7 +363,7 @@
         parts: parts.to_vec(),
         ..loss(request, run, at)
     };
-    quarantine.record_loss(ms(reported), entry, &lost);
+    quarantine.record_loss(ms(at), &lost);
 }
 
 /// Guards against a request that ends endpoint after endpoint because a part of its prompt
@@ -373,15 +375,10 @@
     for run in 0..3 {
         let at = run * 3_000;
         let crash = (run, at);
-        report_with_parts(&mut quarantine, (1, at), crash, CULPRIT, &[50, 51]);
+        lose_with_parts(&mut quarantine, crash, CULPRIT, &[50, 51]);
         let other = 200 + Fingerprint::from(run);
-        report_with_parts(
-            &mut quarantine,
-            (2, at),
-            crash,
-            other,
-            &[50, 60 + Fingerprint::from(run)],
-        );
+        let own = 60 + Fingerprint::from(run);
+        lose_with_parts(&mut quarantine, crash, other, &[50, own]);
     }
     assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), [CULPRIT]);
     assert_eq!(evaluate(&mut quarantine, 60_000), [], "no part");
@@ -402,7 +399,7 @@
             [bystander, 300 + Fingerprint::from(run)],
         );
         assert_eq!(evaluate(&mut quarantine, at + 150), [], "crash {run}");
-        quarantine.record_loss(ms(at + 500), 9, &loss(CULPRIT, run, at));
+        quarantine.record_loss(ms(at + 500), &loss(CULPRIT, run, at));
     }
     assert_eq!(evaluate(&mut quarantine, 2_000 + CONFIRMED_MS), []);
     crash(&mut quarantine, 3, 4_000, [CULPRIT]);
@@ -424,7 +421,7 @@
     // The entry that sent the cause was out of touch.
     for run in 0..3 {
         let late = loss(CULPRIT, run, run * 1_000);
-        quarantine.record_loss(ms(4_000), 9, &late);
+        quarantine.record_loss(ms(4_000), &late);
     }
     assert_eq!(evaluate(&mut quarantine, 4_000 + CONFIRMED_MS), []);
     crash(&mut quarantine, 3, 6_000, [CULPRIT]);
@@ -441,10 +438,10 @@
     let mut next = 1_000;
     for run in 0..3 {
         let at = run * 3_000;
-        report_with_parts(&mut quarantine, (1, at), (run, at), CULPRIT, &[50]);
+        lose_with_parts(&mut quarantine, (run, at), CULPRIT, &[50]);
         for _ in 0..300 {
             let parts = [50, next + 1, next + 2];
-            report_with_parts(&mut quarantine, (2, at), (run, at), next, &parts);
+            lose_with_parts(&mut quarantine, (run, at), next, &parts);
             next += 3;
         }
     }
