Quarantine: a repeated request speaks against itself, not against its parts

Cause: each crash under a part counted, though its requests repeated. Class: one observation counted several times. Change: a part needs crashes under as many different requests (a matching of crashes and requests); a part with less support than a request is no rival of it. Evidence: evaluate_repeated_requests_speak_not_against_part failed (part 50 found in place of the request), and passes.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -31,6 +31,8 @@
 //!   request crashes endpoints. A part that others share is quarantined only for crashes
 //!   that no quarantined request accounts for.
 //! * No part is quarantined before entries have had the time to report that it is served.
+//! * A part is quarantined only for crashes under different requests: one that is sent again
+//!   and again speaks against itself.
 //! * A crash attributed to a quarantined request does not count against any other
 //!   request, unless the other was lost in all crashes of the quarantined one and more.
 //! * A quarantine ends early if all of its crashes turn out to be those of other causes.
@@ -43,7 +45,7 @@
 mod suspect;
 
 use attribution::Attribution;
-use crash::{Candidate, Crash, contains, events};
+use crash::{Candidate, Crash, contains, events, support};
 use derive_more::Display;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
@@ -291,6 +293,10 @@
                 domain: loss.domain,
                 sent: loss.sent,
                 at: loss.at,
+                contents: match kind {
+                    Kind::Request => Vec::new(),
+                    Kind::Part { .. } => vec![loss.request],
+                },
             };
             let suspect = &mut self.suspects[at];
             suspect.add(now, kind, crash);
@@ -561,7 +567,7 @@
             .collect();
         let mut candidates: Vec<Candidate<'_>> = complete
             .iter()
-            .map(|(at, crashes)| Candidate::new(*at, crashes))
+            .map(|(at, crashes)| Candidate::new(*at, self.suspects[*at].kind, crashes))
             .filter(|candidate| candidate.events >= QUARANTINE_CRASHES)
             .collect();
         candidates.sort_by_key(|c| {
@@ -607,6 +613,7 @@
                 && !other.is_doubtful()
                 && !request.has_part(other.request)
                 && contains(crashes, candidate.crashes)
+                && support(other.kind, crashes) >= candidate.events
         });
         rival.map(|(at, _)| self.suspects[*at].request)
     }
@@ -630,7 +637,8 @@
             .filter(|(at, crashes)| {
                 let reported = crashes.iter().filter(|crash| is_reported(now, crash));
                 let reported: Vec<&Crash> = reported.copied().collect();
-                *at != candidate.index && weight(*at, events(&reported)) >= own
+                let support = support(self.suspects[*at].kind, &reported);
+                *at != candidate.index && weight(*at, support) >= own
             })
             .map(|(_, crashes)| crashes)
             .collect();
--- a/crates/policy/src/quarantine/crash.rs
+++ b/crates/policy/src/quarantine/crash.rs
@@ -1,11 +1,15 @@
 //! The crashes that a request is involved in, and how they count against it.
 
 use super::SUSPECT_CRASHES;
+use super::suspect::Kind;
 use dogwoodhill_core::prelude::*;
 
 /// Time within which the loss of a failure domain stops its endpoints.
 const DOMAIN_LOSS_WINDOW: Duration = Duration::from_millis(250);
 
+/// Maximum number of requests that are stored for one crash under a part.
+const MAX_CONTENTS: usize = 4;
+
 /// The crash of an endpoint that was running a request.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
@@ -17,6 +21,20 @@
     pub(super) sent: Duration,
     /// When the connection broke.
     pub(super) at: Duration,
+    /// For a part, the requests with it that were lost.
+    pub(super) contents: Vec<Fingerprint>,
+}
+
+impl Crash {
+    /// Adds the requests with a part that `other` reports of the same crash.
+    pub(super) fn merge(&mut self, other: &Self) {
+        for content in &other.contents {
+            let known = self.contents.contains(content);
+            if !known && self.contents.len() < MAX_CONTENTS {
+                self.contents.push(*content);
+            }
+        }
+    }
 }
 
 /// A request that may have caused crashes.
@@ -25,7 +43,7 @@
     pub(super) index: usize,
     /// Crashes not attributed to a quarantined request.
     pub(super) crashes: &'a [&'a Crash],
-    /// Number of independent crashes among them ([`events`]).
+    /// Number of independent crashes among them ([`support`]).
     pub(super) events: usize,
     /// Total time that the request ran before the crashes. Among requests that were
     /// always lost together, the one with the shortest total is the most likely cause.
@@ -33,12 +51,12 @@
 }
 
 impl<'a> Candidate<'a> {
-    pub(super) fn new(index: usize, crashes: &'a [&'a Crash]) -> Self {
+    pub(super) fn new(index: usize, kind: Kind, crashes: &'a [&'a Crash]) -> Self {
         let run_times = crashes.iter().map(|c| c.at.saturating_sub(c.sent));
         Self {
             index,
             crashes,
-            events: events(crashes),
+            events: support(kind, crashes),
             run_time: run_times.fold(Duration::ZERO, Duration::saturating_add),
         }
     }
@@ -59,6 +77,52 @@
     crashes.iter().enumerate().filter(counts).count()
 }
 
+/// Number of independent crashes that speak against a suspect. A request that is sent again
+/// and again is a suspect itself, so it supports a part that it has only once.
+pub(super) fn support(kind: Kind, crashes: &[&Crash]) -> usize {
+    match kind {
+        Kind::Request => events(crashes),
+        Kind::Part { .. } => events(crashes).min(distinct_requests(crashes)),
+    }
+}
+
+/// Largest number of crashes that can each be assigned a different lost request.
+fn distinct_requests(crashes: &[&Crash]) -> usize {
+    let mut assigned: Vec<(Fingerprint, usize)> = Vec::new();
+    let found = (0..crashes.len())
+        .filter(|at| assign_request(crashes, *at, &mut assigned, &mut Vec::new()));
+    found.count()
+}
+
+/// Assigns a request to crash `at`, moving those of other crashes where necessary.
+/// `visited` are the requests that were tried for it.
+fn assign_request(
+    crashes: &[&Crash],
+    at: usize,
+    assigned: &mut Vec<(Fingerprint, usize)>,
+    visited: &mut Vec<Fingerprint>,
+) -> bool {
+    for content in &crashes[at].contents {
+        if visited.contains(content) {
+            continue;
+        }
+        visited.push(*content);
+        let holder = assigned.iter().position(|known| known.0 == *content);
+        match holder {
+            None => assigned.push((*content, at)),
+            Some(holder) => {
+                let other = assigned[holder].1;
+                if !assign_request(crashes, other, assigned, visited) {
+                    continue;
+                }
+                assigned[holder].1 = at;
+            }
+        }
+        return true;
+    }
+    false
+}
+
 /// Whether each endpoint run in `some` is also in `all`.
 pub(super) fn contains(all: &[&Crash], some: &[&Crash]) -> bool {
     let within = |crash: &&Crash| all.iter().any(|other| other.run == crash.run);
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -84,7 +84,9 @@
     pub(super) fn add(&mut self, now: Duration, kind: Kind, crash: Crash) {
         let is_new = self.crashes.is_empty() && self.until.is_none();
         self.kind = if is_new { kind } else { self.kind.max(kind) };
-        if self.crashes.iter().any(|known| known.run == crash.run) {
+        let mut crashes = self.crashes.iter_mut();
+        if let Some(known) = crashes.find(|known| known.run == crash.run) {
+            known.merge(&crash);
             return;
         }
         let index = self.crashes.partition_point(|known| known.at <= crash.at);
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -447,3 +447,19 @@
     }
     assert_eq!(quarantine.status(ms(6_000), CULPRIT).crashes, 3);
 }
+
+/// Guards against a part that is quarantined in place of a request. Two other requests with
+/// the part are sent again and again, and are lost beside the cause in one crash more.
+#[test]
+fn evaluate_repeated_requests_speak_not_against_part() {
+    let mut quarantine = Quarantine::default();
+    for run in 0..4 {
+        let crash = (run, run * 2_000);
+        let other = if run < 2 { 200 } else { 201 };
+        lose_with_parts(&mut quarantine, crash, other, &[50]);
+        if run > 0 {
+            lose_with_parts(&mut quarantine, crash, CULPRIT, &[60]);
+        }
+    }
+    assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), [CULPRIT]);
+}
