Direct: a send without a response counts when its endpoint turns out to have ended

Callers: beside cuts and callers that leave, a request ended up to 16 endpoints of which the entries had seen 13. Cause: only a connection that broke was looked at, once, by a connection to the address. A send that timed out, was withdrawn or whose caller left was forgotten, though the endpoint may end under it; and where a successor was already up, as after a partition, the check took it for the run itself. Class: news of one run credited to another at its address, and evidence that is looked at once. When the endpoint is known to have ended (its address refuses, another run responds there, or all entries found it replaced), those that it did not survive are reported, unless it was leaving.

--- a/crates/direct/src/control_sync.rs
+++ b/crates/direct/src/control_sync.rs
@@ -7,6 +7,7 @@
 //! endpoint. All entries use the same instance while it responds: the first by address of
 //! the instances that control announced, or of those in the settings until then.
 
+use crate::dispatch::crash;
 use crate::request::SharedState;
 use crate::route_follower::RouteFollower;
 use derive_more::Display;
@@ -131,6 +132,9 @@
     shared: &SharedState,
     stamps: &mut Stamps,
 ) -> Result<DemandReply, SyncError> {
+    for endpoint in shared.list_tracker.endpoints_with_lost_sends() {
+        crash::record_ended(shared, &endpoint, None);
+    }
     let (list_mark, list) = shared.list_tracker.report();
     let (observations, responding) = shared.list_tracker.take_observations();
     let (limits, limits_mark) = shared.directory.limit_report();
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod queue_position;
 mod snapshot;
+mod unresolved;
 mod versions;
 
 pub use admission::AdmissionError;
@@ -23,6 +24,7 @@
 pub use fetch::PrefixFetch;
 pub use in_flight::InFlight;
 pub use queue_position::QueuePosition;
+pub use unresolved::{RequestIdentity, UnresolvedSend};
 pub use versions::VersionRule;
 
 use crate::dialect::{EndpointRecord, Prompt};
--- a/crates/direct/src/directory/endpoint.rs
+++ b/crates/direct/src/directory/endpoint.rs
@@ -8,11 +8,13 @@
 use super::estimates::Estimates;
 use super::fetch::CacheState;
 use super::pace::SharedPace;
+use super::unresolved::{UnresolvedSend, UnresolvedSends};
 use super::versions::version_tag;
 use super::{LatencyClass, PlacementQuery, log_change};
 use crate::dialect::EndpointRecord;
 use crate::pool::{self, ConnectError, Pool};
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::{self, Candidate};
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::packing::Occupancy;
@@ -65,6 +67,8 @@
     /// Pace of the service's endpoints; `None` if it is not used.
     pub(super) service_pace: Option<SharedPace>,
     estimates: Mutex<Estimates>,
+    /// Sends that ended without a response.
+    pub(super) unresolved: UnresolvedSends,
     /// Time and result of the last check whether the process has exited.
     last_check: tokio::sync::Mutex<Option<(Instant, bool)>>,
     pub(super) admission: Admission,
@@ -119,6 +123,7 @@
             prefill_rate,
             service_pace,
             estimates: Mutex::default(),
+            unresolved: UnresolvedSends::default(),
             last_check: tokio::sync::Mutex::default(),
             admission: Admission::default(),
         }
@@ -172,6 +177,25 @@
         self.mark_replaced();
     }
 
+    /// Whether another run responds at the address and sends to this one are unresolved.
+    pub fn has_lost_sends(&self) -> bool {
+        self.gone.load(Ordering::Acquire) && !self.unresolved.is_empty()
+    }
+
+    /// Called when the process is known to have ended, at `broken_at` if a connection broke
+    /// then. Returns the sends that it did not survive; none if it was shutting down, as
+    /// the end then has another cause.
+    pub fn take_lost_sends(&self, broken_at: Option<Duration>) -> Vec<UnresolvedSend> {
+        let silence = self.silence();
+        let last_bytes = silence.and_then(|silence| uptime().checked_sub(silence));
+        let alive = broken_at.max(last_bytes).unwrap_or_default();
+        let lost = self.unresolved.take_lost(alive);
+        if self.leaving.load(Ordering::Acquire) {
+            return Vec::new();
+        }
+        lost
+    }
+
     /// Records that bytes arrived.
     pub fn record_activity(&self) {
         let now = self.start.elapsed();
--- a/crates/direct/src/directory/in_flight.rs
+++ b/crates/direct/src/directory/in_flight.rs
@@ -3,8 +3,10 @@
 use super::endpoint::Endpoint;
 use super::fetch::{PrefixFetch, Transfer};
 use super::queue_position::QueuePosition;
+use super::unresolved::{RequestIdentity, UnresolvedSend};
 use crate::dialect::Prompt;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_daemon::prelude::uptime;
 use std::sync::Arc;
 
 /// Weight of the newest first event in the moving average of slowness.
@@ -71,6 +73,8 @@
             awaiting_prefill: true,
             responded: false,
             active: true,
+            exposed: None,
+            begun: false,
         }
     }
 }
@@ -93,6 +97,10 @@
     pub(super) awaiting_prefill: bool,
     pub(super) responded: bool,
     pub(super) active: bool,
+    /// The request and when it was sent, while the endpoint may be running it.
+    pub(super) exposed: Option<(Arc<RequestIdentity>, Duration)>,
+    /// Whether the caller has received an event.
+    pub(super) begun: bool,
 }
 
 impl InFlight {
@@ -101,6 +109,23 @@
         &self.endpoint
     }
 
+    /// Called before the first byte of the request is sent. If the guard is dropped before
+    /// [`InFlight::resolve`], the send is unresolved.
+    pub fn expose(&mut self, request: &Arc<RequestIdentity>) {
+        self.exposed = Some((Arc::clone(request), uptime()));
+    }
+
+    /// Called when the endpoint has responded completely or has refused the request, or if
+    /// no byte was sent.
+    pub fn resolve(&mut self) {
+        self.exposed = None;
+    }
+
+    /// Called when the caller gets the first event.
+    pub fn record_begun(&mut self) {
+        self.begun = true;
+    }
+
     /// Prompt tokens that are not expected to be in the endpoint's prefix cache.
     pub fn uncached_tokens(&self) -> u32 {
         self.uncached_tokens as u32
@@ -170,6 +195,14 @@
         if !std::mem::take(&mut self.active) {
             return;
         }
+        if let Some((request, sent)) = self.exposed.take() {
+            self.endpoint.unresolved.push(UnresolvedSend {
+                request,
+                sent,
+                at: uptime(),
+                begun: self.begun,
+            });
+        }
         let mut estimates = self.endpoint.estimates();
         estimates.record.ended(self.responded);
         estimates.own_active = estimates.own_active.saturating_sub(1);
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -6,7 +6,7 @@
 //! from the service's resend budget. A request that has crashed endpoints is not resent
 //! (`dispatch::crash`).
 
-mod crash;
+pub(crate) mod crash;
 mod fetching;
 mod moving;
 mod refusal;
@@ -16,10 +16,12 @@
 mod waiting;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
-use crate::directory::{Endpoint, LatencyClass, Placement, PrefixFetch, QueuePosition};
+use crate::directory::{
+    Endpoint, LatencyClass, Placement, PrefixFetch, QueuePosition, RequestIdentity,
+};
 use crate::exchange::{
-    self, CompleteResponse, EndpointResponse, Loss, OutboundRequest, SendContext,
-    SendOutcome,
+    self, CompleteResponse, EndpointResponse, Loss, OutboundRequest, Refusal,
+    SendContext, SendOutcome,
 };
 use crate::lending::PlaceGuard;
 use crate::race::{Winner, race_response};
@@ -29,6 +31,7 @@
 use crate::stats::RequestRecord;
 use crate::stream::EventSource;
 use crate::usage::StartCounter;
+use crash::workspace_hash;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
@@ -82,6 +85,8 @@
     /// What may be the cause if the request crashes endpoints: the fingerprints of its
     /// content, first, and of the parts of its prompt that others may share.
     causes: Vec<Fingerprint>,
+    /// What is reported of the request if an endpoint ends under it.
+    identity: Arc<RequestIdentity>,
     service: ServiceId,
     /// Version that began the request's stream; `None` until it has begun.
     version: Option<VersionTag>,
@@ -168,7 +173,14 @@
         let usage = shared.usage.clone();
         let start_counter =
             Arc::new(StartCounter::new(usage, admitted.workspace.clone()));
+        let identity = Arc::new(RequestIdentity {
+            id: meta.id.clone(),
+            content: fingerprint,
+            parts: parts.clone(),
+            workspace: workspace_hash(admitted.workspace.as_deref()),
+        });
         let mut dispatch = Self {
+            identity,
             separate_classes,
             link: prefixes.and_then(|prefixes| prefixes.link(&table, &service)),
             class: if sensitive {
@@ -383,6 +395,9 @@
                     self.sends += 1;
                     self.record_refusal(&endpoint, reason);
                     self.log_failed_send(&endpoint, &reason.to_string());
+                    if reason == Refusal::Misdirected {
+                        crash::record_ended(&self.shared, &endpoint, None);
+                    }
                 }
                 SendOutcome::NotAdmitted(error) => {
                     self.shared.stats.not_admitted(&self.service, error);
@@ -423,6 +438,7 @@
         };
         let context = SendContext {
             id: &self.meta.id,
+            identity: &self.identity,
             prompt: &self.meta.prompt,
             position: &self.position,
             fetch,
--- a/crates/direct/src/dispatch/crash.rs
+++ b/crates/direct/src/dispatch/crash.rs
@@ -1,14 +1,14 @@
-//! Detecting whether an endpoint's process exited when a connection to it broke.
+//! Detecting whether an endpoint's process ended under the requests that it was running.
 //!
 //! A connection also breaks if it alone is reset, if the network loses the response, or
 //! if the endpoint closes it early. An endpoint whose process has exited refuses new
-//! connections.
+//! connections, until its successor accepts them and refuses requests that are meant for
+//! the run that ended.
 
 use super::Dispatch;
-use crate::directory::Endpoint;
+use crate::directory::{Endpoint, UnresolvedSend};
 use crate::exchange::Loss;
 use crate::request::SharedState;
-use crate::usage::StartCounter;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
@@ -57,28 +57,19 @@
     /// Checks in the background whether the endpoint of a broken connection has exited,
     /// and if so records the crash.
     fn check_endpoint(&self, endpoint: &Arc<Endpoint>) -> JoinHandle<()> {
-        let broken = BrokenSend {
-            shared: Arc::clone(&self.shared),
-            id: self.meta.id.clone(),
-            begun: self.record.is_none(),
-            start_counter: Arc::clone(&self.start_counter),
-            lost: LostRequest {
-                request: self.fingerprint,
-                parts: self.causes[1..].to_vec(),
-                workspace: self.workspace_hash(),
-                run: endpoint.run(),
-                domain: hash(endpoint.domain.as_bytes()),
-                sent: self.sent_at,
-                at: uptime(),
-            },
-        };
-        let now = Instant::now();
-        tokio::spawn(broken.check(Arc::clone(endpoint), now))
-    }
-
-    fn workspace_hash(&self) -> u64 {
-        let name = self.admitted.workspace.as_deref();
-        hash(name.unwrap_or_default().as_bytes())
+        let shared = Arc::clone(&self.shared);
+        let start_counter = Arc::clone(&self.start_counter);
+        let endpoint = Arc::clone(endpoint);
+        let (broken_at, at) = (Instant::now(), uptime());
+        tokio::spawn(async move {
+            if endpoint.has_exited(broken_at).await {
+                record_ended(&shared, &endpoint, Some(at));
+            } else {
+                // The endpoint is not known to have crashed. The request is assumed to
+                // have run, and is counted.
+                start_counter.count();
+            }
+        })
     }
 
     /// Records how a send was lost. Waits for the check of the endpoint only if the
@@ -99,50 +90,50 @@
     }
 }
 
-/// A request whose connection broke.
-#[derive(Debug)]
-struct BrokenSend {
-    shared: Arc<SharedState>,
-    id: RequestId,
-    /// Whether the caller had received an event.
-    begun: bool,
-    start_counter: Arc<StartCounter>,
-    lost: LostRequest,
+/// Hash of the name of a workspace.
+pub(super) fn workspace_hash(name: Option<&str>) -> u64 {
+    hash(name.unwrap_or_default().as_bytes())
 }
 
-impl BrokenSend {
-    /// Checks whether `endpoint` has exited since the connection broke at `broken_at`,
-    /// and if so records the crash.
-    async fn check(self, endpoint: Arc<Endpoint>, broken_at: Instant) {
-        if !endpoint.has_exited(broken_at).await {
-            // The endpoint did not crash. The request is assumed to have run, and is
-            // counted.
-            return self.start_counter.count();
-        }
-        let Self {
-            shared,
-            id,
+/// Records the crash of each request that was lost with an endpoint whose process has
+/// ended, at `broken_at` if a connection broke then.
+pub(crate) fn record_ended(
+    shared: &SharedState,
+    endpoint: &Arc<Endpoint>,
+    broken_at: Option<Duration>,
+) {
+    for send in endpoint.take_lost_sends(broken_at) {
+        let UnresolvedSend {
+            request,
+            sent,
+            at,
             begun,
-            lost,
-            ..
-        } = self;
-        let content = short_form(lost.request);
-        let parts = lost.parts.iter().copied().map(short_form);
-        let parts: Vec<String> = parts.collect();
-        let crashes = shared.suspects.record_loss(&endpoint, lost);
-        shared
-            .stats
-            .crashes
-            .with_label_values(&[&*endpoint.service])
-            .inc();
+        } = send;
+        let lost = LostRequest {
+            request: request.content,
+            parts: request.parts.clone(),
+            workspace: request.workspace,
+            run: endpoint.run(),
+            domain: hash(endpoint.domain.as_bytes()),
+            sent,
+            at,
+        };
+        let crashes = shared.suspects.record_loss(endpoint, lost);
+        let service = &endpoint.service;
+        let counter = &shared.stats.crashes;
+        counter.with_label_values(&[&**service]).inc();
         shared.list_tracker.endpoint_lost.notify_one();
+        let parts = request.parts.iter().copied().map(short_form);
+        let parts: Vec<String> = parts.collect();
         Event::new("endpoint-ended")
-            .field("request", id)
-            .field("content", content)
+            .field("request", &request.id)
+            .field("content", short_form(request.content))
             .field("endpoint", endpoint.run())
-            .field("service", &endpoint.service)
+            .field("service", service)
             .field("crashes", crashes)
             .field("begun", begun)
+            .field("sent_ms", uptime().saturating_sub(sent).as_millis())
+            .field("lost_ms", uptime().saturating_sub(at).as_millis())
             .field("parts", parts.join(","))
             .warn();
     }
--- a/crates/direct/src/dispatch/stream_start.rs
+++ b/crates/direct/src/dispatch/stream_start.rs
@@ -47,6 +47,7 @@
             Ok(StreamItem::Events(events)) => events,
         };
         self.start_counter.count();
+        source.record_begun();
         self.record_stream_begun(source.endpoint());
         self.share_responded();
         let (status, headers) = response_head(&source);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,7 +1,9 @@
 //! Sending one request to one endpoint.
 
 use crate::dialect::{EndpointDialect, ForwardMeta, Prompt, ResponseMeta};
-use crate::directory::{AdmissionError, Endpoint, InFlight, PrefixFetch, QueuePosition};
+use crate::directory::{
+    AdmissionError, Endpoint, InFlight, PrefixFetch, QueuePosition, RequestIdentity,
+};
 use crate::pool::{self, ConnectError, Connection};
 use bytes::Bytes;
 use derive_more::Display;
@@ -103,7 +105,10 @@
     /// # Errors
     ///
     /// [`Loss`] if the body is incomplete.
-    pub async fn read_body(self, deadline: Instant) -> Result<CompleteResponse, Loss> {
+    pub async fn read_body(
+        mut self,
+        deadline: Instant,
+    ) -> Result<CompleteResponse, Loss> {
         let endpoint = Arc::clone(self.in_flight.endpoint());
         let body = Limited::new(self.body, MAX_BUFFERED_RESPONSE).collect();
         let collected = timeout_at(deadline, body).await;
@@ -116,6 +121,7 @@
             Err(_) => return Err(Loss::Timeout),
         };
         endpoint.record_activity();
+        self.in_flight.resolve();
         self.connection.response_completed();
         if self.meta.reusable {
             endpoint
@@ -149,16 +155,25 @@
     forward: &ForwardMeta<'_>,
     context: SendContext<'_>,
 ) -> SendOutcome {
-    let in_flight =
+    let mut in_flight =
         endpoint.begin_fetching(context.prompt, context.position, context.fetch);
     let request = build_request(dialect, outbound, forward, endpoint);
     let mut permit = None;
-    let pooled = send_pooled(endpoint, request, &mut permit, context.deadline).await;
+    let exposure = Exposure {
+        in_flight: &mut in_flight,
+        identity: context.identity,
+    };
+    let pooled =
+        send_pooled(endpoint, request, &mut permit, exposure, context.deadline).await;
     // A pooled connection may have been closed before the request began to be written. A
     // new connection is tried once.
     let attempted = match pooled {
         Attempt::Unsent(request) => {
-            send_new(endpoint, request, permit, context.deadline).await
+            let exposure = Exposure {
+                in_flight: &mut in_flight,
+                identity: context.identity,
+            };
+            send_new(endpoint, request, permit, exposure, context.deadline).await
         }
         other => other,
     };
@@ -195,11 +210,18 @@
     Lost(Loss),
 }
 
+/// Marks a request as exposed to the crash of its endpoint while it is sent.
+struct Exposure<'a> {
+    in_flight: &'a mut InFlight,
+    identity: &'a Arc<RequestIdentity>,
+}
+
 /// Sends on a pooled connection, if there is one.
 async fn send_pooled(
     endpoint: &Endpoint,
     request: Request<Full<Bytes>>,
     permit: &mut Option<Permit>,
+    exposure: Exposure<'_>,
     deadline: Instant,
 ) -> Attempt {
     let Some(connection) = endpoint.pool.take() else {
@@ -212,7 +234,7 @@
             return Attempt::NotAdmitted(error);
         }
     }
-    attempt(connection, request, deadline).await
+    attempt(connection, request, exposure, deadline).await
 }
 
 /// Sends on a new connection. The placement is older than the time to connect, and the
@@ -221,6 +243,7 @@
     endpoint: &Endpoint,
     request: Request<Full<Bytes>>,
     permit: Option<Permit>,
+    exposure: Exposure<'_>,
     deadline: Instant,
 ) -> Attempt {
     let connection = match connect(endpoint, deadline).await {
@@ -238,7 +261,7 @@
         None => endpoint.admit().map(|_| ()),
     };
     match admitted {
-        Ok(()) => attempt(connection, request, deadline).await,
+        Ok(()) => attempt(connection, request, exposure, deadline).await,
         Err(error) => Attempt::NotAdmitted(error),
     }
 }
@@ -246,14 +269,19 @@
 async fn attempt(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    exposure: Exposure<'_>,
     deadline: Instant,
 ) -> Attempt {
     connection.request_started();
+    exposure.in_flight.expose(exposure.identity);
     match timeout_at(deadline, connection.sender.try_send_request(request)).await {
         Err(_) => Attempt::Lost(Loss::Timeout),
         Ok(Ok(response)) => Attempt::Head(response, connection),
         Ok(Err(mut error)) => match error.take_message() {
-            Some(request) => Attempt::Unsent(request),
+            Some(request) => {
+                exposure.in_flight.resolve();
+                Attempt::Unsent(request)
+            }
             None => Attempt::Lost(Loss::ConnectionBroken),
         },
     }
@@ -264,6 +292,8 @@
 pub struct SendContext<'a> {
     /// Request id.
     pub id: &'a str,
+    /// What is reported of the request if its endpoint ends under it.
+    pub identity: &'a Arc<RequestIdentity>,
     /// Prompt.
     pub prompt: &'a Prompt,
     /// Position in the service's queue.
@@ -342,6 +372,7 @@
             StatusCode::TOO_MANY_REQUESTS => Refusal::Full,
             _ => Refusal::Expired,
         };
+        in_flight.resolve();
         if reason == Refusal::Misdirected {
             // The connection leads to another run.
             endpoint.record_misdirected();
--- a/crates/direct/src/list_tracker.rs
+++ b/crates/direct/src/list_tracker.rs
@@ -225,6 +225,14 @@
         (observations, alive)
     }
 
+    /// Endpoints that another run has replaced and whose lost requests are not recorded.
+    pub fn endpoints_with_lost_sends(&self) -> Vec<Arc<Endpoint>> {
+        let state = self.state();
+        let endpoints = state.endpoints.iter().flatten();
+        let lost = endpoints.filter(|endpoint| endpoint.has_lost_sends());
+        lost.cloned().collect()
+    }
+
     /// What to report to control: the mark of the list in use, and this entry's newest
     /// own read, without content that control already has.
     pub fn report(&self) -> (Mark, Option<ListRead>) {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -62,12 +62,18 @@
         self.response.in_flight.endpoint()
     }
 
+    /// Called when the caller gets the first event.
+    pub fn record_begun(&mut self) {
+        self.response.in_flight.record_begun();
+    }
+
     /// Waits for the next complete events, or for the end of the stream. Cancel safe.
     pub async fn next(&mut self) -> StreamItem {
         loop {
             let Some(frame) = self.response.body.frame().await else {
                 let complete = !self.splitter.has_partial();
                 return if complete {
+                    self.response.in_flight.resolve();
                     StreamItem::End
                 } else {
                     self.broken()
@@ -86,8 +92,9 @@
         }
     }
 
-    fn broken(&self) -> StreamItem {
+    fn broken(&mut self) -> StreamItem {
         self.endpoint().record_outcome(true);
+        self.response.in_flight.finish();
         StreamItem::Broken(Loss::ConnectionBroken)
     }
 
--- a/crates/direct/tests/all/quarantine.rs
+++ b/crates/direct/tests/all/quarantine.rs
@@ -18,6 +18,7 @@
 use dogwoodhill_core::fingerprint::{Fingerprinter, RequestContent};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_direct::dialect::EndpointRecord;
+use dogwoodhill_policy::quarantine::REPORT_TIME;
 use dogwoodhill_route::prelude::*;
 use dogwoodhill_wire::demand::{DEMAND_PATH, DemandReply, SuspectRequest, Suspects};
 use std::net::SocketAddr;
@@ -275,6 +276,77 @@
     assert_eq!(endpoint.seen().len(), 1);
 }
 
+/// While reports about a third crash are awaited, the request is refused as not run. What
+/// is already at an endpoint stays there, since the request may be a bystander.
+#[tokio::test]
+async fn held_request_refused_until_reported() {
+    let running = ScriptedEndpoint::start(vec![Act::Hang]).await;
+    let suspect = Arc::new(Mutex::new(SuspectRequest::default()));
+    let control = control_reporting(Arc::clone(&suspect)).await;
+    let entry = Entry::with_control(vec![control]).await;
+    entry.shared.activate_routes(RouteTable::new(route_set()));
+    entry.set_endpoints(&[&running]);
+    let hold = async {
+        wait_until("the endpoint has the request", async || {
+            !running.seen().is_empty()
+        })
+        .await;
+        *suspect.lock().expect("not poisoned") = SuspectRequest {
+            request: fingerprint(),
+            crashes: 3,
+            remaining: Some(REPORT_TIME),
+        };
+        wait_until("the entry holds the request", async || {
+            let suspects = &entry.shared.suspects;
+            suspects.quarantine_remaining(&[fingerprint()]).is_some()
+        })
+        .await;
+        entry.call("POST /once/", "", CRASH_BODY).await
+    };
+    let call = entry.call_as("first", "POST /once/", "", CRASH_BODY);
+    let got = tokio::select! {
+        got = call => panic!("not withdrawn: {got:?}"),
+        got = hold => got,
+    };
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.body.contains("not-run"), "{got:?}");
+    assert_eq!(running.seen().len(), 1);
+    *suspect.lock().expect("not poisoned") = SuspectRequest {
+        request: fingerprint(),
+        crashes: 3,
+        remaining: None,
+    };
+    wait_until("the hold has ended", async || {
+        let suspects = &entry.shared.suspects;
+        suspects.quarantine_remaining(&[fingerprint()]).is_none()
+    })
+    .await;
+}
+
+/// Control lifts a quarantine that later crashes have refuted.
+#[tokio::test]
+async fn lifted_request_served() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let suspect = Arc::new(Mutex::new(SuspectRequest {
+        request: fingerprint(),
+        crashes: 3,
+        remaining: Some(Duration::from_secs(60)),
+    }));
+    let control = control_reporting(Arc::clone(&suspect)).await;
+    let entry = Entry::with_control(vec![control]).await;
+    entry.shared.activate_routes(RouteTable::new(route_set()));
+    entry.set_endpoints(&[&endpoint]);
+    let is_quarantined = || {
+        let suspects = &entry.shared.suspects;
+        suspects.quarantine_remaining(&[fingerprint()]).is_some()
+    };
+    wait_until("the entry is told", async || is_quarantined()).await;
+    suspect.lock().expect("not poisoned").remaining = Some(Duration::ZERO);
+    wait_until("the quarantine is lifted", async || !is_quarantined()).await;
+    let got = entry.call("POST /once/", "", CRASH_BODY).await;
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
 /// A process that exits closes its sockets one after the other. It may accept the
 /// connection by which the entry checks it, and then close that as well.
 #[tokio::test]
--- a/crates/direct/tests/all/staleness.rs
+++ b/crates/direct/tests/all/staleness.rs
@@ -7,7 +7,9 @@
     EndpointList, EndpointRecord, FetchFuture, ForwardMeta, ListContent, PageToken,
     Prompt,
 };
-use dogwoodhill_direct::directory::{AdmissionError, Directory, QueuePosition};
+use dogwoodhill_direct::directory::{
+    AdmissionError, Directory, QueuePosition, RequestIdentity,
+};
 use dogwoodhill_direct::exchange::{self, OutboundRequest, SendContext, SendOutcome};
 use dogwoodhill_direct::list_reader;
 use dogwoodhill_direct::list_tracker::ListTracker;
@@ -163,7 +165,9 @@
         resume_after: None,
         fetch_from: None,
     };
+    let identity = Arc::new(RequestIdentity::default());
     let context = SendContext {
+        identity: &identity,
         id: "r-1",
         prompt: &prompt,
         position: &QueuePosition::default(),
