Quarantine: several causes at a time are weighed together

Cause: a request was blamed unless one other accounts for all of its crashes; a bystander of two causes has none. Class: alternatives considered one at a time. Change: where a request does not account for all crashes since its first, others with at most one crash less may account for its crashes together. A single cause, which does, is found as before. Evidence: evaluate_bystander_of_two_causes_spared failed (100 in place of 1 and 2), and passes; evaluate_never_bystanders holds unchanged.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -27,6 +27,9 @@
 //!   not blamed.
 //! * If several requests were lost with the same endpoints, none of them is quarantined
 //!   until their crashes differ, or until six crashes.
+//! * Where no single request accounts for all crashes, several causes are at work. A request
+//!   is then quarantined only for crashes that others with about as many do not account
+//!   for together.
 //! * A request and the parts of its prompt do not compete: if either is the cause, the
 //!   request crashes endpoints. A part that others share is quarantined only for crashes
 //!   that no quarantined request accounts for.
@@ -591,7 +594,14 @@
     ) -> Option<Deferral> {
         match self.suspects[candidate.index].kind {
             Kind::Request if candidate.events >= CERTAIN_CRASHES => None,
-            Kind::Request => self.request_rival(candidate, open).map(Deferral::Rival),
+            Kind::Request => {
+                let rival = self.request_rival(candidate, open).map(Deferral::Rival);
+                rival.or_else(|| {
+                    let accounted = !explains_all(now, candidate, open)
+                        && self.is_accounted_for(candidate, open);
+                    accounted.then_some(Deferral::Accounted)
+                })
+            }
             Kind::Part { .. } => {
                 let sole = self.is_sole_part(now, candidate, open);
                 (!sole).then_some(Deferral::Accounted)
@@ -606,18 +616,43 @@
         candidate: &Candidate<'_>,
         open: &[(usize, Vec<&Crash>)],
     ) -> Option<Fingerprint> {
-        let request = &self.suspects[candidate.index];
         let rival = open.iter().find(|(at, crashes)| {
-            let other = &self.suspects[*at];
-            *at != candidate.index
-                && !other.is_doubtful()
-                && !request.has_part(other.request)
+            self.is_rival(candidate, *at)
                 && contains(crashes, candidate.crashes)
-                && support(other.kind, crashes) >= candidate.events
+                && support(self.suspects[*at].kind, crashes) >= candidate.events
         });
         rival.map(|(at, _)| self.suspects[*at].request)
     }
 
+    /// Whether rivals with at most one crash less together account for all crashes of a
+    /// request. If several causes are at work, a bystander of two of them may have as many
+    /// crashes as each.
+    fn is_accounted_for(
+        &self,
+        candidate: &Candidate<'_>,
+        open: &[(usize, Vec<&Crash>)],
+    ) -> bool {
+        let rivals: Vec<&Vec<&Crash>> = open
+            .iter()
+            .filter(|(at, crashes)| {
+                self.is_rival(candidate, *at)
+                    && support(self.suspects[*at].kind, crashes) + 1 >= candidate.events
+            })
+            .map(|(_, crashes)| crashes)
+            .collect();
+        let mut crashes = candidate.crashes.iter();
+        crashes.all(|crash| rivals.iter().any(|rival| contains(rival, &[*crash])))
+    }
+
+    /// Whether the suspect at `at` competes with a request: it is not a part of it, nor a
+    /// part that is often served.
+    fn is_rival(&self, candidate: &Candidate<'_>, at: usize) -> bool {
+        let other = &self.suspects[at];
+        at != candidate.index
+            && !other.is_doubtful()
+            && !self.suspects[candidate.index].has_part(other.request)
+    }
+
     /// Whether the crashes under a part are not accounted for by more likely suspects:
     /// those lost with more endpoints, served less often or that concern fewer callers.
     /// Two parts may be the cause at a time, so the suspects are taken together.
@@ -753,6 +788,23 @@
     }
 }
 
+/// Whether all crashes since the first one of `candidate` are its crashes.
+fn explains_all(
+    now: Duration,
+    candidate: &Candidate<'_>,
+    open: &[(usize, Vec<&Crash>)],
+) -> bool {
+    let Some(first) = candidate.crashes.first() else {
+        return false;
+    };
+    let mut crashes = open.iter().flat_map(|(_, crashes)| crashes);
+    crashes.all(|crash| {
+        crash.at < first.at
+            || !is_reported(now, crash)
+            || contains(candidate.crashes, &[*crash])
+    })
+}
+
 /// Whether all entries have had the time to report what they lost in a crash.
 fn is_reported(now: Duration, crash: &Crash) -> bool {
     now.saturating_sub(crash.at) >= REPORT_TIME
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -463,3 +463,38 @@
     }
     assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), [CULPRIT]);
 }
+
+/// Guards against a bystander of two causes that is quarantined in place of both: no single
+/// one of them accounts for its three crashes.
+#[test]
+fn evaluate_bystander_of_two_causes_spared() {
+    const OTHER_CULPRIT: Fingerprint = 2;
+    let bystander = 100;
+    let mut quarantine = Quarantine::default();
+    // The cause of each crash, and whether the bystander was there.
+    let series = [
+        (CULPRIT, true),
+        (OTHER_CULPRIT, true),
+        (OTHER_CULPRIT, false),
+        (CULPRIT, true),
+        (OTHER_CULPRIT, false),
+        (CULPRIT, false),
+        (CULPRIT, false),
+    ];
+    let mut quarantined = Vec::new();
+    for (run, (cause, beside)) in (0..).zip(series) {
+        if quarantined.contains(&cause) {
+            continue;
+        }
+        let others = beside.then_some(bystander);
+        crash(
+            &mut quarantine,
+            run,
+            run * 1_000,
+            others.into_iter().chain([cause]),
+        );
+        quarantined.extend(evaluate(&mut quarantine, run * 1_000 + 900));
+    }
+    quarantined.sort_unstable();
+    assert_eq!(quarantined, [CULPRIT, OTHER_CULPRIT]);
+}
