--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -45,17 +45,19 @@
 
 mod attribution;
 mod crash;
+mod findings;
 mod suspect;
+mod verdict;
+
+pub use findings::{Deferral, Deferred, Findings, LiftedQuarantine, NewQuarantine};
+pub use suspect::EntryHash;
 
 use attribution::Attribution;
-use crash::{Candidate, Crash, contains, events, support};
-use derive_more::Display;
-use dogwoodhill_core::fingerprint::short_form;
+use crash::{Crash, events};
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
 use suspect::{Kind, Suspect};
-
-pub use suspect::EntryHash;
+use verdict::Judged;
 
 /// Crashes from which a request is quarantined; fewer occur by chance.
 pub const QUARANTINE_CRASHES: usize = 3;
@@ -137,101 +139,6 @@
     pub status: SuspectStatus,
 }
 
-/// Result of [`Quarantine::evaluate`].
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Findings {
-    /// Requests and parts that were quarantined.
-    pub quarantined: Vec<NewQuarantine>,
-    /// Quarantines that were ended early.
-    pub lifted: Vec<LiftedQuarantine>,
-    /// Suspects with enough crashes that were not quarantined.
-    pub deferred: Vec<Deferred>,
-}
-
-/// A request or part that was quarantined by [`Quarantine::evaluate`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NewQuarantine {
-    /// Fingerprint of the request's content, or of the part.
-    pub request: Fingerprint,
-    /// Whether it is a part of prompts.
-    pub is_part: bool,
-    /// Hash of its workspace.
-    pub workspace: u64,
-    /// Crashes attributed to it.
-    pub crashes: usize,
-    /// Number of its quarantines so far, including this one.
-    pub times: u32,
-}
-
-impl NewQuarantine {
-    /// The log event for operators.
-    pub fn event(&self) -> Event {
-        let (event, key) = if self.is_part {
-            ("part-quarantined", "part")
-        } else {
-            ("request-quarantined", "content")
-        };
-        Event::new(event)
-            .field(key, short_form(self.request))
-            .field("crashes", self.crashes)
-            .field("times", self.times)
-            .field("for_s", quarantine_period(self.times).as_secs())
-    }
-}
-
-/// Why a suspect with enough crashes is not quarantined.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Deferral {
-    /// Another suspect accounts for all of its crashes.
-    #[display("rival")]
-    Rival(Fingerprint),
-    /// More likely suspects together account for all of its crashes.
-    #[display("accounted")]
-    Accounted,
-}
-
-/// A suspect with enough crashes that is not quarantined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Deferred {
-    /// Fingerprint of the request's content, or of the part.
-    pub request: Fingerprint,
-    /// Whether it is a part of prompts.
-    pub is_part: bool,
-    /// Its crashes that are not attributed to others.
-    pub crashes: usize,
-    /// Why it is not quarantined.
-    pub deferral: Deferral,
-}
-
-impl Deferred {
-    /// The log event for operators.
-    pub fn event(&self) -> Event {
-        let key = if self.is_part { "part" } else { "content" };
-        let event = Event::new("verdict-deferred")
-            .field(key, short_form(self.request))
-            .field("crashes", self.crashes)
-            .field("reason", self.deferral);
-        match self.deferral {
-            Deferral::Rival(rival) => event.field("rival", short_form(rival)),
-            Deferral::Accounted => event,
-        }
-    }
-}
-
-/// A suspect with enough crashes: its index, its crashes, and why it is not the cause.
-struct Judged {
-    index: usize,
-    crashes: usize,
-    deferral: Option<Deferral>,
-}
-
-impl LiftedQuarantine {
-    /// The log event for operators.
-    pub fn event(&self) -> Event {
-        Event::new("quarantine-lifted").field("content", short_form(self.request))
-    }
-}
-
 /// Whether an endpoint that was alive at `alive` did not crash at `lost`.
 pub fn outlived(lost: Duration, alive: Duration) -> bool {
     alive > lost + TIME_ERROR
@@ -243,15 +150,6 @@
     FIRST_PERIOD.saturating_mul(factor).min(MAX_PERIOD)
 }
 
-/// A quarantine that was ended early, since other causes account for its crashes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LiftedQuarantine {
-    /// Fingerprint of the request's content, or of the part.
-    pub request: Fingerprint,
-    /// Hash of its workspace.
-    pub workspace: u64,
-}
-
 /// An endpoint that was reported lost.
 #[derive(Clone, Debug)]
 struct LostEndpoint {
@@ -534,152 +432,6 @@
         deferred.collect()
     }
 
-    /// Judges the suspects with enough crashes; those with more come first. Only crashes
-    /// count that all entries have reported and that are not attributed to a quarantined
-    /// request.
-    fn judge(&self, now: Duration) -> Vec<Judged> {
-        let enough = |suspect: &Suspect| {
-            suspect.until.is_none()
-                && suspect.crashes.len() >= QUARANTINE_CRASHES
-                && !suspect.is_doubtful()
-        };
-        // In the usual case nothing has enough crashes but parts that all prompts of a
-        // workspace share, and nothing has to be compared.
-        if !self.suspects.iter().any(enough) {
-            return Vec::new();
-        }
-        let attribution = Attribution::new(&self.suspects);
-        let open: Vec<(usize, Vec<&Crash>)> = (0..)
-            .zip(&self.suspects)
-            .filter(|(_, suspect)| suspect.until.is_none() && !suspect.is_innocent())
-            .map(|(at, suspect)| (at, attribution.open_crashes(suspect)))
-            .collect();
-        let complete: Vec<(usize, Vec<&Crash>)> = open
-            .iter()
-            .filter(|(at, _)| {
-                let suspect = &self.suspects[*at];
-                suspect.is_due(now) && !suspect.is_doubtful()
-            })
-            .map(|(at, crashes)| {
-                let reported = crashes.iter().filter(|crash| is_reported(now, crash));
-                (*at, reported.copied().collect())
-            })
-            .collect();
-        let mut candidates: Vec<Candidate<'_>> = complete
-            .iter()
-            .map(|(at, crashes)| Candidate::new(*at, self.suspects[*at].kind, crashes))
-            .filter(|candidate| candidate.events >= QUARANTINE_CRASHES)
-            .collect();
-        candidates.sort_by_key(|c| {
-            let kind = self.suspects[c.index].kind;
-            (Reverse(c.events), Reverse(kind), c.run_time, c.index)
-        });
-        let judged = candidates.iter().map(|candidate| Judged {
-            index: candidate.index,
-            crashes: candidate.events,
-            deferral: self.deferral(now, candidate, &open),
-        });
-        judged.collect()
-    }
-
-    /// Why a candidate is not quarantined; `None` if it is the cause.
-    fn deferral(
-        &self,
-        now: Duration,
-        candidate: &Candidate<'_>,
-        open: &[(usize, Vec<&Crash>)],
-    ) -> Option<Deferral> {
-        match self.suspects[candidate.index].kind {
-            Kind::Request if candidate.events >= CERTAIN_CRASHES => None,
-            Kind::Request => {
-                let rival = self.request_rival(candidate, open).map(Deferral::Rival);
-                rival.or_else(|| {
-                    let accounted = !explains_all(now, candidate, open)
-                        && self.is_accounted_for(candidate, open);
-                    accounted.then_some(Deferral::Accounted)
-                })
-            }
-            Kind::Part { .. } => {
-                let sole = self.is_sole_part(now, candidate, open);
-                (!sole).then_some(Deferral::Accounted)
-            }
-        }
-    }
-
-    /// Another suspect in `open` that accounts for all crashes of a request, except the
-    /// parts of its own prompt and parts that are often served.
-    fn request_rival(
-        &self,
-        candidate: &Candidate<'_>,
-        open: &[(usize, Vec<&Crash>)],
-    ) -> Option<Fingerprint> {
-        let rival = open.iter().find(|(at, crashes)| {
-            self.is_rival(candidate, *at)
-                && contains(crashes, candidate.crashes)
-                && support(self.suspects[*at].kind, crashes) >= candidate.events
-        });
-        rival.map(|(at, _)| self.suspects[*at].request)
-    }
-
-    /// Whether rivals with at most one crash less together account for all crashes of a
-    /// request. If several causes are at work, a bystander of two of them may have as many
-    /// crashes as each.
-    fn is_accounted_for(
-        &self,
-        candidate: &Candidate<'_>,
-        open: &[(usize, Vec<&Crash>)],
-    ) -> bool {
-        let rivals: Vec<&Vec<&Crash>> = open
-            .iter()
-            .filter(|(at, crashes)| {
-                self.is_rival(candidate, *at)
-                    && support(self.suspects[*at].kind, crashes) + 1 >= candidate.events
-            })
-            .map(|(_, crashes)| crashes)
-            .collect();
-        let mut crashes = candidate.crashes.iter();
-        crashes.all(|crash| rivals.iter().any(|rival| contains(rival, &[*crash])))
-    }
-
-    /// Whether the suspect at `at` competes with a request: it is not a part of it, nor a
-    /// part that is often served.
-    fn is_rival(&self, candidate: &Candidate<'_>, at: usize) -> bool {
-        let other = &self.suspects[at];
-        at != candidate.index
-            && !other.is_doubtful()
-            && !self.suspects[candidate.index].has_part(other.request)
-    }
-
-    /// Whether the crashes under a part are not accounted for by more likely suspects:
-    /// those lost with more endpoints, served less often or that concern fewer callers.
-    /// Two parts may be the cause at a time, so the suspects are taken together.
-    fn is_sole_part(
-        &self,
-        now: Duration,
-        candidate: &Candidate<'_>,
-        open: &[(usize, Vec<&Crash>)],
-    ) -> bool {
-        let weight = |at: usize, events: usize| {
-            let suspect = &self.suspects[at];
-            (events, Reverse(suspect.served()), suspect.kind)
-        };
-        let own = weight(candidate.index, candidate.events);
-        let rivals: Vec<&Vec<&Crash>> = open
-            .iter()
-            .filter(|(at, crashes)| {
-                let reported = crashes.iter().filter(|crash| is_reported(now, crash));
-                let reported: Vec<&Crash> = reported.copied().collect();
-                let support = support(self.suspects[*at].kind, &reported);
-                *at != candidate.index && weight(*at, support) >= own
-            })
-            .map(|(_, crashes)| crashes)
-            .collect();
-        !candidate
-            .crashes
-            .iter()
-            .all(|crash| rivals.iter().any(|rival| contains(rival, &[*crash])))
-    }
-
     /// The crashes and the quarantine of a request.
     pub fn status(&self, now: Duration, request: Fingerprint) -> SuspectStatus {
         let Ok(at) = self.find(request) else {
@@ -785,28 +537,6 @@
     }
 }
 
-/// Whether all crashes since the first one of `candidate` are its crashes.
-fn explains_all(
-    now: Duration,
-    candidate: &Candidate<'_>,
-    open: &[(usize, Vec<&Crash>)],
-) -> bool {
-    let Some(first) = candidate.crashes.first() else {
-        return false;
-    };
-    let mut crashes = open.iter().flat_map(|(_, crashes)| crashes);
-    crashes.all(|crash| {
-        crash.at < first.at
-            || !is_reported(now, crash)
-            || contains(candidate.crashes, &[*crash])
-    })
-}
-
-/// Whether all entries have had the time to report what they lost in a crash.
-fn is_reported(now: Duration, crash: &Crash) -> bool {
-    now.saturating_sub(crash.at) >= REPORT_TIME
-}
-
 /// Removes the item with the least weight, ignoring those without one.
 fn remove_least<T, W: Ord>(items: &mut Vec<T>, weight: impl Fn(&T) -> Option<W>) {
     let weighed = items.iter().enumerate();
