Quarantine: one more crash where chance or a repeated request explains three

Cause: three crashes in common are no proof where dozens are lost with each endpoint and sent again to the few that are left, nor against a part while a request that was lost in the same crash has three itself. Class: a fixed number of coincidences, whatever the number of chances. Change: where eight requests were lost in all but one of a request's three crashes, it needs a fourth; a part needs five (the users' bound for parts) while a request with three shares the newest crash. Evidence: evaluate_bystander_in_crowd_spared and evaluate_part_beside_repeated_request_spared failed (the bystander, the part found), and pass; virtual time for parts as before.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -30,6 +30,8 @@
 //! * Where no single request accounts for all crashes, several causes are at work. A request
 //!   is then quarantined only for crashes that others with about as many do not account
 //!   for together.
+//! * Where many requests share all but one of the crashes of a request, one crash more is
+//!   needed. A part needs five while a request with enough crashes shares the newest of them.
 //! * A request and the parts of its prompt do not compete: if either is the cause, the
 //!   request crashes endpoints. A part that others share is quarantined only for crashes
 //!   that no quarantined request accounts for.
@@ -67,6 +69,12 @@
 /// endpoints. Suspects run apart from each other after two crashes, so those that are not
 /// the cause would have been served by then.
 const CERTAIN_CRASHES: usize = 6;
+/// Crashes from which a part is quarantined although a request that was lost in the newest
+/// of them has enough crashes itself.
+const CERTAIN_PART_CRASHES: usize = 5;
+/// Number of requests that were lost in all but one of another's crashes, from which one of
+/// them is expected in the last one by chance: one in eight endpoints crashes with it.
+const CROWD: usize = 8;
 /// Time from the second crash under a part until it may be quarantined: entries learn
 /// that it is a suspect with their next report, and report with the one after that
 /// whether they serve it.
--- a/crates/policy/src/quarantine/verdict.rs
+++ b/crates/policy/src/quarantine/verdict.rs
@@ -7,7 +7,10 @@
 use super::attribution::Attribution;
 use super::crash::{Candidate, Crash, contains, support};
 use super::suspect::{Kind, Suspect};
-use super::{CERTAIN_CRASHES, Deferral, QUARANTINE_CRASHES, Quarantine, REPORT_TIME};
+use super::{
+    CERTAIN_CRASHES, CERTAIN_PART_CRASHES, CROWD, Deferral, QUARANTINE_CRASHES,
+    Quarantine, REPORT_TIME,
+};
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
 
@@ -81,11 +84,13 @@
                 rival.or_else(|| {
                     let accounted = !explains_all(now, candidate, open)
                         && self.is_accounted_for(candidate, open);
-                    accounted.then_some(Deferral::Accounted)
+                    let doubtful = accounted || self.is_crowded(candidate, open);
+                    doubtful.then_some(Deferral::Accounted)
                 })
             }
             Kind::Part { .. } => {
-                let sole = self.is_sole_part(now, candidate, open);
+                let sole = self.is_sole_part(now, candidate, open)
+                    && !self.is_contested(candidate, open);
                 (!sole).then_some(Deferral::Accounted)
             }
         }
@@ -126,6 +131,47 @@
         crashes.all(|crash| rivals.iter().any(|rival| contains(rival, &[*crash])))
     }
 
+    /// Whether so many other requests were lost in all but one of a request's few crashes
+    /// that one of them is to be expected in the last one as well.
+    fn is_crowded(
+        &self,
+        candidate: &Candidate<'_>,
+        open: &[(usize, Vec<&Crash>)],
+    ) -> bool {
+        if candidate.events > QUARANTINE_CRASHES {
+            return false;
+        }
+        let near = open.iter().filter(|(at, crashes)| {
+            let missed = candidate
+                .crashes
+                .iter()
+                .filter(|crash| !contains(crashes, &[**crash]));
+            self.suspects[*at].kind == Kind::Request
+                && *at != candidate.index
+                && missed.count() == 1
+        });
+        near.count() >= CROWD
+    }
+
+    /// Whether a request that has enough crashes itself was lost in the newest crash of a
+    /// part with few of them.
+    fn is_contested(
+        &self,
+        candidate: &Candidate<'_>,
+        open: &[(usize, Vec<&Crash>)],
+    ) -> bool {
+        let Some(newest) = candidate.crashes.last() else {
+            return false;
+        };
+        candidate.events < CERTAIN_PART_CRASHES
+            && open.iter().any(|(at, crashes)| {
+                let kind = self.suspects[*at].kind;
+                kind == Kind::Request
+                    && contains(crashes, &[*newest])
+                    && support(kind, crashes) >= QUARANTINE_CRASHES
+            })
+    }
+
     /// Whether the suspect at `at` competes with a request: it is not a part of it, nor a
     /// part that is often served.
     fn is_rival(&self, candidate: &Candidate<'_>, at: usize) -> bool {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -498,3 +498,49 @@
     quarantined.sort_unstable();
     assert_eq!(quarantined, [CULPRIT, OTHER_CULPRIT]);
 }
+
+/// Guards against a bystander that is quarantined under heavy load: with forty requests lost
+/// in each crash and sent again, some share three of them by chance.
+#[test]
+fn evaluate_bystander_in_crowd_spared() {
+    let bystander = 100;
+    let mut quarantine = Quarantine::default();
+    // Ten requests are lost in each two crashes, the bystander in all three.
+    let crowd = |from: Fingerprint| from..from + 10;
+    for (run, others) in [
+        crowd(200).chain(crowd(300)),
+        crowd(200).chain(crowd(400)),
+        crowd(300).chain(crowd(400)),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let run = run as u64;
+        crash(&mut quarantine, run, run * 1_000, others.chain([bystander]));
+    }
+    assert_eq!(evaluate(&mut quarantine, 2_000 + CONFIRMED_MS), []);
+    for run in 3..7 {
+        crash(&mut quarantine, run, run * 1_000, [CULPRIT]);
+    }
+    assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), [CULPRIT]);
+}
+
+/// Guards against a part that takes the crashes of a request. Different requests with the
+/// part were lost beside the cause, once each, and with one endpoint more.
+#[test]
+fn evaluate_part_beside_repeated_request_spared() {
+    let mut quarantine = Quarantine::default();
+    for run in 0..4 {
+        let crash = (run, run * 2_000);
+        let other = 200 + Fingerprint::from(run);
+        lose_with_parts(&mut quarantine, crash, other, &[50]);
+        if run > 0 {
+            lose_with_parts(&mut quarantine, crash, CULPRIT, &[60]);
+            // Nothing tells this one from the cause yet.
+            lose_with_parts(&mut quarantine, crash, 300, &[70]);
+        }
+    }
+    assert_eq!(evaluate(&mut quarantine, 6_000 + CONFIRMED_MS), []);
+    lose_with_parts(&mut quarantine, (4, 8_000), CULPRIT, &[60]);
+    assert_eq!(evaluate(&mut quarantine, 8_000 + CONFIRMED_MS), [CULPRIT]);
+}
