--- a/crates/policy/src/quarantine/findings.rs
+++ b/crates/policy/src/quarantine/findings.rs
@@ -5,7 +5,7 @@
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 
-/// Result of [`Quarantine::evaluate`].
+/// Result of [`super::Quarantine::evaluate`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Findings {
     /// Requests and parts that were quarantined.
@@ -16,7 +16,7 @@
     pub deferred: Vec<Deferred>,
 }
 
-/// A request or part that was quarantined by [`Quarantine::evaluate`].
+/// A request or part that was quarantined by [`super::Quarantine::evaluate`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewQuarantine {
     /// Fingerprint of the request's content, or of the part.
