Test of refused attempts: no attempt is in flight at the deadline

refused_attempts_outcome_not_run failed once beside load ("unknown" for "not-run"). Cause, shown by a trial that stalls the runtime for 320 ms while an attempt with a deadline of 300 ms is at the agent: the entry answers 504 and unknown, which is true, since an attempt that has not been answered may run. The test relied on the deadline falling between two attempts. Now the service loses its endpoints after two refusals, so the request waits without one when its deadline passes; what is asserted is unchanged (504, not-run, more than one attempt).

--- a/tests/all/invalid_answers.rs
+++ b/tests/all/invalid_answers.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 /// Returns the frames with which a fake agent answers an attempt.
 type AnswerScript = fn(&Attempt) -> Vec<u8>;
@@ -198,8 +199,17 @@
     };
     let (address, calls) = start_fake_agent(script).await;
     let entry = StandaloneEntry::start(address).await;
-    let headers = [("x-request-timeout", "300ms")];
-    let response = entry.chat(&headers, &chat_body("x", 3, true)).await;
+    let headers = [("x-request-timeout", "3s")];
+    let body = chat_body("x", 3, true);
+    // An attempt that is in flight at the deadline may run, so the request waits without
+    // an endpoint before that.
+    let withdraw = async {
+        while calls.load(Ordering::Relaxed) < 2 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        entry.withdraw_endpoints();
+    };
+    let (response, ()) = tokio::join!(entry.chat(&headers, &body), withdraw);
     assert_eq!(response.status(), 504);
     assert_eq!(header(&response, "x-outcome"), "not-run");
     assert!(calls.load(Ordering::Relaxed) > 1);
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use dogwoodhill::core::document::ServiceDocument;
 use dogwoodhill::daemon::drain::Drain;
+use dogwoodhill::entry::entry::Core;
 use dogwoodhill::entry::table::Service;
 use dogwoodhill::entry::{Entry, Settings};
 use dogwoodhill::local::{
@@ -124,6 +125,8 @@
 /// endpoint is behind the agent at `agent`.
 pub(crate) struct StandaloneEntry {
     pub(crate) caller_address: SocketAddr,
+    core: Arc<Core>,
+    document: ServiceDocument,
     drain: Drain,
     task: tokio::task::JoinHandle<()>,
 }
@@ -135,13 +138,17 @@
         settings.linger = Duration::ZERO;
         let entry = Entry::bind(settings, drain.clone()).await.unwrap();
         let text = model_document(agent, agent);
+        let document = ServiceDocument::parse("sample", &text).unwrap();
         let service = Service {
             revision: 1,
-            document: Arc::new(ServiceDocument::parse("sample", &text).unwrap()),
+            document: Arc::new(document.clone()),
         };
-        entry.core().install(1, vec![service]);
+        let core = entry.core();
+        core.install(1, vec![service]);
         Self {
             caller_address: entry.address(),
+            core,
+            document,
             drain,
             task: tokio::spawn(entry.run()),
         }
@@ -156,6 +163,19 @@
         send(request("POST", self.caller_address, path, headers, body)).await
     }
 
+    /// Installs the service without endpoints.
+    pub(crate) fn withdraw_endpoints(&self) {
+        let document = ServiceDocument {
+            endpoints: Vec::new(),
+            ..self.document.clone()
+        };
+        let service = Service {
+            revision: 2,
+            document: Arc::new(document),
+        };
+        self.core.install(2, vec![service]);
+    }
+
     pub(crate) async fn stop(self) {
         self.drain.begin();
         self.task.await.unwrap();
