Control: a change of the log overrides no later decision

A request that was quarantined again after its quarantine was lifted could be let on: each change of the log applied all of its entries anew, so the older entry (times 0) ended the quarantine that was not in the log yet; in the same way a lifted quarantine came back. Found by reading the change. Entries that were applied are passed over now. with_log_applied_entry_overrides_nothing failed (remaining 0), and passes. Suspects are judged at most ten times a second.

--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -12,9 +12,8 @@
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
-use dogwoodhill_policy::quarantine::REPORT_TIME;
 use dogwoodhill_policy::quarantine::{
-    Deferred, Findings, LostRequest, Quarantine, SuspectNotice,
+    Deferred, Findings, LostRequest, Quarantine, REPORT_TIME, SuspectNotice,
 };
 use dogwoodhill_wire::demand::{DemandReport, SuspectRequest, Suspects};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -30,7 +29,9 @@
 /// Delay between two attempts.
 const LOG_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Deferred suspects that are logged for one report.
+/// Interval at which suspects are judged. Hundreds of entries report twice a second.
+const JUDGEMENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Deferred suspects that are logged for one judgement.
 const MAX_DEFERRED_LINES: usize = 8;
 
 /// Losses and findings, and the requests quarantined in the log.
@@ -39,6 +40,10 @@
     quarantine: Quarantine,
     /// Suspects whose deferral is logged.
     deferred: Vec<Deferred>,
+    /// When suspects were judged last.
+    judged: Option<Duration>,
+    /// Requests in the log that were applied, with the number of their quarantines, sorted.
+    applied: Vec<(Fingerprint, u32)>,
     log: Option<watch::Receiver<Vec<(Quarantined, Duration)>>>,
 }
 
@@ -120,7 +125,12 @@
                     .info();
             }
         }
-        let findings = quarantine.evaluate(now);
+        let elapsed = state.judged.map(|at| now.saturating_sub(at));
+        if elapsed.is_some_and(|elapsed| elapsed < JUDGEMENT_INTERVAL) {
+            return Findings::default();
+        }
+        state.judged = Some(now);
+        let findings = state.quarantine.evaluate(now);
         state.log_judgement(&findings.deferred);
         findings
     }
@@ -166,7 +176,8 @@
         }
     }
 
-    /// Processes requests that were quarantined in the log since the last call.
+    /// Processes what was changed in the log since the last call. Entries that were applied
+    /// before may be outdated: a later decision of this instance may not be in the log yet.
     fn apply_log(&mut self, now: Duration) {
         let Some(log) = &mut self.log else {
             return;
@@ -174,15 +185,22 @@
         if !log.has_changed().unwrap_or(false) {
             return;
         }
-        for (quarantined, remaining) in log.borrow_and_update().iter() {
-            let (request, workspace) = (quarantined.request, quarantined.workspace);
-            if quarantined.is_lifted() {
-                self.quarantine.lift(now, request);
+        let logged = log.borrow_and_update();
+        for (quarantined, remaining) in logged.iter() {
+            let (request, times) = (quarantined.request, quarantined.times);
+            if self.applied.binary_search(&(request, times)).is_ok() {
                 continue;
             }
-            self.quarantine
-                .take(now, request, workspace, quarantined.times, *remaining);
+            let quarantine = &mut self.quarantine;
+            if quarantined.is_lifted() {
+                quarantine.lift(now, request);
+            } else {
+                quarantine.take(now, request, quarantined.workspace, times, *remaining);
+            }
         }
+        let applied = logged.iter().map(|(one, _)| (one.request, one.times));
+        self.applied = applied.collect();
+        self.applied.sort_unstable();
     }
 }
 
--- a/crates/control/src/state/quarantine.rs
+++ b/crates/control/src/state/quarantine.rs
@@ -21,8 +21,8 @@
 }
 
 impl Quarantined {
-    /// A request whose quarantine was lifted. It is stored for as long as the quarantine
-    /// would have lasted, so that no instance applies that again.
+    /// A request whose quarantine was lifted. It is stored for the length of a first
+    /// quarantine, so that instances that have applied the quarantine learn of it.
     pub(crate) fn lifted(request: Fingerprint, workspace: u64) -> Self {
         Self {
             request,
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -196,3 +196,30 @@
     let returned = requests(tracker.suspects(LATER, before.mark));
     assert_eq!(returned[0].remaining, Some(Duration::ZERO));
 }
+
+/// A request is quarantined again after its quarantine was lifted, and the log changes
+/// before it has the new one.
+#[test]
+fn with_log_applied_entry_overrides_nothing() {
+    let lifted = Quarantined {
+        request: REQUEST,
+        workspace: 1,
+        times: 0,
+    };
+    let (sender, log) = watch::channel(vec![(lifted, ms(500_000))]);
+    let tracker = QuarantineTracker::with_log(log);
+    lost_by_three(&tracker);
+    let found = tracker.report(LATER, Duration::ZERO, &entry_report("d", vec![]), &[]);
+    assert_eq!(found.quarantined.len(), 1);
+    let other = Quarantined {
+        request: 8,
+        workspace: 1,
+        times: 1,
+    };
+    sender.send_replace(vec![(lifted, ms(400_000)), (other, ms(600_000))]);
+    let later = LATER + ms(1_000);
+    tracker.report(later, Duration::ZERO, &entry_report("d", vec![]), &[]);
+    let returned = requests(tracker.suspects(later, 0));
+    let remaining = returned[0].remaining.expect("still quarantined");
+    assert!(remaining > ms(500_000), "{remaining:?}");
+}
