--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -48,6 +48,7 @@
 mod attribution;
 mod crash;
 mod findings;
+mod run_set;
 mod suspect;
 mod verdict;
 
@@ -59,22 +60,12 @@
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
 use suspect::{Kind, Suspect};
-use verdict::Judged;
+use verdict::{Judged, judge};
 
 /// Crashes from which a request is quarantined; fewer occur by chance.
 pub const QUARANTINE_CRASHES: usize = 3;
 /// Crashes from which a request is a suspect.
 pub const SUSPECT_CRASHES: usize = 2;
-/// Crashes from which a request is quarantined although others were lost with the same
-/// endpoints. Suspects run apart from each other after two crashes, so those that are not
-/// the cause would have been served by then.
-const CERTAIN_CRASHES: usize = 6;
-/// Crashes from which a part is quarantined although a request that was lost in the newest
-/// of them has enough crashes itself.
-const CERTAIN_PART_CRASHES: usize = 5;
-/// Number of requests that were lost in all but one of another's crashes, from which one of
-/// them is expected in the last one by chance: one in eight endpoints crashes with it.
-const CROWD: usize = 8;
 /// Time from the second crash under a part until it may be quarantined: entries learn
 /// that it is a suspect with their next report, and report with the one after that
 /// whether they serve it.
@@ -96,7 +87,7 @@
 const FIRST_PERIOD: Duration = Duration::from_secs(600);
 /// Upper bound of the length of a quarantine.
 const MAX_PERIOD: Duration = Duration::from_secs(24 * 3_600);
-/// Maximum number of requests that are stored, and of parts, some 200 bytes each.
+/// Maximum number of requests that are stored, and of parts, up to 2 KB each.
 const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of requests of one workspace that are stored, and of parts, so that no
 /// workspace can displace the requests of others.
@@ -375,20 +366,18 @@
         if suspect.until.is_none() || suspect.crashes.is_empty() {
             return false;
         }
-        let is_part = suspect.kind != Kind::Request;
         let causes = self.suspects.iter().filter(|other| {
             other.request != suspect.request
                 && other.until.is_some()
                 && other.kind == Kind::Request
         });
-        if is_part {
-            let causes: Vec<&Suspect> = causes.collect();
-            let explained =
-                |crash: &Crash| causes.iter().any(|one| one.ran_on(&crash.run));
-            return suspect.crashes.iter().all(explained);
+        let causes: Vec<&Suspect> = causes.collect();
+        if suspect.kind == Kind::Request {
+            return causes.iter().any(|cause| cause.includes(suspect));
         }
-        let mut causes = causes;
-        causes.any(|other| other.includes(suspect))
+        let is_explained =
+            |crash: &Crash| causes.iter().any(|cause| cause.ran_on(&crash.run));
+        suspect.crashes.iter().all(is_explained)
     }
 
     /// Quarantines each request with at least [`QUARANTINE_CRASHES`] crashes that no
@@ -398,7 +387,7 @@
         self.expire(now);
         let mut findings = Findings::default();
         loop {
-            let judged = self.judge(now);
+            let judged = judge(now, &self.suspects);
             let cause = judged.iter().find(|judged| judged.deferral.is_none());
             let Some(cause) = cause else {
                 findings.deferred = self.deferred(&judged);
--- a/crates/policy/src/quarantine/crash.rs
+++ b/crates/policy/src/quarantine/crash.rs
@@ -37,31 +37,6 @@
     }
 }
 
-/// A request that may have caused crashes.
-pub(super) struct Candidate<'a> {
-    /// Index of the request among the suspects.
-    pub(super) index: usize,
-    /// Crashes not attributed to a quarantined request.
-    pub(super) crashes: &'a [&'a Crash],
-    /// Number of independent crashes among them ([`support`]).
-    pub(super) events: usize,
-    /// Total time that the request ran before the crashes. Among requests that were
-    /// always lost together, the one with the shortest total is the most likely cause.
-    pub(super) run_time: Duration,
-}
-
-impl<'a> Candidate<'a> {
-    pub(super) fn new(index: usize, kind: Kind, crashes: &'a [&'a Crash]) -> Self {
-        let run_times = crashes.iter().map(|c| c.at.saturating_sub(c.sent));
-        Self {
-            index,
-            crashes,
-            events: support(kind, crashes),
-            run_time: run_times.fold(Duration::ZERO, Duration::saturating_add),
-        }
-    }
-}
-
 /// Number of independent crashes. Of endpoints of one failure domain that crashed within
 /// [`DOMAIN_LOSS_WINDOW`], at most [`SUSPECT_CRASHES`] count, since the domain may have
 /// been lost. The crash of an endpoint to which the request was sent only after another
@@ -122,9 +97,3 @@
     }
     false
 }
-
-/// Whether each endpoint run in `some` is also in `all`.
-pub(super) fn contains(all: &[&Crash], some: &[&Crash]) -> bool {
-    let within = |crash: &&Crash| all.iter().any(|other| other.run == crash.run);
-    some.iter().all(within)
-}
--- a/crates/policy/src/quarantine/findings.rs
+++ b/crates/policy/src/quarantine/findings.rs
@@ -72,6 +72,12 @@
     /// More likely suspects together account for all of its crashes.
     #[display("accounted")]
     Accounted,
+    /// So many requests share most of its crashes that one of them may share all by chance.
+    #[display("chance")]
+    Chance,
+    /// It is a part, and a request with enough crashes shares the newest.
+    #[display("contested")]
+    Contested,
 }
 
 /// A suspect with enough crashes that is not quarantined.
@@ -97,7 +103,7 @@
             .field("reason", self.deferral);
         match self.deferral {
             Deferral::Rival(rival) => event.field("rival", short_form(rival)),
-            Deferral::Accounted => event,
+            _ => event,
         }
     }
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -544,3 +544,22 @@
     lose_with_parts(&mut quarantine, (4, 8_000), CULPRIT, &[60]);
     assert_eq!(evaluate(&mut quarantine, 8_000 + CONFIRMED_MS), [CULPRIT]);
 }
+
+/// After an outage there are thousands of suspects with several crashes. Only the most
+/// suspected are compared with all others.
+#[test]
+fn evaluate_thousands_of_suspects_bounded() {
+    let mut quarantine = Quarantine::default();
+    for request in 0..4_000 {
+        for turn in 0..4 {
+            let run = (request * 7 + turn * 11) % 30;
+            let loss = LostRequest {
+                workspace: request % 8,
+                ..loss(request.into(), run, run * 400)
+            };
+            quarantine.record_loss(ms(13_000), &loss);
+        }
+    }
+    let findings = quarantine.evaluate(ms(20_000));
+    assert!(findings.deferred.len() <= 64, "{}", findings.deferred.len());
+}
