--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -11,13 +11,13 @@
 /// Number of the last request.
 static LAST: AtomicU64 = AtomicU64::new(0);
 
-/// A request for `path` with a deadline.
-pub fn request(path: &str, deadline: Duration, body: Vec<u8>) -> Message {
+/// A request for `path` with a deadline in milliseconds.
+pub fn request(path: &str, deadline_ms: u32, body: Vec<u8>) -> Message {
     let number = LAST.fetch_add(1, Ordering::Relaxed);
     let headers = vec![
         ("Host".to_string(), HOST.to_string()),
         ("Request-Id".to_string(), format!("{number:016x}")),
-        ("Deadline-Ms".to_string(), deadline.as_millis().to_string()),
+        ("Deadline-Ms".to_string(), deadline_ms.to_string()),
     ];
     Message {
         start: format!("POST {path} HTTP/1.1"),
--- a/review/standin/founding.rs
+++ b/review/standin/founding.rs
@@ -55,7 +55,8 @@
     let replicas: Vec<Replica> = (0..MACHINES)
         .map(|at| Replica::start(&format!("i-{at}"), work, record))
         .collect();
-    let mut machines = Machines::new(MACHINES, serve_list(&replicas));
+    let listed: Vec<_> = replicas.iter().map(Replica::listed).collect();
+    let mut machines = Machines::new(MACHINES, serve_list(&listed));
     let others = FIRST + 1..MACHINES;
     let without_power: Vec<_> = others.clone().map(|at| machines.silence(at)).collect();
     start(&mut machines, FIRST, true, record);
@@ -83,7 +84,7 @@
     thread::sleep(Duration::from_secs(3));
     let wait = Duration::from_secs(3);
     let served = (0..REQUESTS).filter(|at| {
-        let request = client::request("/a/x", Duration::from_secs(2), Vec::new());
+        let request = client::request("/a/x", 2_000, Vec::new());
         client::send(machines.front(at % MACHINES), &request, wait, record) == 200
     });
     let served = served.count();
--- a/review/standin/machines.rs
+++ b/review/standin/machines.rs
@@ -3,8 +3,10 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// Ports that are the same on all machines.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +39,15 @@
     socket.local_addr().expect("the socket is bound").port()
 }
 
+/// Kills a process, if it runs.
+fn end(child: &mut Option<Child>) {
+    if let Some(mut child) = child.take() {
+        // Fails only if the process has ended.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 impl Machines {
     /// `count` machines with empty disks; none is started. `list` is the platform.
     pub fn new(count: usize, list: SocketAddr) -> Self {
@@ -137,25 +148,61 @@
         let log = path.with_extension("log");
         let log = File::options().create(true).append(true).open(log);
         let log = log.expect("the temporary folder is writable");
-        Command::new(format!("target/release/dogwoodhill-platform-{role}"))
-            .arg("--settings")
-            .arg(path)
-            .stdin(Stdio::null())
+        let mut command =
+            Command::new(format!("target/release/dogwoodhill-platform-{role}"));
+        // As the platform sets it.
+        command.env("MALLOC_ARENA_MAX", "1");
+        command.arg("--settings").arg(path).stdin(Stdio::null());
+        command
             .stderr(log.try_clone().expect("the log is open"))
-            .stdout(log)
-            .spawn()
-            .expect("the programs of the deploy file are built")
+            .stdout(log);
+        let started = bind(&mut command, processor_of(machine)).spawn();
+        started.expect("the programs of the deploy file are built")
     }
 
     /// Kills both processes of a machine, as a loss of power does.
     pub fn kill(&mut self, machine: usize) {
-        for child in [&mut self.control[machine], &mut self.entry[machine]] {
-            if let Some(mut child) = child.take() {
-                // Fails only if the process has ended.
-                let _ = child.kill();
-                let _ = child.wait();
+        end(&mut self.control[machine]);
+        end(&mut self.entry[machine]);
+    }
+
+    /// Kills the entry of a machine.
+    pub fn kill_entry(&mut self, machine: usize) {
+        end(&mut self.entry[machine]);
+    }
+
+    /// Sends a signal, such as `TERM`, to the entry of a machine.
+    pub fn signal_entry(&self, machine: usize, signal: &str) {
+        if let Some(child) = &self.entry[machine] {
+            let id = child.id().to_string();
+            let sent = Command::new("kill").args(["-s", signal, &id]).status();
+            sent.expect("the kill command runs");
+        }
+    }
+
+    /// Waits until the entry of a machine exits, for `limit` at most.
+    pub fn wait_entry(&mut self, machine: usize, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while let Some(child) = &mut self.entry[machine] {
+            if matches!(child.try_wait(), Ok(Some(_))) {
+                self.entry[machine] = None;
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
             }
+            std::thread::sleep(Duration::from_millis(10));
         }
+        true
+    }
+
+    /// Resident memory of the entry of a machine, in bytes.
+    pub fn entry_memory(&self, machine: usize) -> Option<u64> {
+        let id = self.entry[machine].as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes * 1024)
     }
 }
 
@@ -167,3 +214,40 @@
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
+
+/// Processors that a mask has room for, in words.
+const MASK_WORDS: usize = 16;
+/// A set of processors.
+type Mask = [u64; MASK_WORDS];
+
+unsafe extern "C" {
+    fn sched_getaffinity(process: i32, length: usize, mask: *mut Mask) -> i32;
+    fn sched_setaffinity(process: i32, length: usize, mask: *const Mask) -> i32;
+}
+
+/// One of the processors of this process; the machines use different ones if they can.
+fn processor_of(machine: usize) -> Mask {
+    let mut usable = [0; MASK_WORDS];
+    // SAFETY: the length is that of the mask.
+    let read = unsafe { sched_getaffinity(0, size_of::<Mask>(), &mut usable) };
+    assert!(read >= 0, "the system names the processors");
+    let numbers = (0..MASK_WORDS * 64).filter(|at| usable[at / 64] >> (at % 64) & 1 == 1);
+    let numbers: Vec<usize> = numbers.collect();
+    let number = numbers[machine % numbers.len()];
+    let mut mask = [0; MASK_WORDS];
+    mask[number / 64] = 1 << (number % 64);
+    mask
+}
+
+/// Makes a process see one processor, as those of the platform do.
+fn bind(command: &mut Command, mask: Mask) -> &mut Command {
+    let call = move || {
+        // SAFETY: the length is that of the mask.
+        match unsafe { sched_setaffinity(0, size_of::<Mask>(), &mask) } {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        }
+    };
+    // SAFETY: the closure makes one call of the system and allocates nothing.
+    unsafe { command.pre_exec(call) }
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,12 +6,15 @@
 //! `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod engine;
 mod founding;
 mod http;
 mod machines;
+mod memory;
 mod operator;
 mod record;
 mod replica;
+mod stopping;
 
 use record::Record;
 use std::path::Path;
@@ -34,6 +37,8 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(Path::new(folder));
     let verdict = match name.as_str() {
+        "memory" => memory::play(trouble, &record),
+        "stopping" => stopping::play(trouble, &record),
         "founding" => founding::play(trouble, &record),
         _ => Verdict::CannotRun(format!("there is no case {name}")),
     };
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -49,6 +49,11 @@
         replica
     }
 
+    /// Name and address, for the list.
+    pub fn listed(&self) -> (String, SocketAddr) {
+        (self.id.clone(), self.address)
+    }
+
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
@@ -90,14 +95,13 @@
 }
 
 /// Serves the platform's list of `replicas`.
-pub fn serve_list(replicas: &[Replica]) -> SocketAddr {
+pub fn serve_list(replicas: &[(String, SocketAddr)]) -> SocketAddr {
     let socket = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = socket.local_addr().expect("the socket is bound");
-    let instances = replicas.iter().enumerate().map(|(zone, replica)| {
+    let instances = replicas.iter().enumerate().map(|(zone, (id, address))| {
         format!(
-            r#"{{"id":"{}","service":"{SERVICE}","address":"{}","zone":"zone-{zone}",
-                "version":"v1","slots":64,"state":"ready","cold_left_ms":0}}"#,
-            replica.id, replica.address
+            r#"{{"id":"{id}","service":"{SERVICE}","address":"{address}","zone":"zone-{zone}",
+                "version":"v1","slots":64,"state":"ready","cold_left_ms":0}}"#
         )
     });
     let instances = instances.collect::<Vec<String>>().join(",");
