--- /dev/null
+++ b/review/standins-2/cases.rs
@@ -0,0 +1,231 @@
+//! The cases. Each returns 1 if its rule was broken and 0 if it held.
+
+use crate::desk::*;
+use crate::kit::*;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Instant;
+
+/// Another writer's entry of the list holds bytes that can't be read.
+pub fn unreadable_entry(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 4);
+    let (platform, mut deployment) = deploy(record, 3, 3, entries(&desk, "ready"));
+    let fronts = deployment.fronts();
+    // The name of the entry holds two control characters, as no JSON text may.
+    let unreadable =
+        b"{\"service\":\"desk\",\"id\":\"i-9\x01\x07\",\"state\":\"ready\"}".to_vec();
+    let foreign = if trouble() {
+        vec![unreadable]
+    } else {
+        Vec::new()
+    };
+    platform.set(page(&[entries(&desk, "ready"), foreign.clone()].concat()));
+    record.line("the list holds the entry of another writer");
+    sleep(2_000);
+
+    let clients = Clients::start(record, &fronts, 4);
+    sleep(1_000);
+    let (leaving, staying) = desk.split_at(1);
+    let list = [
+        entries(leaving, "draining"),
+        entries(staying, "ready"),
+        foreign.clone(),
+    ];
+    leaving[0].leaving.store(true, Ordering::SeqCst);
+    platform.set(page(&list.concat()));
+    let shown = Instant::now();
+    record.line(&format!("the list shows {} as draining", leaving[0].id));
+    sleep(8_000);
+    let (late, latest) = late_runs(leaving, shown);
+    let (sent, served) = clients.finish();
+    record.say(&format!(
+        "DRAIN: {late} of {sent} requests ran at the leaving replica later than 3000 ms \
+         after the list shows it, the last one after {latest} ms"
+    ));
+    leaving[0].down.store(true, Ordering::SeqCst);
+    platform.set(page(&[entries(staying, "ready"), foreign].concat()));
+    let before = served as f64 / sent.max(1) as f64;
+
+    deployment.kill_all(ms(500));
+    thread::sleep(RECOVER);
+    let clients = Clients::start(record, &fronts, 4);
+    sleep(5_000);
+    let (sent, served) = clients.finish();
+    let after = served as f64 / sent.max(1) as f64;
+    record.say(&format!(
+        "RECOVER: {:.0} of 100 requests served before all processes were killed, {served} of \
+         {sent} from 12 s after their start on",
+        before * 100.0
+    ));
+    let broken = late > 0 || (before >= 0.25 && after < 0.25);
+    verdict(
+        record,
+        broken,
+        "DRAIN and RECOVER, one entry of the list can't be read",
+    )
+}
+
+/// The list loses more than half of its entries while replicas begin to leave.
+pub fn shrunk_list(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 4);
+    let voice = replicas(record, "voice", 120, 12);
+    let all = [entries(&desk, "ready"), entries(&voice, "ready")].concat();
+    let (platform, deployment) = deploy(record, 3, 8, all);
+    let clients = Clients::start(record, &deployment.fronts(), 2);
+    if trouble() {
+        for one in &voice {
+            one.down.store(true, Ordering::SeqCst);
+        }
+        record.line("all replicas of voice crash; they stay on the list for 5 s");
+    }
+    // Readers read once a second: any phase of theirs may meet the change.
+    sleep(5_000 + u64::from(std::process::id()) % 1_000);
+    let (leaving, staying) = desk.split_at(2);
+    let mut list = [entries(leaving, "draining"), entries(staying, "ready")].concat();
+    if !trouble() {
+        list.extend(entries(&voice, "ready"));
+    }
+    platform.set(page(&list));
+    let shown = Instant::now();
+    record.line(&format!(
+        "the list shows {} and {} as draining, and has {} entries",
+        leaving[0].id,
+        leaving[1].id,
+        list.len()
+    ));
+    sleep(7_000);
+    let (late, latest) = late_runs(leaving, shown);
+    let (sent, served) = clients.finish();
+    record.say(&format!(
+        "{served} of {sent} requests served; {late} ran at a leaving replica later than \
+         3000 ms after the list shows it, the last one after {latest} ms"
+    ));
+    verdict(
+        record,
+        late > 0,
+        "DRAIN, most of the list is gone in the same moment",
+    )
+}
+
+/// A first start at which the lowest of the three seeds has no disk.
+pub fn first_start(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 2);
+    let address = free(host(200));
+    let platform = Platform::start(address);
+    platform.set(page(&entries(&desk, "ready")));
+    let mut deployment = Deployment::new(record, 4, 2, address);
+    // The seeds are the addresses of the instances 0 to 2.
+    deployment.diskless = vec![if trouble() { 0 } else { 3 }];
+    deployment.start(&[ZONE.to_string()]);
+    let control = deployment.control_addresses();
+    let acknowledged = put_config(record, &control, &config(1), ms(40_000));
+    let clients = Clients::start(record, &deployment.fronts(), 2);
+    sleep(5_000);
+    let (sent, served) = clients.finish();
+    record.say(&format!(
+        "the first configuration, sent for up to 40 s, is acknowledged: {acknowledged}; \
+         {served} of {sent} requests served"
+    ));
+    let broken = !acknowledged || served == 0;
+    verdict(
+        record,
+        broken,
+        "Fault, no request is served after a first start",
+    )
+}
+
+/// Configurations that PROTOCOL.md calls invalid.
+pub fn invalid_config(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 2);
+    let (_platform, deployment) = deploy(record, 3, 1, entries(&desk, "ready"));
+    let control = deployment.control_addresses()[0];
+    let service = "\"service\":\"desk\"";
+    let split = |first: &str, second: &str| {
+        format!(
+            "\"traffic_split\":[{{\"service\":\"desk\",\"weight\":{first}}},\
+             {{\"service\":\"desk\",\"weight\":{second}}}]"
+        )
+    };
+    let bad = |invalid: &str, valid: &str| {
+        (if trouble() { invalid } else { valid }).to_string()
+    };
+    let route = [
+        (
+            "a route names an unknown service beside its split",
+            format!(
+                "{},{}",
+                bad("\"service\":\"gone\"", service),
+                split("90", "10")
+            ),
+        ),
+        ("a route's weights add up to 0", split("1", &bad("-1", "1"))),
+        (
+            "the text can't be read in full: bytes that are no UTF-8",
+            format!("{service},\"note\":\"{}\"", bad("\u{1}\u{1}", "ok")),
+        ),
+    ];
+    let mut broken = Vec::new();
+    for (at, (what, fields)) in route.iter().enumerate() {
+        let version = at as u64 + 2;
+        let text = config(version).replace(service, fields);
+        // The two control characters stand for bytes that no text of JSON holds.
+        let byte = |byte: u8| if byte == 1 { 0xff } else { byte };
+        let body: Vec<u8> = text.bytes().map(byte).collect();
+        let headers = [("Host", "control"), ("Content-Type", "application/json")];
+        let put = attempt(control, "PUT /config HTTP/1.1", &headers, &body, ms(5_000));
+        let get = attempt(control, "GET /config HTTP/1.1", &headers, b"", ms(5_000));
+        let held = match &get {
+            Outcome::Answer(answer) => answer.body == body,
+            _ => false,
+        };
+        record.say(&format!(
+            "{what}, version {version}: PUT is answered {}, GET {}; it is in force: {held}",
+            put.short(),
+            get.short()
+        ));
+        match (trouble(), put.status()) {
+            (true, 200) => broken.push(*what),
+            (false, status) if status != 200 => cannot_run(&"a valid one is refused"),
+            _ => {}
+        }
+    }
+    let text = format!(
+        "CONFIG, invalid configurations acknowledged: {}",
+        broken.len()
+    );
+    verdict(record, !broken.is_empty(), &text)
+}
+
+/// Requests with many short header fields, far below `max_header_bytes`.
+pub fn many_fields(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 2);
+    let (_platform, deployment) = deploy(record, 3, 2, entries(&desk, "ready"));
+    let count = if trouble() { 120 } else { 80 };
+    let names: Vec<String> = (0..count).map(|at| format!("X-Tag-{at}")).collect();
+    let (mut sent, mut denied) = (0, 0);
+    for front in deployment.fronts() {
+        for _ in 0..100 {
+            let id = new_id();
+            let mut headers = vec![
+                ("Host", HOST),
+                ("Request-Id", id.as_str()),
+                ("Deadline-Ms", "1500"),
+            ];
+            headers.extend(names.iter().map(|name| (name.as_str(), "1")));
+            let outcome =
+                attempt(front, "GET /look/1 HTTP/1.1", &headers, b"", ms(1_500));
+            record.line(&format!("{id} to {front}: {}", outcome.short()));
+            sent += 1;
+            denied += usize::from((400..500).contains(&outcome.status()));
+        }
+    }
+    record.say(&format!(
+        "{denied} of {sent} requests with {count} fields more, some 1.5 KB, are denied"
+    ));
+    let broken = denied > 5 + sent / 500;
+    verdict(
+        record,
+        broken,
+        "DENIED, proper requests with many header fields",
+    )
+}
