--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -817,24 +817,35 @@
         }
     }
 
+    /// A control instance with its settings as they are now.
+    fn control(&self, at: usize) -> Process {
+        let ip = self.control_ips[at];
+        let mut fields = self.fields.clone();
+        let data = self.folder.join(format!("data-{at}"));
+        fields.set("ip", &ip.to_string());
+        fields.set("node", &format!("control-{at}"));
+        fields.set("listen.control", &format!("{ip}:{}", self.ports.control));
+        if !self.diskless.contains(&at) {
+            fields.set("data_dir", &data.display().to_string());
+        }
+        self.process(
+            &format!("control-{at}"),
+            "target/release/dogwoodhill-platform-control",
+            "deploy/control.json",
+            &fields,
+        )
+    }
+
+    /// Writes the settings of a control instance again.
+    pub fn rewrite_control(&self, at: usize) {
+        self.control(at);
+    }
+
     /// Writes the settings of all processes and starts them.
     pub fn start(&mut self, zones: &[String]) {
         self.zones = zones.to_vec();
-        for (at, ip) in self.control_ips.clone().into_iter().enumerate() {
-            let mut fields = self.fields.clone();
-            let data = self.folder.join(format!("data-{at}"));
-            fields.set("ip", &ip.to_string());
-            fields.set("node", &format!("control-{at}"));
-            fields.set("listen.control", &format!("{ip}:{}", self.ports.control));
-            if !self.diskless.contains(&at) {
-                fields.set("data_dir", &data.display().to_string());
-            }
-            let mut process = self.process(
-                &format!("control-{at}"),
-                "target/release/dogwoodhill-platform-control",
-                "deploy/control.json",
-                &fields,
-            );
+        for at in 0..self.control_ips.len() {
+            let mut process = self.control(at);
             process.start();
             self.controls.push(process);
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -21,6 +21,7 @@
         "many-fields" => cases::many_fields(&record),
         "try-faulty-replicas" => tries::faulty_replicas(&record),
         "try-restart-in-place" => tries::restart_in_place(&record),
+        "try-many-changes" => tries::many_changes(&record),
         "try-large-bodies" => tries::large_bodies(&record),
         other => kit::cannot_run(&format!("there is no case {other}")),
     };
--- a/review/standins-2/tries.rs
+++ b/review/standins-2/tries.rs
@@ -360,3 +360,138 @@
     }
     0
 }
+
+/// Thousands of changes, so that logs are compacted, while control instances are killed and
+/// lose their disks in turn. Nothing acknowledged may be lost or read back older.
+pub fn many_changes(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 2);
+    let address = free(host(200));
+    let platform = Platform::start(address);
+    platform.set(page(&entries(&desk, "ready")));
+    let mut deployment = Deployment::new(record, 4, 2, address);
+    deployment.start(&[ZONE.to_string()]);
+    let control = deployment.control_addresses();
+    if !put_config(record, &control, &config(1), ms(20_000)) {
+        cannot_run(&"the first configuration is not acknowledged");
+    }
+    let version = Arc::new(AtomicU64::new(2));
+    // Acknowledged versions, with the time.
+    let acknowledged = Arc::new(Mutex::new(vec![(Instant::now(), 1u64)]));
+    let problems: Arc<Mutex<Vec<String>>> = Arc::default();
+    let end = Instant::now() + Duration::from_secs(75);
+    let headers = [("Host", "control"), ("Content-Type", "application/json")];
+    let mut threads = Vec::new();
+    for number in 0..8usize {
+        let (control, version) = (control.clone(), Arc::clone(&version));
+        let (acknowledged, problems) = (Arc::clone(&acknowledged), Arc::clone(&problems));
+        threads.push(std::thread::spawn(move || {
+            let mut state = seed();
+            while Instant::now() < end {
+                let at = control[random(&mut state) as usize % control.len()];
+                if number < 2 {
+                    let bound = Instant::now().checked_sub(ms(2_000));
+                    let known = acknowledged.lock().unwrap().clone();
+                    let old = known.iter().filter(|one| Some(one.0) < bound);
+                    let least = old.map(|one| one.1).max().unwrap_or(0);
+                    let get =
+                        attempt(at, "GET /config HTTP/1.1", &headers, b"", ms(3_000));
+                    if let Outcome::Answer(answer) = get
+                        && answer.status() == 200
+                    {
+                        let text = answer.text();
+                        let digits = text.trim_start_matches("{\"version\":");
+                        let digits = digits.split(',').next().unwrap_or_default();
+                        let read: u64 = digits.parse().unwrap_or(0);
+                        if read < least {
+                            let text =
+                                format!("{at} has {read}, {least} was acknowledged");
+                            problems.lock().unwrap().push(text);
+                        }
+                    }
+                    sleep(20);
+                    continue;
+                }
+                let next = version.fetch_add(1, Ordering::SeqCst);
+                let mut text = config(next);
+                if next % 50 == 0 {
+                    let long = "x".repeat(300_000);
+                    text = text.replacen(
+                        "\"routes\"",
+                        &format!("\"note\":\"{long}\",\"routes\""),
+                        1,
+                    );
+                }
+                let put = attempt(
+                    at,
+                    "PUT /config HTTP/1.1",
+                    &headers,
+                    text.as_bytes(),
+                    ms(3_000),
+                );
+                match put.status() {
+                    200 => acknowledged.lock().unwrap().push((Instant::now(), next)),
+                    400..500 => problems.lock().unwrap().push(format!("{next} refused")),
+                    _ => {}
+                }
+            }
+        }));
+    }
+    let mut turn = 0;
+    deployment.fields.set("bootstrap", "false");
+    while Instant::now() + ms(9_000) < end {
+        sleep(3_000);
+        let at = turn % 4;
+        let wipe = turn % 3 == 2;
+        deployment.controls[at].kill();
+        if wipe {
+            let _ = std::fs::remove_dir_all(deployment.folder.join(format!("data-{at}")));
+        }
+        sleep(500);
+        deployment.rewrite_control(at);
+        deployment.controls[at].start();
+        record.line(&format!("control-{at} is back, disk lost: {wipe}"));
+        turn += 1;
+        sleep(1_000);
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    sleep(2_500);
+    let newest = acknowledged
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|one| one.1)
+        .max()
+        .unwrap_or(0);
+    let count = acknowledged.lock().unwrap().len();
+    for at in &control {
+        let get = attempt(*at, "GET /config HTTP/1.1", &headers, b"", ms(5_000));
+        let text = if let Outcome::Answer(answer) = &get {
+            answer.text()
+        } else {
+            String::new()
+        };
+        let head: String = text.chars().take(20).collect();
+        record.say(&format!("{at}: {} {head}", get.short()));
+    }
+    let compactions: usize = deployment
+        .controls
+        .iter()
+        .map(|one| one.log().matches("log-compacted").count())
+        .sum();
+    let restarts: usize = deployment
+        .controls
+        .iter()
+        .map(|one| {
+            one.log().matches("control-restarts").count()
+                + one.log().matches("panicked").count()
+        })
+        .sum();
+    record.say(&format!(
+        "{count} acknowledged, newest {newest}; {compactions} compactions, {restarts} restarts of \
+         their own, {turn} kills; problems: {:?}",
+        problems.lock().unwrap().iter().take(5).collect::<Vec<_>>()
+    ));
+    i32::from(!problems.lock().unwrap().is_empty())
+}
