--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 5: most of the list of replicas is gone while others begin to leave.
+# Case 5: a stream that is cut off after its first send failed.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 standins=target/review-2/standins-2
@@ -10,4 +10,4 @@
         exit 2
     fi
 done
-exec $standins shrunk-list review/5
+exec $standins cut-after-failure review/5
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 7: invalid configurations.
+# Case 7: a first start at which the lowest seed has no disk.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 standins=target/review-2/standins-2
@@ -10,4 +10,4 @@
         exit 2
     fi
 done
-exec $standins invalid-config review/7
+exec $standins first-start review/7
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,7 +2,10 @@
 
 use crate::desk::*;
 use crate::kit::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
 
@@ -229,3 +232,152 @@
         "DENIED, proper requests with many header fields",
     )
 }
+
+/// Events of a stream, and the pause between two.
+const EVENTS: u64 = 12;
+const PAUSE: u64 = 30;
+
+fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id} piece {number}\n\n")
+}
+
+fn whole_stream(id: &str) -> String {
+    (1..=EVENTS).map(|number| event(id, number)).collect()
+}
+
+/// How often each request reached a replica.
+type Sends = Arc<Mutex<HashMap<String, u64>>>;
+
+/// A replica of a stream service. Its answers have no length and end with their connection.
+/// Of a request whose id is marked with `-m`, the first send fails with a 500 of the replica
+/// (unless `TROUBLE=0`), and the next one is cut off inside its sixth event.
+fn stream_replica(record: &Record, name: String, address: SocketAddr, sends: Sends) {
+    let record = record.clone();
+    serve(address, move |mut wire| {
+        let Ok(request) = wire.read_message(false) else {
+            return;
+        };
+        let id = request.header("request-id").unwrap_or_default().to_string();
+        let seal = format!("{name}.{id}");
+        let ids = [("Request-Id", id.as_str()), ("Replica-Seal", seal.as_str())];
+        if request.path().starts_with("/look/") {
+            let _ = wire.send(&encode("HTTP/1.1 200 OK", &ids, b"ok"));
+            return;
+        }
+        let send = {
+            let mut sends = sends.lock().unwrap();
+            let send = sends.entry(id.clone()).or_default();
+            *send += 1;
+            *send
+        };
+        let marked = id.ends_with("-m");
+        if marked && trouble() && send == 1 {
+            record.line(&format!("{name} runs {id} and fails with 500"));
+            let _ = wire.send(&encode("HTTP/1.1 500 Failed", &ids, b"failed"));
+            return;
+        }
+        let cut = marked && send == if trouble() { 2 } else { 1 };
+        let after = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok());
+        let after: u64 = after.unwrap_or(0);
+        record.line(&format!("{name} runs {id} from event {}", after + 1));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nReplica-Seal: {seal}\r\n\
+             Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        );
+        let _ = wire.send(head.as_bytes());
+        for number in after + 1..=EVENTS {
+            let text = event(&id, number);
+            sleep(PAUSE);
+            if cut && number == 6 {
+                let _ = wire.send(&text.as_bytes()[..text.len() / 2]);
+                record.line(&format!("{name} breaks {id} off inside event 6"));
+                return;
+            }
+            if wire.send(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Sends a stream request; its body, whether it ended properly, and its first byte's time.
+fn read_cue(front: SocketAddr, id: &str) -> Option<(u16, String, bool, u128)> {
+    let headers = [
+        ("Host", HOST),
+        ("Request-Id", id),
+        ("Deadline-Ms", "6000"),
+        ("Model", "m"),
+        ("Token-Usage", "200,48"),
+        ("Prompt-Prefix", "5c1e07a2:100,91bd3f06:100"),
+    ];
+    let start = Instant::now();
+    let mut wire = Wire::connect(front, ms(1_000)).ok()?;
+    wire.set_limit(ms(6_000));
+    wire.send(&encode("POST /cue/1 HTTP/1.1", &headers, b"prompt"))
+        .ok()?;
+    let head = wire.read_head().ok()?;
+    let first = start.elapsed().as_millis();
+    let (body, ended) = wire.read_stream(&head);
+    let text = String::from_utf8_lossy(&body).into_owned();
+    Some((head.status(), text, ended, first))
+}
+
+/// A stream whose first send fails is sent again, and that answer is cut off inside an event.
+pub fn cut_after_failure(record: &Record) -> i32 {
+    let sends = Sends::default();
+    let mut list = Vec::new();
+    for number in 0..4u8 {
+        let address = free(host(100 + number));
+        let name = format!("i-{number:04x}");
+        stream_replica(record, name.clone(), address, Arc::clone(&sends));
+        list.push(listed(&name, "desk", address, ZONE, 64, "ready").into_bytes());
+    }
+    let (_platform, deployment) = deploy(record, 3, 1, list);
+    let route = format!(
+        "\"routes\":[{{\"name\":\"r-cue\",\"host\":\"{HOST}\",\"path_prefix\":\"/cue/\",\
+         \"kind\":\"stream\",\"timeout_ms\":6000,\"slo_ms\":600,\"priority\":0,\
+         \"service\":\"desk\",\"max_attempts\":2,\"public\":true,\"sticky\":true,\
+         \"resumable\":true,\"gap_target_ms\":120}},"
+    );
+    let text = config(2).replacen("\"routes\":[", &route, 1);
+    if !put_config(record, &deployment.control_addresses(), &text, ms(10_000)) {
+        cannot_run(&"the route for streams is not acknowledged");
+    }
+    sleep(2_500);
+    let front = deployment.fronts()[0];
+    let (mut marked, mut short, mut plain) = (0, 0, 0);
+    for round in 0..10 {
+        // Ordinary requests, which also earn the budget of second sends.
+        let ordinary = move || {
+            let id = new_id();
+            let read = read_cue(front, &id);
+            read.is_some_and(|(_, text, ended, _)| ended && text == whole_stream(&id))
+        };
+        let threads: Vec<_> = (0..12).map(|_| thread::spawn(ordinary)).collect();
+        let whole = threads.into_iter().filter_map(|one| one.join().ok());
+        plain += whole.filter(|whole| *whole).count();
+        let id = format!("{}-m", new_id());
+        let Some((status, text, ended, first)) = read_cue(front, &id) else {
+            record.say(&format!("{id}: no answer"));
+            continue;
+        };
+        let events = text.matches("\n\n").count();
+        record.say(&format!(
+            "round {round}, {id}: {status}, {events} of {EVENTS} whole events, the first byte \
+             after {first} ms; ended as complete: {ended}"
+        ));
+        marked += 1;
+        short += usize::from(status == 200 && ended && text != whole_stream(&id));
+    }
+    record.say(&format!(
+        "{short} of {marked} streams end as complete before their last piece; {plain} of 120 \
+         ordinary streams are whole"
+    ));
+    verdict(
+        record,
+        short > 0,
+        "ORDER, a stream that is cut off after a failed first send",
+    )
+}
--- a/review/standins-2/desk.rs
+++ b/review/standins-2/desk.rs
@@ -41,10 +41,21 @@
 
 /// Replicas of a service, at addresses of their own.
 pub fn replicas(record: &Record, service: &str, first: u8, count: u8) -> Vec<Replica> {
+    replicas_with(record, service, first, count, ms(10))
+}
+
+/// Replicas that work for `work` on each request.
+pub fn replicas_with(
+    record: &Record,
+    service: &str,
+    first: u8,
+    count: u8,
+    work: Duration,
+) -> Vec<Replica> {
     let start = |number: u8| {
         let id = format!("i-{:04x}", u32::from(first) * 256 + u32::from(number));
         let address = free(host(first + number));
-        Replica::start(&id, service, address, ms(10), record.clone())
+        Replica::start(&id, service, address, work, record.clone())
     };
     (0..count).map(start).collect()
 }
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -229,6 +229,24 @@
         }
     }
 
+    /// Reads a streamed body until it ends in any way; whether it ended properly.
+    pub fn read_stream(&mut self, head: &Message) -> (Vec<u8>, bool) {
+        if head.header("transfer-encoding").is_none() {
+            return match self.read_body(head, true) {
+                Ok(body) => (body, true),
+                Err(_) => (Vec::new(), false),
+            };
+        }
+        let mut body = Vec::new();
+        loop {
+            match self.read_chunk() {
+                Ok(Some(bytes)) => body.extend(bytes),
+                Ok(None) => return (body, true),
+                Err(_) => return (body, false),
+            }
+        }
+    }
+
     pub fn read_message(&mut self, is_response: bool) -> io::Result<Message> {
         let mut message = self.read_head()?;
         message.body = self.read_body(&message, is_response)?;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -19,9 +19,13 @@
         "first-start" => cases::first_start(&record),
         "invalid-config" => cases::invalid_config(&record),
         "many-fields" => cases::many_fields(&record),
+        "cut-after-failure" => cases::cut_after_failure(&record),
         "try-faulty-replicas" => tries::faulty_replicas(&record),
         "try-restart-in-place" => tries::restart_in_place(&record),
         "try-many-changes" => tries::many_changes(&record),
+        "try-planned-stops" => tries::planned_stops(&record),
+        "try-all-at-once" => tries::all_at_once(&record),
+        "try-broken-streams" => tries::broken_streams(&record),
         "try-large-bodies" => tries::large_bodies(&record),
         other => kit::cannot_run(&format!("there is no case {other}")),
     };
--- a/review/standins-2/tries.rs
+++ b/review/standins-2/tries.rs
@@ -495,3 +495,334 @@
     ));
     i32::from(!problems.lock().unwrap().is_empty())
 }
+
+/// An entry gets SIGTERM again and again while clients send on kept connections. No request
+/// that was passed on may end without an answer.
+pub fn planned_stops(record: &Record) -> i32 {
+    let desk = replicas_with(record, "desk", 100, 4, ms(60));
+    let (_platform, mut deployment) = deploy(record, 3, 2, entries(&desk, "ready"));
+    let front = deployment.fronts()[0];
+    let stop = Arc::new(AtomicU64::new(0));
+    let cut: Arc<Mutex<Vec<String>>> = Arc::default();
+    let answered = Arc::new(AtomicU64::new(0));
+    let threads: Vec<_> = (0..24)
+        .map(|_| {
+            let (stop, cut) = (Arc::clone(&stop), Arc::clone(&cut));
+            let answered = Arc::clone(&answered);
+            std::thread::spawn(move || {
+                let mut state = seed();
+                let mut kept: Option<Wire> = None;
+                while stop.load(Ordering::SeqCst) == 0 {
+                    let Some(mut wire) =
+                        kept.take().or_else(|| Wire::connect(front, ms(300)).ok())
+                    else {
+                        sleep(20);
+                        continue;
+                    };
+                    wire.set_limit(ms(2_500));
+                    let id = new_id();
+                    let headers = [
+                        ("Host", HOST),
+                        ("Request-Id", id.as_str()),
+                        ("Deadline-Ms", "1500"),
+                    ];
+                    let message = encode("POST /book/1 HTTP/1.1", &headers, b"x");
+                    if wire.send(&message).is_err() {
+                        continue;
+                    }
+                    match wire.read_message(true) {
+                        Ok(answer) => {
+                            answered.fetch_add(1, Ordering::SeqCst);
+                            let close = answer.header("connection") == Some("close");
+                            kept = (!close).then_some(wire);
+                        }
+                        Err(_) => cut.lock().unwrap().push(id),
+                    }
+                    sleep(random(&mut state) % 30);
+                }
+            })
+        })
+        .collect();
+    for _ in 0..6 {
+        sleep(3_000);
+        deployment.entries[0].signal(SIGTERM);
+        let end = Instant::now() + ms(9_000);
+        while deployment.entries[0].ended().is_none() && Instant::now() < end {
+            sleep(10);
+        }
+        deployment.entries[0].kill();
+        sleep(300);
+        deployment.entries[0].start();
+    }
+    stop.store(1, Ordering::SeqCst);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let run: Vec<String> = desk
+        .iter()
+        .flat_map(|one| one.runs.lock().unwrap().clone())
+        .map(|run| run.id)
+        .collect();
+    let cut = cut.lock().unwrap();
+    let lost = cut.iter().filter(|id| run.contains(id)).count();
+    record.say(&format!(
+        "{} answered, {} connections cut, {lost} of them with a request that ran",
+        answered.load(Ordering::SeqCst),
+        cut.len()
+    ));
+    i32::from(lost > 0)
+}
+
+/// All processes at once are stopped with SIGTERM, killed or frozen, and are back; what was
+/// acknowledged has to be read back and requests to be served 12 s later.
+pub fn all_at_once(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 4);
+    let (_platform, mut deployment) = deploy(record, 4, 2, entries(&desk, "ready"));
+    let control = deployment.control_addresses();
+    let mut failed = 0;
+    deployment.fields.set("bootstrap", "false");
+    for at in 0..4 {
+        deployment.rewrite_control(at);
+    }
+    for (round, how) in ["term", "kill", "freeze", "term", "kill"]
+        .iter()
+        .enumerate()
+    {
+        let version = round as u64 + 2;
+        let acknowledged = put_config(record, &control, &config(version), ms(10_000));
+        let all = deployment
+            .controls
+            .iter_mut()
+            .chain(&mut deployment.entries);
+        let mut all: Vec<&mut Process> = all.collect();
+        match *how {
+            "freeze" => {
+                all.iter().for_each(|one| one.signal(SIGSTOP));
+                sleep(4_000);
+                all.iter().for_each(|one| one.signal(SIGCONT));
+            }
+            how => {
+                if how == "term" {
+                    all.iter().for_each(|one| one.signal(SIGTERM));
+                    let end = Instant::now() + ms(8_000);
+                    while Instant::now() < end
+                        && all.iter_mut().any(|one| one.ended().is_none())
+                    {
+                        sleep(20);
+                    }
+                }
+                all.iter_mut().for_each(|one| one.kill());
+                sleep(300);
+                all.iter_mut().for_each(|one| one.start());
+            }
+        }
+        let start = Instant::now();
+        let mut served = None;
+        while served.is_none() && start.elapsed() < Duration::from_secs(12) {
+            let fronts = deployment.fronts();
+            if fronts
+                .iter()
+                .all(|front| look(*front, &new_id()).status() == 200)
+            {
+                served = Some(start.elapsed().as_millis());
+            }
+            sleep(20);
+        }
+        let headers = [("Host", "control")];
+        let want = format!("{{\"version\":{version},");
+        let mut reads = Vec::new();
+        for at in &control {
+            let get = attempt(*at, "GET /config HTTP/1.1", &headers, b"", ms(5_000));
+            let same = matches!(&get, Outcome::Answer(answer) if answer.text().starts_with(&want));
+            reads.push(format!("{} {same}", get.short()));
+            failed += usize::from(acknowledged && !same);
+        }
+        failed += usize::from(served.is_none());
+        record.say(&format!(
+            "{how}: acknowledged {acknowledged}, served after {served:?} ms, reads {reads:?}"
+        ));
+    }
+    i32::from(failed > 0)
+}
+
+/// The routes of [`config`], and one to streams that may be resumed and one that may not.
+fn stream_config() -> String {
+    let route = |name: &str, resumable: bool| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
+             \"kind\":\"stream\",\"timeout_ms\":6000,\"slo_ms\":600,\"priority\":0,\
+             \"service\":\"desk\",\"max_attempts\":2,\"public\":true,\"sticky\":true,\
+             \"resumable\":{resumable},\"gap_target_ms\":200}},"
+        )
+    };
+    let routes = format!("\"routes\":[{}{}", route("cue", true), route("note", false));
+    config(2).replacen("\"routes\":[", &routes, 1)
+}
+
+/// Number of events of a stream.
+const EVENTS: u64 = 30;
+
+fn event(id: &str, number: u64) -> String {
+    let long = "z".repeat((number as usize * 37) % 500);
+    format!("id: {number}\ndata: {id} {number} {long}\n\n")
+}
+
+fn stream_replica(address: SocketAddr, name: String, runs: Runs) {
+    serve(address, move |mut wire| {
+        let mut state = seed();
+        while let Ok(request) = wire.read_message(false) {
+            let id = request.header("request-id").unwrap_or_default().to_string();
+            runs.lock()
+                .unwrap()
+                .entry(id.clone())
+                .or_default()
+                .push(name.clone());
+            let after = request
+                .header("last-event-id")
+                .and_then(|text| text.parse().ok());
+            let after: u64 = after.unwrap_or(0);
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nReplica-Seal: {name}.{id}\r\n\
+                 Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            if wire.send(head.as_bytes()).is_err() {
+                return;
+            }
+            let breaks =
+                (random(&mut state) % 2 == 0).then(|| 1 + random(&mut state) % EVENTS);
+            let mut bytes = Vec::new();
+            for number in after + 1..=EVENTS {
+                let text = event(&id, number);
+                if breaks == Some(number) {
+                    let part = random(&mut state) as usize % text.len();
+                    bytes.extend_from_slice(&text.as_bytes()[..part]);
+                    let _ = wire.send(&chunk(&bytes));
+                    if random(&mut state) % 2 == 0 {
+                        sleep(random(&mut state) % 400);
+                    }
+                    return;
+                }
+                bytes.extend_from_slice(text.as_bytes());
+                if random(&mut state) % 3 > 0 {
+                    // Chunks end anywhere, also within an event.
+                    let cut =
+                        bytes.len() - random(&mut state) as usize % bytes.len().min(20);
+                    let rest = bytes.split_off(cut.max(1));
+                    if wire.send(&chunk(&bytes)).is_err() {
+                        return;
+                    }
+                    bytes = rest;
+                    sleep(random(&mut state) % 12);
+                }
+            }
+            let end = [chunk(&bytes), b"0\r\n\r\n".to_vec()].concat();
+            if wire.send(&end).is_err() {
+                return;
+            }
+        }
+    });
+}
+
+fn chunk(bytes: &[u8]) -> Vec<u8> {
+    if bytes.is_empty() {
+        return Vec::new();
+    }
+    [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
+}
+
+/// Streams from replicas that break off anywhere. No event may be missing, doubled or cut,
+/// and none that may not be resumed may run twice.
+pub fn broken_streams(record: &Record) -> i32 {
+    let runs: Runs = Arc::default();
+    let mut list = Vec::new();
+    for number in 0..4u8 {
+        let address = free(host(100 + number));
+        let name = format!("i-{number:04x}");
+        stream_replica(address, name.clone(), Arc::clone(&runs));
+        list.push(listed(&name, "desk", address, ZONE, 64, "ready").into_bytes());
+    }
+    let platform_at = free(host(201));
+    let platform = Platform::start(platform_at);
+    platform.set(page(&list));
+    let mut deployment = Deployment::new(record, 3, 2, platform_at);
+    deployment.start(&[ZONE.to_string()]);
+    if !put_config(
+        record,
+        &deployment.control_addresses(),
+        &stream_config(),
+        ms(15_000),
+    ) {
+        cannot_run(&"no configuration is acknowledged");
+    }
+    sleep(3_000);
+    let fronts = deployment.fronts();
+    let end = Instant::now() + Duration::from_secs(25);
+    let bad: Arc<Mutex<Vec<String>>> = Arc::default();
+    let counts: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
+    let threads: Vec<_> = (0..24)
+        .map(|number: usize| {
+            let front = fronts[number % 2];
+            let (runs, bad) = (Arc::clone(&runs), Arc::clone(&bad));
+            let counts = Arc::clone(&counts);
+            std::thread::spawn(move || {
+                let mut state = seed();
+                while Instant::now() < end {
+                    let id = new_id();
+                    let route = if random(&mut state) % 3 == 0 {
+                        "note"
+                    } else {
+                        "cue"
+                    };
+                    let headers = [
+                        ("Host", HOST),
+                        ("Request-Id", id.as_str()),
+                        ("Deadline-Ms", "6000"),
+                        ("Token-Usage", "200,90"),
+                        ("Prompt-Prefix", "a1:100,b2:100"),
+                        ("Model", "m"),
+                    ];
+                    let first = format!("POST /{route}/1 HTTP/1.1");
+                    let Ok(mut wire) = Wire::connect(front, ms(1_000)) else {
+                        continue;
+                    };
+                    wire.set_limit(ms(6_500));
+                    if wire.send(&encode(&first, &headers, b"prompt")).is_err() {
+                        continue;
+                    }
+                    let Ok(head) = wire.read_head() else {
+                        let word = format!("{route} no head");
+                        *counts.lock().unwrap().entry(word).or_default() += 1;
+                        continue;
+                    };
+                    let (body, whole) = wire.read_stream(&head);
+                    let word = format!("{route} {} whole {whole}", head.status());
+                    *counts.lock().unwrap().entry(word).or_default() += 1;
+                    if head.status() != 200 {
+                        continue;
+                    }
+                    let text = String::from_utf8_lossy(&body).into_owned();
+                    let all: String = (1..=EVENTS).map(|at| event(&id, at)).collect();
+                    let ends_well = text.is_empty() || text.ends_with("\n\n");
+                    if !all.starts_with(&text) || !ends_well || (whole && text != all) {
+                        bad.lock()
+                            .unwrap()
+                            .push(format!("{id} {route}: ORDER, whole {whole}"));
+                    }
+                    let times = runs.lock().unwrap().get(&id).map_or(0, Vec::len);
+                    if (route == "note" && times > 1) || times > 2 {
+                        bad.lock()
+                            .unwrap()
+                            .push(format!("{id} {route}: ran {times} times"));
+                    }
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    record.say(&format!("{:?}", counts.lock().unwrap()));
+    let bad = bad.lock().unwrap();
+    bad.iter().take(10).for_each(|one| record.say(one));
+    i32::from(!bad.is_empty())
+}
