--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -287,6 +287,10 @@
              Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         );
         let _ = wire.send(head.as_bytes());
+        if id.ends_with("-e") {
+            record.line(&format!("{name} ends {id} before its first event"));
+            return;
+        }
         for number in after + 1..=EVENTS {
             let text = event(&id, number);
             sleep(PAUSE);
@@ -324,8 +328,8 @@
     Some((head.status(), text, ended, first))
 }
 
-/// A stream whose first send fails is sent again, and that answer is cut off inside an event.
-pub fn cut_after_failure(record: &Record) -> i32 {
+/// Starts four replicas of streams and a deployment with a route to them.
+fn deploy_streams(record: &Record) -> (Platform, Deployment) {
     let sends = Sends::default();
     let mut list = Vec::new();
     for number in 0..4u8 {
@@ -334,7 +338,7 @@
         stream_replica(record, name.clone(), address, Arc::clone(&sends));
         list.push(listed(&name, "desk", address, ZONE, 64, "ready").into_bytes());
     }
-    let (_platform, deployment) = deploy(record, 3, 1, list);
+    let (platform, deployment) = deploy(record, 3, 1, list);
     let route = format!(
         "\"routes\":[{{\"name\":\"r-cue\",\"host\":\"{HOST}\",\"path_prefix\":\"/cue/\",\
          \"kind\":\"stream\",\"timeout_ms\":6000,\"slo_ms\":600,\"priority\":0,\
@@ -346,6 +350,23 @@
         cannot_run(&"the route for streams is not acknowledged");
     }
     sleep(2_500);
+    (platform, deployment)
+}
+
+/// Streams without a length whose replica ends the connection before the first event.
+pub fn empty_stream(record: &Record) -> i32 {
+    let (_platform, deployment) = deploy_streams(record);
+    let front = deployment.fronts()[0];
+    for _ in 0..3 {
+        let id = format!("{}-e", new_id());
+        record.say(&format!("{id}: {:?}", read_cue(front, &id)));
+    }
+    0
+}
+
+/// A stream whose first send fails is sent again, and that answer is cut off inside an event.
+pub fn cut_after_failure(record: &Record) -> i32 {
+    let (_platform, deployment) = deploy_streams(record);
     let front = deployment.fronts()[0];
     let (mut marked, mut short, mut plain) = (0, 0, 0);
     for round in 0..10 {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -26,6 +26,7 @@
         "try-planned-stops" => tries::planned_stops(&record),
         "try-all-at-once" => tries::all_at_once(&record),
         "try-broken-streams" => tries::broken_streams(&record),
+        "try-empty-stream" => cases::empty_stream(&record),
         "try-large-bodies" => tries::large_bodies(&record),
         other => kit::cannot_run(&format!("there is no case {other}")),
     };
