--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -27,6 +27,7 @@
         "try-all-at-once" => tries::all_at_once(&record),
         "try-broken-streams" => tries::broken_streams(&record),
         "try-empty-stream" => cases::empty_stream(&record),
+        "try-usage-duty" => tries::usage_duty(&record),
         "try-large-bodies" => tries::large_bodies(&record),
         other => kit::cannot_run(&format!("there is no case {other}")),
     };
--- a/review/standins-2/tries.rs
+++ b/review/standins-2/tries.rs
@@ -826,3 +826,216 @@
     bad.iter().take(10).for_each(|one| record.say(one));
     i32::from(!bad.is_empty())
 }
+
+/// A call of the duty that the platform took in.
+#[derive(Clone, Debug)]
+struct Report {
+    at: Instant,
+    holder: String,
+    fence: u64,
+    window: u64,
+    counts: String,
+}
+
+/// The usage duty: the platform leaves calls unanswered and carries them out late, and holders
+/// are frozen and killed. Checks ONE from what the platform sees.
+pub fn usage_duty(record: &Record) -> i32 {
+    let desk = replicas(record, "desk", 100, 4);
+    let address = free(host(200));
+    let body = Arc::new(Mutex::new(page(&entries(&desk, "ready"))));
+    let taken: Arc<Mutex<Vec<Report>>> = Arc::default();
+    let calls = Arc::new(AtomicU64::new(0));
+    let problems: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (shared, found, count) = (
+        Arc::clone(&taken),
+        Arc::clone(&problems),
+        Arc::clone(&calls),
+    );
+    let carry_out = move |report: Report| -> bool {
+        let mut taken = shared.lock().unwrap();
+        if taken.iter().any(|known| known.fence > report.fence) {
+            return false;
+        }
+        let mut found = found.lock().unwrap();
+        for known in taken.iter() {
+            if known.window == report.window && known.counts != report.counts {
+                found.push(format!("window {}: two counts", known.window));
+            }
+            if known.fence == report.fence && known.holder != report.holder {
+                found.push(format!("fence {}: two holders", known.fence));
+            }
+        }
+        let other = taken
+            .iter()
+            .rposition(|known| known.holder != report.holder);
+        let before = other.and_then(|other| {
+            taken[..other]
+                .iter()
+                .rev()
+                .find(|known| known.holder == report.holder)
+        });
+        if before.is_some_and(|before| report.at - before.at < ms(3_000)) {
+            found.push(format!(
+                "{} acts, another one, and it again within a lease",
+                report.holder
+            ));
+        }
+        taken.push(report);
+        true
+    };
+    let carry_out = Arc::new(carry_out);
+    serve(address, move |mut wire| {
+        let mut state = seed();
+        while let Ok(request) = wire.read_message(false) {
+            if request.path().starts_with("/replicas") {
+                let bytes = encode("HTTP/1.1 200 OK", &[], &body.lock().unwrap());
+                if wire.send(&bytes).is_err() {
+                    return;
+                }
+                continue;
+            }
+            count.fetch_add(1, Ordering::SeqCst);
+            let text = request.text();
+            let number = |name: &str| -> u64 {
+                let rest = text.split(&format!("\"{name}\":")).nth(1).unwrap_or("0");
+                let digits: String =
+                    rest.chars().take_while(char::is_ascii_digit).collect();
+                digits.parse().unwrap_or(0)
+            };
+            let counts = text.split("\"counts\":").nth(1).unwrap_or_default();
+            let counts = counts.split('}').next().unwrap_or_default().to_string();
+            let report = Report {
+                at: Instant::now(),
+                holder: request
+                    .header("duty-holder")
+                    .unwrap_or_default()
+                    .to_string(),
+                fence: request
+                    .header("fence-token")
+                    .and_then(|f| f.parse().ok())
+                    .unwrap_or(0),
+                window: number("window"),
+                counts,
+            };
+            let status = match random(&mut state) % 20 {
+                0..3 => {
+                    let (late, report) = (Arc::clone(&carry_out), report.clone());
+                    let after = random(&mut state) % 4_000;
+                    std::thread::spawn(move || {
+                        sleep(after);
+                        late(Report {
+                            at: Instant::now(),
+                            ..report
+                        });
+                    });
+                    sleep(4_000);
+                    return;
+                }
+                3..5 => "503 Service Unavailable",
+                5 => "429 Too Many Requests",
+                6..8 => {
+                    carry_out(report);
+                    return;
+                }
+                _ => match carry_out(report) {
+                    true => "200 OK",
+                    false => "409 Conflict",
+                },
+            };
+            if wire
+                .send(&encode(&format!("HTTP/1.1 {status}"), &[], b"{}"))
+                .is_err()
+            {
+                return;
+            }
+        }
+    });
+    let mut deployment = Deployment::new(record, 3, 2, address);
+    for (name, value) in [
+        ("bounds.report_window_s", "2"),
+        ("bounds.usage_late_s", "10"),
+        ("bounds.lease_ms", "3000"),
+        ("bounds.thaw_ms", "300"),
+        ("bounds.require_fence", "true"),
+        ("cloud.duty_per_s", "4"),
+    ] {
+        deployment.fields.set(name, value);
+    }
+    deployment
+        .fields
+        .set_list("cloud.duties", &["usage".to_string()]);
+    deployment.start(&[ZONE.to_string()]);
+    let tenants = ",\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"k1\"]},\
+                   {\"name\":\"two\",\"api_keys\":[\"k2\"]}]}";
+    let text = config(1);
+    let text = format!("{}{tenants}", &text[..text.len() - 1])
+        .replace("true,\"sticky", "false,\"sticky");
+    if !put_config(record, &deployment.control_addresses(), &text, ms(20_000)) {
+        cannot_run(&"the configuration is not acknowledged");
+    }
+    let stop = Arc::new(AtomicU64::new(0));
+    let threads: Vec<_> = (0..8usize)
+        .map(|number| {
+            let front = deployment.fronts()[number % 2];
+            let stop = Arc::clone(&stop);
+            std::thread::spawn(move || {
+                let key = if number % 3 == 0 { "k1" } else { "k2" };
+                while stop.load(Ordering::SeqCst) == 0 {
+                    let id = new_id();
+                    let headers = [
+                        ("Host", HOST),
+                        ("Request-Id", &*id),
+                        ("Deadline-Ms", "800"),
+                        ("Key", key),
+                    ];
+                    attempt(front, "GET /look/1 HTTP/1.1", &headers, b"", ms(800));
+                    sleep(15);
+                }
+            })
+        })
+        .collect();
+    deployment.fields.set("bootstrap", "false");
+    for at in 0..3 {
+        deployment.rewrite_control(at);
+    }
+    let mut state = seed();
+    for round in 0..16 {
+        sleep(1_500);
+        let holder = taken.lock().unwrap().last().map(|last| last.holder.clone());
+        let at = holder.and_then(|holder| holder.strip_prefix("control-")?.parse().ok());
+        let at: usize = if round % 4 == 3 {
+            random(&mut state) as usize % 3
+        } else {
+            at.unwrap_or(0)
+        };
+        if round % 3 == 2 {
+            deployment.controls[at].kill();
+            sleep(200);
+            deployment.controls[at].start();
+        } else {
+            deployment.controls[at].signal(SIGSTOP);
+            sleep(2_000 + random(&mut state) % 3_000);
+            deployment.controls[at].signal(SIGCONT);
+        }
+    }
+    sleep(6_000);
+    stop.store(1, Ordering::SeqCst);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let taken = taken.lock().unwrap();
+    let mut windows: Vec<u64> = taken.iter().map(|one| one.window).collect();
+    windows.sort_unstable();
+    windows.dedup();
+    let mut fences: Vec<u64> = taken.iter().map(|one| one.fence).collect();
+    fences.dedup();
+    let problems = problems.lock().unwrap();
+    record.say(&format!(
+        "{} calls, {} taken in, {} windows, {} changes of the fence; problems: {problems:?}",
+        calls.load(Ordering::SeqCst),
+        taken.len(),
+        windows.len(),
+        fences.len()
+    ));
+    i32::from(!problems.is_empty())
+}
