--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -28,6 +28,7 @@
         "try-broken-streams" => tries::broken_streams(&record),
         "try-empty-stream" => cases::empty_stream(&record),
         "try-usage-duty" => tries::usage_duty(&record),
+        "try-callers-leave" => tries::callers_leave(&record),
         "try-large-bodies" => tries::large_bodies(&record),
         other => kit::cannot_run(&format!("there is no case {other}")),
     };
--- a/review/standins-2/tries.rs
+++ b/review/standins-2/tries.rs
@@ -1039,3 +1039,94 @@
     ));
     i32::from(!problems.is_empty())
 }
+
+/// Clients leave in the middle of plain requests and streams. Replicas note for how long they
+/// are still at work after that, as they see the connection end.
+pub fn callers_leave(record: &Record) -> i32 {
+    let late = Arc::new(AtomicU64::new(0));
+    let seen = Arc::new(AtomicU64::new(0));
+    let left: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
+    let mut list = Vec::new();
+    for number in 0..4u8 {
+        let address = free(host(100 + number));
+        let name = format!("i-{number:04x}");
+        let (late, seen, left) =
+            (Arc::clone(&late), Arc::clone(&seen), Arc::clone(&left));
+        let own = name.clone();
+        serve(address, move |mut wire| {
+            while let Ok(request) = wire.read_message(false) {
+                let id = request.header("request-id").unwrap_or_default().to_string();
+                let seal = format!("{own}.{id}");
+                let ids = [("Request-Id", id.as_str()), ("Replica-Seal", seal.as_str())];
+                if !id.ends_with("-g") {
+                    let _ = wire.send(&encode("HTTP/1.1 200 OK", &ids, b"ok"));
+                    continue;
+                }
+                if left
+                    .lock()
+                    .unwrap()
+                    .get(&id)
+                    .is_some_and(|at| at.elapsed() > ms(500))
+                {
+                    late.fetch_add(1, Ordering::SeqCst);
+                }
+                // Works until its connection ends, for five seconds at most.
+                wire.set_limit(ms(5_000));
+                let ended = wire.take_bytes(1).is_err();
+                seen.fetch_add(1, Ordering::SeqCst);
+                let at = left.lock().unwrap().get(&id).copied();
+                if !ended || at.is_none_or(|at| at.elapsed() > ms(500)) {
+                    late.fetch_add(1, Ordering::SeqCst);
+                }
+                return;
+            }
+        });
+        list.push(listed(&name, "desk", address, ZONE, 64, "ready").into_bytes());
+    }
+    let (_platform, deployment) = deploy(record, 3, 2, list);
+    if !put_config(
+        record,
+        &deployment.control_addresses(),
+        &stream_config(),
+        ms(10_000),
+    ) {
+        cannot_run(&"no configuration is acknowledged");
+    }
+    sleep(2_500);
+    let fronts = deployment.fronts();
+    let threads: Vec<_> = (0..12usize)
+        .map(|number| {
+            let (front, left) = (fronts[number % 2], Arc::clone(&left));
+            std::thread::spawn(move || {
+                let mut state = seed();
+                for _ in 0..15 {
+                    let id = format!("{}-g", new_id());
+                    let path = ["look", "cue", "book"][random(&mut state) as usize % 3];
+                    let headers = [
+                        ("Host", HOST),
+                        ("Request-Id", id.as_str()),
+                        ("Deadline-Ms", "6000"),
+                    ];
+                    let Ok(mut wire) = Wire::connect(front, ms(1_000)) else {
+                        continue;
+                    };
+                    let first = format!("POST /{path}/1 HTTP/1.1");
+                    let _ = wire.send(&encode(&first, &headers, b"x"));
+                    sleep(50 + random(&mut state) % 200);
+                    left.lock().unwrap().insert(id, Instant::now());
+                    wire.close();
+                    sleep(100);
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    sleep(2_000);
+    let (late, seen) = (late.load(Ordering::SeqCst), seen.load(Ordering::SeqCst));
+    record.say(&format!(
+        "{seen} runs of callers that left, {late} at work over 0.5 s later"
+    ));
+    i32::from(late > 3)
+}
