--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -245,14 +245,35 @@
     (1..=EVENTS).map(|number| event(id, number)).collect()
 }
 
-/// How often each request reached a replica.
-type Sends = Arc<Mutex<HashMap<String, u64>>>;
+/// What the replicas of a stream service share: the sends of each request, and how many
+/// failures and broken answers they may still produce.
+#[derive(Default)]
+struct Faults {
+    sends: HashMap<String, u64>,
+    failed: Vec<String>,
+    cut: Vec<String>,
+    served_by_garbling: u64,
+}
+
+/// Most failures and most broken answers in a run.
+const MOST_FAILED: usize = 8;
+const MOST_CUT: usize = 5;
+/// Answers of the garbling replicas for each one that is broken off: 0.03 of them.
+const ANSWERS_PER_CUT: u64 = 34;
 
 /// A replica of a stream service. Its answers have no length and end with their connection.
-/// Of a request whose id is marked with `-m`, the first send fails with a 500 of the replica
-/// (unless `TROUBLE=0`), and the next one is cut off inside its sixth event.
-fn stream_replica(record: &Record, name: String, address: SocketAddr, sends: Sends) {
+/// Replica 0 fails every third first send that it gets with a 500 (not with `TROUBLE=0`).
+/// Replicas 1 to 4 break off an answer inside its sixth event: that of a second send or, with
+/// `TROUBLE=0`, that of a first one.
+fn stream_replica(
+    record: &Record,
+    number: u8,
+    name: String,
+    address: SocketAddr,
+    faults: Arc<Mutex<Faults>>,
+) {
     let record = record.clone();
+    let got = std::sync::atomic::AtomicU64::new(0);
     serve(address, move |mut wire| {
         let Ok(request) = wire.read_message(false) else {
             return;
@@ -264,19 +285,35 @@
             let _ = wire.send(&encode("HTTP/1.1 200 OK", &ids, b"ok"));
             return;
         }
-        let send = {
-            let mut sends = sends.lock().unwrap();
-            let send = sends.entry(id.clone()).or_default();
+        let (fails, cut) = {
+            let mut faults = faults.lock().unwrap();
+            let send = faults.sends.entry(id.clone()).or_default();
             *send += 1;
-            *send
+            let send = *send;
+            let third = number == 0 && got.fetch_add(1, Ordering::SeqCst) % 3 == 2;
+            let fails =
+                trouble() && send == 1 && third && faults.failed.len() < MOST_FAILED;
+            if fails {
+                faults.failed.push(id.clone());
+            }
+            let garbling = (1..=4).contains(&number);
+            faults.served_by_garbling += u64::from(garbling);
+            let allowed = (faults.cut.len() as u64 + 1) * ANSWERS_PER_CUT;
+            let due = send == if trouble() { 2 } else { 1 };
+            let cut = garbling
+                && due
+                && faults.cut.len() < MOST_CUT
+                && faults.served_by_garbling >= allowed;
+            if cut {
+                faults.cut.push(id.clone());
+            }
+            (fails, cut)
         };
-        let marked = id.ends_with("-m");
-        if marked && trouble() && send == 1 {
+        if fails {
             record.line(&format!("{name} runs {id} and fails with 500"));
             let _ = wire.send(&encode("HTTP/1.1 500 Failed", &ids, b"failed"));
             return;
         }
-        let cut = marked && send == if trouble() { 2 } else { 1 };
         let after = request
             .header("last-event-id")
             .and_then(|text| text.parse().ok());
@@ -308,13 +345,15 @@
 
 /// Sends a stream request; its body, whether it ended properly, and its first byte's time.
 fn read_cue(front: SocketAddr, id: &str) -> Option<(u16, String, bool, u128)> {
+    let own = id.trim_end_matches("-e");
+    let parts = format!("{own}:100,{own}1:100");
     let headers = [
         ("Host", HOST),
         ("Request-Id", id),
         ("Deadline-Ms", "6000"),
         ("Model", "m"),
         ("Token-Usage", "200,48"),
-        ("Prompt-Prefix", "5c1e07a2:100,91bd3f06:100"),
+        ("Prompt-Prefix", &parts),
     ];
     let start = Instant::now();
     let mut wire = Wire::connect(front, ms(1_000)).ok()?;
@@ -328,14 +367,14 @@
     Some((head.status(), text, ended, first))
 }
 
-/// Starts four replicas of streams and a deployment with a route to them.
-fn deploy_streams(record: &Record) -> (Platform, Deployment) {
-    let sends = Sends::default();
+/// Starts eight replicas of streams and a deployment with a route to them.
+fn deploy_streams(record: &Record) -> (Platform, Deployment, Arc<Mutex<Faults>>) {
+    let faults = Arc::new(Mutex::new(Faults::default()));
     let mut list = Vec::new();
-    for number in 0..4u8 {
+    for number in 0..8u8 {
         let address = free(host(100 + number));
         let name = format!("i-{number:04x}");
-        stream_replica(record, name.clone(), address, Arc::clone(&sends));
+        stream_replica(record, number, name.clone(), address, Arc::clone(&faults));
         list.push(listed(&name, "desk", address, ZONE, 64, "ready").into_bytes());
     }
     let (platform, deployment) = deploy(record, 3, 1, list);
@@ -350,12 +389,12 @@
         cannot_run(&"the route for streams is not acknowledged");
     }
     sleep(2_500);
-    (platform, deployment)
+    (platform, deployment, faults)
 }
 
 /// Streams without a length whose replica ends the connection before the first event.
 pub fn empty_stream(record: &Record) -> i32 {
-    let (_platform, deployment) = deploy_streams(record);
+    let (_platform, deployment, _faults) = deploy_streams(record);
     let front = deployment.fronts()[0];
     for _ in 0..3 {
         let id = format!("{}-e", new_id());
@@ -366,35 +405,41 @@
 
 /// A stream whose first send fails is sent again, and that answer is cut off inside an event.
 pub fn cut_after_failure(record: &Record) -> i32 {
-    let (_platform, deployment) = deploy_streams(record);
+    let (_platform, deployment, faults) = deploy_streams(record);
     let front = deployment.fronts()[0];
-    let (mut marked, mut short, mut plain) = (0, 0, 0);
-    for round in 0..10 {
-        // Ordinary requests, which also earn the budget of second sends.
-        let ordinary = move || {
+    let client = move || {
+        let read = |_| {
             let id = new_id();
-            let read = read_cue(front, &id);
-            read.is_some_and(|(_, text, ended, _)| ended && text == whole_stream(&id))
-        };
-        let threads: Vec<_> = (0..12).map(|_| thread::spawn(ordinary)).collect();
-        let whole = threads.into_iter().filter_map(|one| one.join().ok());
-        plain += whole.filter(|whole| *whole).count();
-        let id = format!("{}-m", new_id());
-        let Some((status, text, ended, first)) = read_cue(front, &id) else {
-            record.say(&format!("{id}: no answer"));
-            continue;
+            read_cue(front, &id).map(|read| (id, read))
         };
-        let events = text.matches("\n\n").count();
-        record.say(&format!(
-            "round {round}, {id}: {status}, {events} of {EVENTS} whole events, the first byte \
-             after {first} ms; ended as complete: {ended}"
-        ));
-        marked += 1;
-        short += usize::from(status == 200 && ended && text != whole_stream(&id));
+        (0..60).filter_map(read).collect::<Vec<_>>()
+    };
+    let threads: Vec<_> = (0..16).map(|_| thread::spawn(client)).collect();
+    let all: Vec<_> = threads
+        .into_iter()
+        .flat_map(|one| one.join().unwrap())
+        .collect();
+    let faults = faults.lock().unwrap();
+    let (mut short, mut whole) = (0, 0);
+    for (id, (status, text, ended, first)) in &all {
+        whole += usize::from(*ended && *text == whole_stream(id));
+        let is_short = *status == 200 && *ended && *text != whole_stream(id);
+        short += usize::from(is_short);
+        if faults.cut.contains(id) || is_short {
+            let events = text.matches("\n\n").count();
+            record.say(&format!(
+                "{id}: {status}, {events} of {EVENTS} whole events, the first byte after \
+                 {first} ms; ended as complete: {ended}"
+            ));
+        }
     }
     record.say(&format!(
-        "{short} of {marked} streams end as complete before their last piece; {plain} of 120 \
-         ordinary streams are whole"
+        "{} streams, {} sends failed, {} of {} answers of garbling replicas broken off; {whole} \
+         streams are whole, {short} end as complete before their last piece",
+        all.len(),
+        faults.failed.len(),
+        faults.cut.len(),
+        faults.served_by_garbling
     ));
     verdict(
         record,
