Classify the response to every send of a request in the same way

What callers saw: a resumable stream whose first send was answered 500 and whose second answer ended inside an event came as 200 with a proper end (ORDER). Its first byte arrived only with the endpoint's last one.

Cause: Dispatch::run classified only the first response. What came after a 5xx was read by another arm, with read_body, as a whole body.

Change: one loop. The last 5xx is kept and delivered if no later send brings another response. Later sends of streams are thereby forwarded event by event, resumed, recorded with their version and counted.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -108,6 +108,8 @@
     /// Whether the next send is already debited from the budget.
     prepaid: bool,
     may_have_run: bool,
+    /// Last response that reported a failure, delivered if no later send succeeds.
+    failure: Option<CompleteResponse>,
     /// Whether the service has neither an engine nor streams.
     plain: bool,
     /// Place of the current send, if the service's places are lent.
@@ -208,6 +210,7 @@
             broken_connections: 0,
             prepaid: false,
             may_have_run: false,
+            failure: None,
             plain,
             place: None,
             start_counter,
@@ -272,7 +275,8 @@
         self.record.as_mut().expect("record already taken")
     }
 
-    /// Sends the request and responds to the caller.
+    /// Sends the request and responds to the caller. The response to every send is handled
+    /// in the same way, whatever came before it.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
         if let Some(remaining) = self.quarantine_remaining().await {
             return self.refuse_with_delay(RefusalCause::Quarantined, Some(remaining));
@@ -282,7 +286,7 @@
         }
         loop {
             match self.send_until_response().await {
-                DispatchResult::Refuse(cause) => return self.refuse(cause),
+                DispatchResult::Refuse(cause) => return self.conclude(cause),
                 DispatchResult::Response(response) if self.is_stream(&response) => {
                     match self.start_stream(EventSource::new(*response)).await {
                         StreamStart::Responded(response) => return response,
@@ -293,26 +297,12 @@
                     let endpoint = Arc::clone(response.in_flight.endpoint());
                     match response.read_body(self.deadline).await {
                         Ok(complete) if self.may_resend_after_status(complete.status) => {
+                            let status = complete.status.as_u16();
                             self.log_endpoint_abandoned(
                                 &endpoint,
-                                format!("status-{}", complete.status.as_u16()),
+                                format!("status-{status}"),
                             );
-                            match self.send_until_response().await {
-                                DispatchResult::Response(retry)
-                                    if !retry.status.is_server_error() =>
-                                {
-                                    let other = Arc::clone(retry.in_flight.endpoint());
-                                    match retry.read_body(self.deadline).await {
-                                        Ok(retry_complete) => {
-                                            return self.deliver(retry_complete);
-                                        }
-                                        Err(loss) => self.record_loss(&other, loss).await,
-                                    }
-                                    other.record_outcome(true);
-                                    return self.deliver(complete);
-                                }
-                                _ => return self.deliver(complete),
-                            }
+                            self.failure = Some(complete);
                         }
                         Ok(complete) => return self.deliver(complete),
                         Err(loss) => {
@@ -329,6 +319,15 @@
         }
     }
 
+    /// Responds when no further response is expected: with the failure that an endpoint
+    /// reported, or with a refusal.
+    fn conclude(mut self, cause: RefusalCause) -> Response<ResponseBody> {
+        match self.failure.take() {
+            Some(failure) => self.deliver(failure),
+            None => self.refuse(cause),
+        }
+    }
+
     fn is_stream(&self, response: &EndpointResponse) -> bool {
         self.admitted.route.events.is_some() && response.status.is_success()
     }
--- a/crates/direct/src/dispatch/stream_start.rs
+++ b/crates/direct/src/dispatch/stream_start.rs
@@ -23,7 +23,9 @@
     pub(super) async fn start_stream(mut self, mut source: EventSource) -> StreamStart {
         let first = timeout_at(self.deadline, source.next()).await;
         let events = match first {
-            Err(_) => return StreamStart::Responded(self.refuse(RefusalCause::Timeout)),
+            Err(_) => {
+                return StreamStart::Responded(self.conclude(RefusalCause::Timeout));
+            }
             Ok(StreamItem::Broken(loss)) => {
                 self.log_endpoint_abandoned(source.endpoint(), loss);
                 let endpoint = Arc::clone(source.endpoint());
--- a/crates/direct/tests/all/streams.rs
+++ b/crates/direct/tests/all/streams.rs
@@ -1,10 +1,13 @@
 //! Streams: only complete events, in order, and resumption at another endpoint.
 
 use crate::endpoint::{Act, ScriptedEndpoint};
-use crate::entry::Entry;
+use crate::entry::{Entry, LONG_TIMEOUT, request, route_set};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 const ONE: &str = "id: 1\ndata: one\n\n";
 const TWO: &str = "id: 2\ndata: two\n\n";
@@ -125,3 +128,124 @@
     let got = entry.call("POST /stream/", "", "").await;
     assert_eq!((got.status, got.body.as_str()), (200, ""));
 }
+
+/// Two endpoints that share a script, and an entry whose routes allow `tries` sends.
+async fn entry_with_script(
+    acts: Vec<Act>,
+    tries: usize,
+) -> (Entry, [ScriptedEndpoint; 2]) {
+    let endpoints = [
+        ScriptedEndpoint::start(Vec::new()).await,
+        ScriptedEndpoint::start(Vec::new()).await,
+    ];
+    let mut set = route_set();
+    for route in &mut set.routes {
+        route.tries = tries;
+    }
+    let entry = Entry::with_routes(&[&endpoints[0], &endpoints[1]], set).await;
+    for _ in 0..tries {
+        entry.earn_resends().await;
+    }
+    let acts = Arc::new(Mutex::new(VecDeque::from(acts)));
+    for endpoint in &endpoints {
+        endpoint.share_script(&acts);
+    }
+    (entry, endpoints)
+}
+
+/// Guards against a cut stream that looks complete because its first send failed.
+#[tokio::test]
+async fn stream_cut_after_failed_send_looks_incomplete() {
+    let cut = "id: 1\ndata: one\n\nid: 2\ndata: t";
+    for second in [
+        Act::UnframedStream(cut),
+        Act::Stream(vec![ONE, "id: 2\ndata: t"], true),
+        Act::Stream(vec![ONE, "id: 2\ndata: t"], false),
+    ] {
+        let acts = vec![Act::Answer(500, "no"), second.clone()];
+        let (entry, _endpoints) = entry_with_script(acts, 2).await;
+        let got = entry.call("POST /resumable/", "", "").await;
+        assert!(!got.ended_properly(), "{second:?}: {got:?}");
+        assert!(!got.body.contains("data: t"), "{second:?}: {got:?}");
+    }
+}
+
+/// Guards against a stream that is held back until its end because its first send failed.
+#[tokio::test]
+async fn stream_after_failed_send_forwarded_event_by_event() {
+    let left = Arc::new(Notify::new());
+    let acts = vec![
+        Act::Answer(500, "no"),
+        Act::Stall(vec![ONE], Arc::clone(&left)),
+    ];
+    let (entry, _endpoints) = entry_with_script(acts, 2).await;
+    let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+    let request = request("POST /resumable/", "", "");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = String::new();
+    let read = async {
+        while !received.contains("data: one\n\n") {
+            let mut bytes = [0; 1_024];
+            let count = stream.read(&mut bytes).await.unwrap();
+            assert!(count > 0, "closed after {received:?}");
+            received.push_str(&String::from_utf8_lossy(&bytes[..count]));
+        }
+    };
+    timeout(LONG_TIMEOUT, read).await.expect("event arrives");
+    drop(stream);
+    let closed = timeout(LONG_TIMEOUT, left.notified()).await;
+    closed.expect("the endpoint's connection is closed with the caller's");
+}
+
+/// Guards against a stream that is not resumed, and whose version is not recorded for the
+/// caller, because its first send failed.
+#[tokio::test]
+async fn stream_after_failed_send_resumed_and_recorded() {
+    let (entry, endpoints) = entry_with_script(Vec::new(), 3).await;
+    let third = ScriptedEndpoint::start(Vec::new()).await;
+    let acts = Arc::new(Mutex::new(VecDeque::from(vec![
+        Act::Answer(500, "no"),
+        Act::Stream(vec![ONE, "id: 2\nda"], false),
+        Act::Stream(vec![TWO, THREE], true),
+    ])));
+    for endpoint in endpoints.iter().chain([&third]) {
+        endpoint.share_script(&acts);
+    }
+    entry.set_endpoints(&[&endpoints[0], &endpoints[1], &third]);
+    let got = entry.call("POST /resumable/", "", "").await;
+    assert_eq!(got.events(), ["one", "two", "three"], "{got:?}");
+    assert!(got.ended_properly());
+    let begun = entry.shared.streams.report(1).begun;
+    assert_eq!(begun.len(), 1, "the version of the stream is known");
+}
+
+/// A failure of the first endpoint is delivered only if no later send brings a response of
+/// another kind, and then unchanged.
+#[tokio::test]
+async fn failure_before_resend_is_last_resort() {
+    for (second, status, body) in [
+        (Act::Break, 500, "no"),
+        (Act::Refuse, 500, "no"),
+        (Act::Short, 500, "no"),
+        (Act::Answer(500, "no"), 500, "no"),
+        (Act::Answer(404, "gone"), 404, "gone"),
+        (Act::Answer(302, "moved"), 302, "moved"),
+        (Act::Answer(200, "done"), 200, "done"),
+    ] {
+        for path in ["POST /resumable/", "GET /safe/"] {
+            if path != "GET /safe/" && matches!(second, Act::Short | Act::Answer(200, _))
+            {
+                continue;
+            }
+            let acts = vec![Act::Answer(500, "no"), second.clone()];
+            let (entry, _endpoints) = entry_with_script(acts, 2).await;
+            let got = entry.call(path, "", "").await;
+            let expected = (status, body);
+            assert_eq!(
+                (got.status, got.body.as_str()),
+                expected,
+                "{second:?} {path}"
+            );
+        }
+    }
+}
