Found a cluster by a majority of the seeds that have a disk

Cause: founding hung on one instance, the lowest seed address. Nobody took its place.

Ruled out: a majority that does not form, seeds that are not reached.

Change: the seeds with a disk decide on the cluster's id and first voters by single-decree Paxos, with votes synced before the reply. A seed without a disk says so; a wiped one does not vote again; if no seed has a disk, all vote in memory. State is created with its first entry in one step, and a cluster begins with all seeds that replied rather than with one.

Why it works: a quorum is a majority of the seeds not known to lack a disk, so any two share an elector, and a charter that may have been decided is proposed again.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -5,6 +5,7 @@
 use crate::forward;
 use crate::internal::{self, InternalApi};
 use crate::joining::Joining;
+use crate::opening::{Opening, open};
 use crate::operators::{self, OperatorApi};
 use crate::peers::Peers;
 use crate::presence::{INTERVAL, PRESENCE_PATH, Presence};
@@ -12,7 +13,7 @@
     Driver, Input, Replica, ReplicaConfig, ReplicaParts, build_replica,
 };
 use crate::reporter::{Reporter, ReporterMetrics, UsageSink};
-use crate::search::{Listeners, find_cluster, refuse_second_cluster};
+use crate::search::Listeners;
 use crate::service::Service;
 use crate::settings::{Settings, Start};
 use crate::shutdown::shut_down;
@@ -22,9 +23,8 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
-use dogwoodhill_store::{DiskFiles, Identity, Opened, Store, StoreError};
 use dogwoodhill_wire::client::PeerClient;
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -188,7 +188,7 @@
             replica,
             mut driver,
         } = build_replica(opened, peers, replica_config(&settings), seed);
-        if fresh && creates_cluster(&settings) {
+        if fresh && settings.start == Start::Bootstrap {
             driver.bootstrap(member.clone());
         }
         let announcement = Announcement {
@@ -404,92 +404,6 @@
     texts.join(",")
 }
 
-/// Whether an instance without state creates the cluster.
-fn creates_cluster(settings: &Settings) -> bool {
-    let seeds = &settings.seeds;
-    let first = seeds.addresses.iter().min() == Some(&settings.internal);
-    match settings.start {
-        Start::Bootstrap => true,
-        Start::Seeded => seeds.founding && first,
-        Start::Existing | Start::Join => false,
-    }
-}
-
-/// Whether an instance without state has to find a cluster to join.
-fn joins_cluster(settings: &Settings) -> bool {
-    match settings.start {
-        Start::Join => true,
-        Start::Seeded => !creates_cluster(settings),
-        Start::Existing | Start::Bootstrap => false,
-    }
-}
-
-/// State and listeners of an instance that starts.
-struct Opening {
-    opened: Opened,
-    listeners: Listeners,
-    contacts: Contacts,
-}
-
-/// Opens the data folder and binds the listeners. An instance that has to find a cluster
-/// listens while it searches. Otherwise the folder is opened first: a refused connection
-/// is better for callers than one that is not served yet.
-async fn open(
-    settings: &Settings,
-    client: &PeerClient,
-) -> Result<Opening, Report<ControlError>> {
-    let files = DiskFiles::open(&settings.data).change_context(ControlError::Store)?;
-    let is_new = Store::is_uninitialized(&files).change_context(ControlError::Store)?;
-    let known = |listeners: &Listeners| {
-        Contacts::new(listeners.internal.address(), client.clone())
-    };
-    if is_new && joins_cluster(settings) {
-        let listeners = Listeners::bind(settings).await?;
-        let contacts = known(&listeners);
-        let cluster = find_cluster(settings, &contacts, &listeners, client).await?;
-        let opened = create_store(files, cluster).change_context(ControlError::Store)?;
-        return Ok(Opening {
-            opened,
-            listeners,
-            contacts,
-        });
-    }
-    let opened = open_store(settings, files, is_new, client).await?;
-    let listeners = Listeners::bind(settings).await?;
-    Ok(Opening {
-        contacts: known(&listeners),
-        opened,
-        listeners,
-    })
-}
-
-/// Opens the existing state, or creates that of a new cluster.
-async fn open_store(
-    settings: &Settings,
-    files: DiskFiles,
-    is_new: bool,
-    client: &PeerClient,
-) -> Result<Opened, Report<ControlError>> {
-    let opened = match (is_new, settings.start) {
-        (true, Start::Existing) => Err(StoreError::Uninitialized),
-        (false, Start::Bootstrap) => Err(StoreError::AlreadyInitialized),
-        (false, _) => Store::open(Box::new(files)),
-        (true, _) => {
-            refuse_second_cluster(settings, client).await?;
-            create_store(files, rand::rng().random())
-        }
-    };
-    opened.change_context(ControlError::Store)
-}
-
-fn create_store(files: DiskFiles, cluster: u128) -> Result<Opened, StoreError> {
-    let identity = Identity {
-        cluster,
-        node: rand::rng().random(),
-    };
-    Store::create(Box::new(files), identity)
-}
-
 /// Sends the entries that poll this instance to the other instances.
 async fn share_presence(replica: Replica, presence: Presence, client: PeerClient) {
     loop {
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -13,6 +13,7 @@
 
 use crate::contacts::{self, Contacts};
 use crate::control::{configured_addresses, join_addresses};
+use crate::founding::elector::{self, Elector};
 use crate::internal::{self, CLUSTER_PATH, JOIN_PATH, MEMBER_PATH};
 use crate::search::Listeners;
 use crate::settings::Settings;
@@ -68,7 +69,8 @@
         .info();
     let client = PeerClient::new(settings.secret.clone());
     let contacts = Contacts::new(internal.address(), client);
-    let routes = routes(&settings, &contacts, &drain, || true);
+    let elector = Elector::diskless(&settings, contacts.clone());
+    let routes = routes(&settings, &contacts, &elector, &drain, || true);
     let discovery = contacts.run(settings.peer_addresses(), || true);
     // Aborted when this future is dropped.
     let _discovery = AbortOnDropHandle::new(tokio::spawn(discovery));
@@ -84,6 +86,7 @@
 pub(crate) fn routes(
     settings: &Settings,
     contacts: &Contacts,
+    elector: &Elector,
     drain: &Drain,
     ready: fn() -> bool,
 ) -> Routes {
@@ -92,7 +95,7 @@
         .fallback(redirect)
         .with_state(contacts.clone());
     let secret = Arc::new(settings.secret.clone());
-    let private = internal_routes(contacts.clone(), secret);
+    let private = internal_routes(contacts.clone(), elector.clone(), secret);
     Routes {
         operators: public.merge(health.clone()),
         internal: internal::end_polls(private, drain.clone()).merge(health),
@@ -100,14 +103,15 @@
 }
 
 /// Routes for other processes of the router; all require the cluster key.
-fn internal_routes(contacts: Contacts, secret: Arc<String>) -> Router {
+fn internal_routes(contacts: Contacts, elector: Elector, secret: Arc<String>) -> Router {
     let routes = Router::new()
         .route(CLUSTER_PATH, post(cluster))
         .route(ROUTES_PATH, post(watch_routes))
         .route(JOIN_PATH, post(join))
         .route(MEMBER_PATH, post(member))
         .with_state(contacts.clone())
-        .merge(contacts::routes(contacts));
+        .merge(contacts::routes(contacts))
+        .merge(elector::routes(elector));
     internal::require_key(routes, secret)
 }
 
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -3,6 +3,7 @@
 use crate::command::{Action, Reply};
 use crate::contention::ContentionTracker;
 use crate::demand::Demand;
+use crate::founding::{self, FOUNDING_PATH};
 use crate::limits::LimitTracker;
 use crate::lists::EndpointLists;
 use crate::peers::{Envelope, LOG_PATH, LogQuery};
@@ -118,6 +119,7 @@
         .route(LEASE_PATH, post(lease))
         .route(PRESENCE_PATH, post(presence))
         .route(CLUSTER_PATH, post(cluster))
+        .route(FOUNDING_PATH, post(founded))
         .route(JOIN_PATH, post(join))
         .route(ADD_PATH, post(add))
         .route(MEMBER_PATH, post(member))
@@ -275,6 +277,11 @@
     encode_reply(&api.cluster)
 }
 
+/// Replies to a proposer that the cluster exists.
+async fn founded(State(api): State<InternalApi>) -> Response {
+    encode_reply(&founding::Reply::Founded(api.cluster))
+}
+
 /// Adds a new instance, through the leader.
 async fn join(State(api): State<InternalApi>, bytes: Bytes) -> Response {
     handle(bytes, |member: Member| async move {
--- a/crates/control/src/search.rs
+++ b/crates/control/src/search.rs
@@ -5,13 +5,16 @@
 //! operator is answered 503 as long as no member is known.
 //!
 //! A cluster is found once an instance in the settings names it, or once all members that
-//! other instances lead to are of the same one.
+//! other instances lead to are of the same one. At the first start of a deployment, the
+//! instances found one meanwhile ([`crate::founding`]).
 
 use crate::calls::Calls;
 use crate::contacts::Contacts;
 use crate::control::{ControlError, configured_addresses};
 use crate::discovery::ROUND;
 use crate::forward;
+use crate::founding::Outcome;
+use crate::founding::elector::Elector;
 use crate::internal::CLUSTER_PATH;
 use crate::settings::Settings;
 use dogwoodhill_core::prelude::*;
@@ -81,15 +84,16 @@
     }
 }
 
-/// Looks for the cluster, and serves `listeners` meanwhile.
+/// Looks for the cluster, or founds it, and serves `listeners` meanwhile.
 pub(crate) async fn find_cluster(
     settings: &Settings,
     contacts: &Contacts,
     listeners: &Listeners,
+    elector: &Elector,
     client: &PeerClient,
-) -> Result<u128, Report<ControlError>> {
+) -> Result<Outcome, Report<ControlError>> {
     let found = Drain::default();
-    let routes = forward::routes(settings, contacts, &found, || false);
+    let routes = forward::routes(settings, contacts, elector, &found, || false);
     let seeds = settings.peer_addresses();
     let serve = async {
         tokio::join!(
@@ -105,7 +109,8 @@
     let searched = tokio::select! {
         _ = &mut serve => unreachable!("serves until the search has ended"),
         _ = contacts.clone().run(seeds.clone(), || true) => unreachable!("endless"),
-        searched = search(seeds, contacts, client) => searched,
+        searched = search(seeds, contacts, client) => searched.map(Outcome::Exists),
+        outcome = elector.run(client) => Ok(outcome),
     };
     found.begin();
     // A connection that does not end in time continues beside the member's.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -45,10 +45,10 @@
 /// Addresses that are configured identically on every instance, for deployments in which
 /// no instance is designated as the first.
 ///
-/// During the first start of a deployment, the instance with the lowest seed address
-/// creates the cluster and the others join it. Since all instances have the same seeds,
-/// no two of them create a cluster. Later, an instance without state joins through any
-/// seed that answers and takes the place of a failed member.
+/// During the first start of a deployment, the seeds that have a disk decide by majority
+/// which cluster is created ([`crate::founding`]), and the other instances join it. Later,
+/// an instance without state joins through any seed that answers and takes the place of a
+/// failed member.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seeds {
     /// Internal addresses of some instances; may include this one.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod files;
 pub mod memory;
 pub mod record;
+pub mod single;
 pub mod store;
 
 pub use disk::DiskFiles;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -7,6 +7,7 @@
 use crate::error::StoreError;
 use crate::files::Files;
 use crate::record::{encode_record, header, scan};
+use crate::single::{read_record, rename_temporary, temporary_name, write_file};
 use dogwoodhill_consensus::log::{Entry, Snapshot};
 use dogwoodhill_consensus::node::DurableState;
 use dogwoodhill_consensus::ready::HardState;
@@ -16,8 +17,6 @@
 
 /// File with the identity; a folder without it is uninitialized.
 const IDENTITY_FILE: &str = "identity";
-/// Suffix of files that are not complete yet.
-const TEMPORARY: &str = ".new";
 
 /// Identity of an instance: created with the data folder and never changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,15 +78,30 @@
         Ok(!names(files)?.iter().any(|name| name == IDENTITY_FILE))
     }
 
-    /// Initializes a new data folder.
+    /// Initializes a new data folder without a log.
+    ///
+    /// # Errors
+    ///
+    /// See [`Store::create_with_log`].
+    pub fn create(
+        files: Box<dyn Files>,
+        identity: Identity,
+    ) -> Result<Opened, StoreError> {
+        Self::create_with_log(files, identity, HardState::default(), Vec::new())
+    }
+
+    /// Initializes a new data folder with the first entries of a log. The folder counts as
+    /// uninitialized until all of it is durable.
     ///
     /// # Errors
     ///
     /// [`StoreError::AlreadyInitialized`] if the folder holds state, or the error of the
     /// operating system.
-    pub fn create(
+    pub fn create_with_log(
         mut files: Box<dyn Files>,
         identity: Identity,
+        hard_state: HardState,
+        entries: Vec<Entry>,
     ) -> Result<Opened, StoreError> {
         let names = names(files.as_ref())?;
         if names.iter().any(|name| name == IDENTITY_FILE) {
@@ -101,8 +115,10 @@
         let mut bytes = header();
         encode_record(&mut bytes, 1, true, &identity);
         write_file(files.as_mut(), &temporary_name(IDENTITY_FILE), &bytes)?;
+        let mut records = vec![Record::Hard(hard_state)];
+        records.extend(entries.iter().cloned().map(Record::Entry));
         let mut log = header();
-        encode_record(&mut log, 1, true, &Record::Hard(HardState::default()));
+        log.extend_from_slice(&encode_batch(1, &records));
         write_file(files.as_mut(), &log_name(0), &log)?;
         // The identity is renamed last: without it the folder counts as uninitialized.
         rename_temporary(files.as_mut(), IDENTITY_FILE)?;
@@ -115,7 +131,11 @@
         Ok(Opened {
             store,
             identity,
-            durable: DurableState::default(),
+            durable: DurableState {
+                hard_state,
+                entries,
+                ..DurableState::default()
+            },
         })
     }
 
@@ -130,14 +150,14 @@
         if !names.iter().any(|name| name == IDENTITY_FILE) {
             return Err(StoreError::Uninitialized);
         }
-        let identity = read_single_record(files.as_ref(), IDENTITY_FILE)?;
+        let identity = read_record(files.as_ref(), IDENTITY_FILE)?;
         let generation = newest_generation(&names)?;
         let name = log_name(generation);
         let bytes = read(files.as_ref(), &name)?;
         let found = scan(&name, &bytes)?;
         let snapshot = match generation {
             0 => Snapshot::default(),
-            _ => read_single_record(files.as_ref(), &snapshot_name(generation))?,
+            _ => read_record(files.as_ref(), &snapshot_name(generation))?,
         };
         if found.end < bytes.len() {
             Event::new("torn-log-cut")
@@ -260,10 +280,6 @@
     format!("snapshot-{generation:012}")
 }
 
-fn temporary_name(name: &str) -> String {
-    format!("{name}{TEMPORARY}")
-}
-
 /// Whether a file is a log, a snapshot, or a temporary file of the store.
 fn is_store_file(name: &str) -> bool {
     name.starts_with("log-")
@@ -293,33 +309,6 @@
         .map_err(|source| StoreError::from_io(name, source))
 }
 
-/// Reads a file that consists of one record.
-fn read_single_record<T: serde::de::DeserializeOwned>(
-    files: &dyn Files,
-    name: &str,
-) -> Result<T, StoreError> {
-    let bytes = read(files, name)?;
-    let mut found = scan(name, &bytes)?;
-    found.records.pop().ok_or_else(|| StoreError::Corrupt {
-        file: name.to_string(),
-        offset: found.end,
-    })
-}
-
-/// Creates a file and makes its content durable.
-fn write_file(files: &mut dyn Files, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
-    let error = |source| StoreError::from_io(name, source);
-    files.create(name, bytes).map_err(error)?;
-    files.sync(name).map_err(error)
-}
-
-/// Renames a temporary file to its final name, durably.
-fn rename_temporary(files: &mut dyn Files, name: &str) -> Result<(), StoreError> {
-    let error = |source| StoreError::from_io(name, source);
-    files.rename(&temporary_name(name), name).map_err(error)?;
-    files.sync_folder().map_err(error)
-}
-
 /// The state after all `records` are applied to `snapshot`.
 fn replay(
     name: &str,
