Bound what an entry buffers of all responses together

Cause: a partial event was kept whole until the deadline; whole responses and bodies of refusals had limits of their own but none together; on the path with agents a plain answer to a non-idempotent request had none.

Evidence, tests on the old code: 64 MiB of one event read, 12.5 MB of one refusal, 64 MiB of one answer relayed by an agent. Ruled out, holding on the old code: a head without end, comments without end (the route's time limit ends them), whole responses taken one by one.

Change: 16 KiB for each response and a pool of 16 MiB for what goes beyond, held until the body is sent; events of 1 MiB and refusals of 64 KiB at most; agents apply max_answer. What does not fit is lost as oversized-answer.

Tests that failed before: endless_event_ended, endless_event_after_first_cut, endless_refusal_ended, relay_endless_answer_broken_off.

--- a/crates/agent/src/relay.rs
+++ b/crates/agent/src/relay.rs
@@ -5,7 +5,8 @@
 //! the relay buffers no more than one read for it, except for a model response that is
 //! not an event stream: it is buffered completely, up to `max_answer` bytes. For a
 //! non-idempotent attempt, the agent buffers a few more writes, and calls `next` to the
-//! end of the response after the entry has disconnected. Dropping the relay closes the
+//! end of the response after the entry has disconnected; a plain response to one is as
+//! long at most, since the entry buffers it. Dropping the relay closes the
 //! connection to the endpoint, which cancels the request there.
 
 use crate::endpoint::ID_HEADER;
@@ -47,6 +48,8 @@
     seq: u32,
     bytes: u64,
     max_answer: usize,
+    /// Whether the entry buffers the whole answer.
+    buffered: bool,
     deadline: Instant,
     started: Instant,
     last: Option<Instant>,
@@ -78,8 +81,9 @@
 }
 
 impl Relay {
-    /// Creates the relay of `response`, the response to `attempt`. A model response of
-    /// more than `max_answer` bytes that is not an event stream ends it.
+    /// Creates the relay of `response`, the response to `attempt`. More than `max_answer`
+    /// bytes end it, if it is a model response that is not an event stream or the response
+    /// to a non-idempotent attempt, which the entry buffers.
     pub fn new(
         attempt: &Attempt,
         response: Response<Incoming>,
@@ -112,6 +116,7 @@
             seq: 0,
             bytes: 0,
             max_answer,
+            buffered: attempt.repeat == Repeat::Never,
             deadline,
             started,
             last: None,
@@ -163,6 +168,9 @@
     fn on_data(&mut self, data: &Bytes) {
         match &mut self.format {
             BodyFormat::Plain => {
+                if self.buffered && self.bytes as usize + data.len() > self.max_answer {
+                    return self.fail_oversized();
+                }
                 let data = data.clone();
                 self.record_tokens(1);
                 self.push_chunk(data);
@@ -170,9 +178,7 @@
             BodyFormat::Buffered(buffer) => {
                 buffer.extend_from_slice(data);
                 if buffer.len() > self.max_answer {
-                    let reason =
-                        format!("the answer is larger than {} bytes", self.max_answer);
-                    self.fail(&reason);
+                    self.fail_oversized();
                 }
             }
             BodyFormat::Events(events) => {
@@ -250,6 +256,11 @@
         self.terminate(reason);
     }
 
+    fn fail_oversized(&mut self) {
+        let reason = format!("the answer is larger than {} bytes", self.max_answer);
+        self.fail(&reason);
+    }
+
     fn terminate(&mut self, reason: &str) {
         self.release();
         self.push(FrameBody::Broken(reason.to_string()));
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -1,5 +1,6 @@
 //! Daemon of an entry: startup, tasks and shutdown.
 
+use crate::buffers::BufferPool;
 use crate::contention::Contention;
 use crate::control_sync;
 use crate::dialect::{CallerDialect, EndpointDialect, EndpointList};
@@ -128,6 +129,7 @@
             streams,
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
+            buffers: BufferPool::default(),
             stats,
             drain,
             drain_started: OnceLock::new(),
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -442,6 +442,7 @@
             position: &self.position,
             fetch,
             deadline: self.deadline,
+            buffers: &self.shared.buffers,
         };
         let dialect = self.shared.endpoints.as_ref();
         let exchange =
@@ -496,7 +497,7 @@
         build_response(
             complete.status,
             complete.headers,
-            ResponseBody::complete(complete.bytes),
+            ResponseBody::buffered(complete.bytes, complete.space),
         )
     }
 }
--- a/crates/direct/src/dispatch/crash.rs
+++ b/crates/direct/src/dispatch/crash.rs
@@ -78,6 +78,10 @@
         match loss {
             Loss::ConnectionBroken => {}
             // A response was received, so the request is assumed to have started.
+            Loss::Oversized => {
+                self.shared.stats.oversized(&self.service);
+                return self.start_counter.count();
+            }
             Loss::Mismatched | Loss::Invalid => return self.start_counter.count(),
             Loss::Timeout | Loss::Withdrawn => return,
         }
--- a/crates/direct/src/dispatch/refusal.rs
+++ b/crates/direct/src/dispatch/refusal.rs
@@ -77,8 +77,10 @@
 pub(super) fn loss_cause(loss: Loss) -> RefusalCause {
     match loss {
         Loss::Timeout => RefusalCause::Timeout,
-        Loss::ConnectionBroken | Loss::Mismatched | Loss::Invalid | Loss::Withdrawn => {
-            RefusalCause::Lost
-        }
+        Loss::ConnectionBroken
+        | Loss::Mismatched
+        | Loss::Invalid
+        | Loss::Oversized
+        | Loss::Withdrawn => RefusalCause::Lost,
     }
 }
--- a/crates/direct/src/dispatch/stream_start.rs
+++ b/crates/direct/src/dispatch/stream_start.rs
@@ -40,10 +40,12 @@
                 let (status, headers) = response_head(&source);
                 source.release();
                 let bytes = Bytes::new();
+                let space = self.shared.buffers.open();
                 return StreamStart::Responded(self.deliver(CompleteResponse {
                     status,
                     headers,
                     bytes,
+                    space,
                 }));
             }
             Ok(StreamItem::Events(events)) => events,
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -11,6 +11,8 @@
 const EVENT_END: &[u8] = b"\n\n";
 /// Terminator of an event with CRLF line ends.
 const EVENT_END_CRLF: &[u8] = b"\r\n\r\n";
+/// Largest event, in bytes.
+pub const MAX_EVENT: usize = 1024 * 1024;
 /// Prefix of the line with the event's number.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -41,6 +43,11 @@
         Some(Events { bytes, last })
     }
 
+    /// Bytes of the event that is not complete.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether part of an event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,21 +1,27 @@
 //! Sending one request to one endpoint.
 
+use crate::buffers::{BufferPool, BufferSpace};
 use crate::dialect::{EndpointDialect, ForwardMeta, Prompt, ResponseMeta};
 use crate::directory::{
     AdmissionError, Endpoint, InFlight, PrefixFetch, QueuePosition, RequestIdentity,
 };
 use crate::pool::{self, ConnectError, Connection};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::permits::Permit;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
 /// Largest response that is buffered completely, in bytes.
 const MAX_BUFFERED_RESPONSE: usize = 8 * 1024 * 1024;
+/// Largest body of a refusal that is read for the sake of its connection, in bytes.
+const MAX_REFUSAL_BODY: usize = 64 * 1024;
+/// Time in which the body of a refusal is read.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A request to be sent to endpoints; unchanged between attempts.
 #[derive(Clone, Debug)]
@@ -76,6 +82,9 @@
     /// No response arrived in time.
     #[display("timeout")]
     Timeout,
+    /// The response, or an event of it, is larger than the entry buffers.
+    #[display("oversized-answer")]
+    Oversized,
     /// The entry gave the request up because requests with the same content crash
     /// endpoints.
     #[display("withdrawn")]
@@ -97,6 +106,8 @@
     pub connection: Connection,
     /// Accounting of the request at the endpoint.
     pub in_flight: InFlight,
+    /// Memory for what is buffered of the body.
+    pub space: BufferSpace,
 }
 
 impl EndpointResponse {
@@ -110,13 +121,15 @@
         deadline: Instant,
     ) -> Result<CompleteResponse, Loss> {
         let endpoint = Arc::clone(self.in_flight.endpoint());
-        let body = Limited::new(self.body, MAX_BUFFERED_RESPONSE).collect();
-        let collected = timeout_at(deadline, body).await;
-        let bytes = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
+        let collect = collect_body(&mut self.body, &mut self.space);
+        let bytes = match timeout_at(deadline, collect).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(loss)) => {
                 endpoint.record_outcome(true);
-                return Err(Loss::ConnectionBroken);
+                if loss == Loss::Oversized {
+                    self.in_flight.resolve();
+                }
+                return Err(loss);
             }
             Err(_) => return Err(Loss::Timeout),
         };
@@ -132,12 +145,33 @@
             status: self.status,
             headers: self.headers,
             bytes,
+            space: self.space,
         })
     }
 }
 
+/// Reads a body to its end.
+async fn collect_body(
+    body: &mut Incoming,
+    space: &mut BufferSpace,
+) -> Result<Bytes, Loss> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Loss::ConnectionBroken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let size = bytes.len() + data.len();
+        if size > MAX_BUFFERED_RESPONSE || !space.fit(size) {
+            return Err(Loss::Oversized);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// A complete response.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct CompleteResponse {
     /// Status.
     pub status: StatusCode,
@@ -145,6 +179,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub bytes: Bytes,
+    /// Memory of the body.
+    pub space: BufferSpace,
 }
 
 /// Sends a request to `endpoint` and waits for the head of the response.
@@ -179,7 +215,13 @@
     };
     match attempted {
         Attempt::Head(response, connection) => {
-            validate_head(dialect, response, connection, in_flight, context.id)
+            let space = context.buffers.open();
+            let sent = Sent {
+                in_flight,
+                connection,
+                space,
+            };
+            validate_head(dialect, response, sent, context.id)
         }
         Attempt::Unsent(_) => {
             endpoint.mark_unreachable();
@@ -302,6 +344,15 @@
     pub fetch: Option<&'a PrefixFetch>,
     /// Deadline.
     pub deadline: Instant,
+    /// Memory for what is buffered of the response.
+    pub buffers: &'a BufferPool,
+}
+
+/// What a request that was sent holds until its response is complete.
+struct Sent {
+    in_flight: InFlight,
+    connection: Connection,
+    space: BufferSpace,
 }
 
 async fn connect(
@@ -336,10 +387,14 @@
 fn validate_head(
     dialect: &dyn EndpointDialect,
     response: Response<Incoming>,
-    connection: Connection,
-    mut in_flight: InFlight,
+    sent: Sent,
     id: &str,
 ) -> SendOutcome {
+    let Sent {
+        mut in_flight,
+        connection,
+        space,
+    } = sent;
     let (parts, body) = response.into_parts();
     let meta = dialect.read(parts.status, &parts.headers);
     let endpoint = Arc::clone(in_flight.endpoint());
@@ -405,6 +460,7 @@
         body,
         connection,
         in_flight,
+        space,
     }))
 }
 
@@ -418,7 +474,7 @@
 
 /// Reads the body of a refusal to its end, so that the connection can be reused.
 fn drain_refusal(
-    body: Incoming,
+    mut body: Incoming,
     connection: Connection,
     meta: &ResponseMeta,
     endpoint: Arc<Endpoint>,
@@ -428,15 +484,26 @@
     }
     let idle_timeout = meta.idle_timeout;
     tokio::spawn(async move {
-        let end = Instant::now() + std::time::Duration::from_secs(1);
-        let collected =
-            timeout_at(end, Limited::new(body, MAX_BUFFERED_RESPONSE).collect()).await;
-        if matches!(collected, Ok(Ok(_))) {
+        let end = Instant::now() + REFUSAL_TIMEOUT;
+        if let Ok(true) = timeout_at(end, discard_body(&mut body)).await {
             endpoint.pool.release(connection, idle_timeout);
         }
     });
 }
 
+/// Reads a short body and drops it. Returns whether it ended.
+async fn discard_body(body: &mut Incoming) -> bool {
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        size += frame.data_ref().map_or(0, Bytes::len);
+        if size > MAX_REFUSAL_BODY {
+            return false;
+        }
+    }
+    true
+}
+
 /// Removes hop-by-hop headers.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,8 @@
 //!   ([`dispatch`]).
 //! * Only complete events of a stream are forwarded, and a stream resumes at another
 //!   endpoint only after its last complete event ([`stream`]).
+//! * What is buffered of all responses together is bounded ([`buffers`]): an endpoint may
+//!   send without end.
 //! * Whatever ends a request early (the caller disconnects, the deadline passes, another
 //!   endpoint responds) closes the connection to the endpoint, which cancels the work
 //!   there.
@@ -20,6 +22,7 @@
 //! [`dialect`] defines the traits that adapt the headers of callers and endpoints and the
 //! format of the endpoint list; [`direct`] assembles the daemon.
 
+pub mod buffers;
 pub mod connection_state;
 pub mod contention;
 pub mod control_sync;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -3,6 +3,7 @@
 //! A request is read completely before any decision, so that a refusal reaches the caller
 //! on an intact connection. An admitted request becomes a [`Dispatch`].
 
+use crate::buffers::BufferPool;
 use crate::contention::Contention;
 use crate::dialect::{CallerDialect, EndpointDialect, Prompt, RequestMeta};
 use crate::directory::Directory;
@@ -78,6 +79,8 @@
     pub fingerprinter: Fingerprinter,
     /// Software versions at which streams began.
     pub streams: StreamsBegun,
+    /// Memory for buffered responses.
+    pub buffers: BufferPool,
     /// Metrics.
     pub stats: Stats,
     /// Drain signal of the entry.
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -44,6 +44,8 @@
     not_admitted: IntCounterVec,
     /// Streams that callers resumed, by what determined their version.
     looked_up: IntCounterVec,
+    /// Responses that were given up because of their size, by service.
+    oversized: IntCounterVec,
     /// Places at endpoints with few slots.
     pub lending: LendingStats,
 }
@@ -119,6 +121,11 @@
                 "Streams that callers resumed, by what determined their version",
                 &["by"],
             ),
+            oversized: metrics.counters(
+                "dogwoodhill_direct_oversized_total",
+                "Responses given up because they, or an event of them, are too large",
+                &["service"],
+            ),
             lending: LendingStats::new(metrics),
         }
     }
@@ -139,6 +146,11 @@
         self.looked_up.with_label_values(&[origin]).inc();
     }
 
+    /// Counts a response that was given up because of its size.
+    pub fn oversized(&self, service: &str) {
+        self.oversized.with_label_values(&[service]).inc();
+    }
+
     /// Counts a resend.
     pub fn resend(&self, service: &str, reason: &str) {
         self.resends.with_label_values(&[service, reason]).inc();
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -9,7 +9,7 @@
 use crate::dialect::EventId;
 use crate::directory::Endpoint;
 use crate::dispatch::{Dispatch, DispatchResult};
-use crate::events::{Events, Splitter};
+use crate::events::{Events, MAX_EVENT, Splitter};
 use crate::exchange::{EndpointResponse, Loss};
 use crate::race::{Winner, race_response};
 use crate::response::Part;
@@ -86,7 +86,12 @@
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            if let Some(events) = self.splitter.push(bytes) {
+            let events = self.splitter.push(bytes);
+            let partial = self.splitter.buffered();
+            if partial > MAX_EVENT || !self.response.space.fit(partial) {
+                return self.oversized();
+            }
+            if let Some(events) = events {
                 return StreamItem::Events(events);
             }
         }
@@ -98,6 +103,15 @@
         StreamItem::Broken(Loss::ConnectionBroken)
     }
 
+    /// Gives up a stream with an event that is too large. The endpoint has answered, so it
+    /// did not end under the request.
+    fn oversized(&mut self) -> StreamItem {
+        self.endpoint().record_outcome(true);
+        self.response.in_flight.resolve();
+        self.response.in_flight.finish();
+        StreamItem::Broken(Loss::Oversized)
+    }
+
     /// Returns the connection of a properly ended stream to the pool.
     pub fn release(self) {
         let EndpointResponse {
--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,6 +10,8 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::sleep;
 
+/// Bytes after which an endless response falls silent: far more than an entry reads.
+pub(crate) const MAX_ENDLESS: usize = 64 * 1024 * 1024;
 /// Start of a request for the health path.
 const HEALTH_LINE: &str = "GET /health ";
 
@@ -50,6 +52,9 @@
     /// Streams these chunks, then sends nothing until the caller closes the connection,
     /// and notifies.
     Stall(Vec<&'static str>, Arc<Notify>),
+    /// Sends this head, with the request's id in place of `{id}`, and then this piece again
+    /// and again until the caller closes the connection, [`MAX_ENDLESS`] bytes at most.
+    Endless(&'static str, &'static str),
     /// Waits for the notification that a caller has left another endpoint, then streams
     /// these chunks.
     StreamAfter(Arc<Notify>, Vec<&'static str>),
@@ -79,6 +84,8 @@
     acts: Arc<Mutex<Arc<Mutex<VecDeque<Act>>>>>,
     seen: Arc<Mutex<Vec<ReceivedRequest>>>,
     disconnected: Arc<Notify>,
+    /// Bytes sent in endless responses.
+    endless: Arc<AtomicUsize>,
     /// Additional header lines of all responses.
     headers: Arc<Mutex<String>>,
     /// Whether requests for the health path are never answered.
@@ -105,6 +112,7 @@
             acts: Arc::new(Mutex::new(Arc::new(Mutex::new(acts.into())))),
             seen: Arc::default(),
             disconnected: Arc::default(),
+            endless: Arc::default(),
             headers: Arc::default(),
             silent_health: Arc::default(),
             slots: Arc::default(),
@@ -274,6 +282,12 @@
                 caller_left.notify_one();
                 return false;
             }
+            Act::Endless(head, piece) => {
+                let head = head.replace("{id}", id);
+                self.send_endless(stream, &head, piece).await;
+                self.disconnected.notify_one();
+                return false;
+            }
             Act::StreamAfter(caller_left, pieces) => {
                 caller_left.notified().await;
                 return self.stream(stream, id, pieces, true).await;
@@ -282,6 +296,28 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    /// Returns once the caller has closed the connection.
+    async fn send_endless(&self, stream: &mut TcpStream, head: &str, piece: &str) {
+        let _ = stream.write_all(head.as_bytes()).await;
+        let count = (64 * 1024usize).div_ceil(piece.len());
+        let bytes = piece.repeat(count);
+        let mut sent = 0;
+        while sent < MAX_ENDLESS {
+            if stream.write_all(bytes.as_bytes()).await.is_err() {
+                return;
+            }
+            sent += bytes.len();
+            self.endless.fetch_add(bytes.len(), Ordering::Relaxed);
+        }
+        let mut byte = [0];
+        let _ = stream.read(&mut byte).await;
+    }
+
+    /// Bytes sent in endless responses.
+    pub(crate) fn endless_bytes(&self) -> usize {
+        self.endless.load(Ordering::Relaxed)
+    }
+
     async fn stream(
         &self,
         stream: &mut TcpStream,
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -3,11 +3,13 @@
 
 mod abandoned;
 mod backoff;
+mod buffers;
 mod callers;
 mod control;
 mod crash_evidence;
 mod crashing_parts;
 mod dialect;
+mod endless;
 mod endpoint;
 mod entry;
 mod events;
--- a/crates/direct/tests/all/staleness.rs
+++ b/crates/direct/tests/all/staleness.rs
@@ -3,6 +3,7 @@
 use crate::dialect::PlainHeaders;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
+use dogwoodhill_direct::buffers::BufferPool;
 use dogwoodhill_direct::dialect::{
     EndpointList, EndpointRecord, FetchFuture, ForwardMeta, ListContent, PageToken,
     Prompt,
@@ -173,6 +174,7 @@
         position: &QueuePosition::default(),
         fetch: None,
         deadline: tokio::time::Instant::now() + Duration::from_secs(30),
+        buffers: &BufferPool::default(),
     };
     let outcome = exchange::send(&chosen, &PlainHeaders, &outbound, &meta, context).await;
     assert!(
