Treat a stream without a length and without an event as broken off

Cause: a body without a length ends with its connection, and a stream without a partial event counted as complete, also without any event.

Evidence: body_missing_no_response and stream_without_event_resent failed before. Ruled out by tests that hold on the old code: a head that is cut at any byte, on plain requests, streams, kept connections, refusals, interim responses, second sends, and on the path with agents.

Change: such a stream is lost, and sent again where that is allowed, unless the caller resumes it.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -288,7 +288,9 @@
             match self.send_until_response().await {
                 DispatchResult::Refuse(cause) => return self.conclude(cause),
                 DispatchResult::Response(response) if self.is_stream(&response) => {
-                    match self.start_stream(EventSource::new(*response)).await {
+                    let resumed = self.resume_after.is_some();
+                    let source = EventSource::new(*response, resumed);
+                    match self.start_stream(source).await {
                         StreamStart::Responded(response) => return response,
                         StreamStart::Lost(dispatch) => self = *dispatch,
                     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -108,6 +108,9 @@
     pub in_flight: InFlight,
     /// Memory for what is buffered of the body.
     pub space: BufferSpace,
+    /// Whether the body has neither a length nor chunks, so that it ends with its
+    /// connection.
+    pub unframed: bool,
 }
 
 impl EndpointResponse {
@@ -452,6 +455,8 @@
         in_flight.record_prefix();
     }
     let mut headers = parts.headers;
+    let unframed = !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING);
     strip_hop_by_hop(&mut headers);
     SendOutcome::Answered(Box::new(EndpointResponse {
         status: parts.status,
@@ -461,6 +466,7 @@
         connection,
         in_flight,
         space,
+        unframed,
     }))
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -30,6 +30,8 @@
 pub struct EventSource {
     response: EndpointResponse,
     splitter: Splitter,
+    /// Whether the stream is incomplete without an event.
+    needs_event: bool,
 }
 
 /// Result of reading from an endpoint's stream.
@@ -44,9 +46,12 @@
 }
 
 impl EventSource {
-    /// Starts reading the body of `response`.
-    pub fn new(response: EndpointResponse) -> Self {
+    /// Starts reading the body of `response`. If the stream is `resumed`, there may be no
+    /// event left. Otherwise a body that ends with its connection before the first event
+    /// is taken for one that was broken off after its head.
+    pub fn new(response: EndpointResponse, resumed: bool) -> Self {
         Self {
+            needs_event: response.unframed && !resumed,
             response,
             splitter: Splitter::default(),
         }
@@ -71,7 +76,7 @@
     pub async fn next(&mut self) -> StreamItem {
         loop {
             let Some(frame) = self.response.body.frame().await else {
-                let complete = !self.splitter.has_partial();
+                let complete = !self.splitter.has_partial() && !self.needs_event;
                 return if complete {
                     self.response.in_flight.resolve();
                     StreamItem::End
@@ -92,6 +97,7 @@
                 return self.oversized();
             }
             if let Some(events) = events {
+                self.needs_event = false;
                 return StreamItem::Events(events);
             }
         }
@@ -294,7 +300,7 @@
         };
         match next {
             DispatchResult::Response(response) if response.status.is_success() => {
-                let source = EventSource::new(*response);
+                let source = EventSource::new(*response, true);
                 self.record.stream_resumed(source.endpoint(), self.last);
                 self.source = Some(source);
                 None
--- a/crates/direct/tests/all/endpoint.rs
+++ b/crates/direct/tests/all/endpoint.rs
@@ -55,6 +55,9 @@
     /// Sends this head, with the request's id in place of `{id}`, and then this piece again
     /// and again until the caller closes the connection, [`MAX_ENDLESS`] bytes at most.
     Endless(&'static str, &'static str),
+    /// Sends so many bytes of this text, with the request's id in place of `{id}`, and
+    /// closes properly.
+    Cut(&'static str, usize),
     /// Waits for the notification that a caller has left another endpoint, then streams
     /// these chunks.
     StreamAfter(Arc<Notify>, Vec<&'static str>),
@@ -288,6 +291,13 @@
                 self.disconnected.notify_one();
                 return false;
             }
+            Act::Cut(text, length) => {
+                let text = text.replace("{id}", id);
+                let cut = &text.as_bytes()[..length.min(text.len())];
+                let _ = stream.write_all(cut).await;
+                let _ = stream.shutdown().await;
+                return false;
+            }
             Act::StreamAfter(caller_left, pieces) => {
                 caller_left.notified().await;
                 return self.stream(stream, id, pieces, true).await;
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod events;
 mod fleet;
+mod half_head;
 mod leaving;
 mod lending;
 mod list_tracker;
