Resume a stream found by content only if all who know it agree

What callers would see: a stream that is taken up again without naming its first attempt goes on at the version of another caller's stream with the same content (ORDER). A record expired 60 s after a stream began, also while it was still taken up again.

Cause: the key by content was taken for unique; the entry believed its own record, or whichever control instance answered first, and an instance with two versions answered like one with none.

Change: control answers with all versions it has for a key. By content, the entry and all instances that answer have to agree; others have 0.1 s after the first answer to contradict it. By attempt one answer is enough, as before. A resumed stream is recorded again under its first attempt.

--- a/crates/control/src/streams.rs
+++ b/crates/control/src/streams.rs
@@ -26,9 +26,9 @@
         }
     }
 
-    /// The version that began a stream, if that is known.
-    pub fn find(&self, now: Duration, stream: StreamKey) -> Option<VersionTag> {
-        self.versions().find(now, stream)
+    /// The versions that a stream was reported with, sorted.
+    pub fn find(&self, now: Duration, stream: StreamKey) -> Vec<VersionTag> {
+        self.versions().find_all(now, stream)
     }
 
     fn versions(&self) -> MutexGuard<'_, StreamVersions> {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -257,17 +257,20 @@
         events.is_some_and(|events| events.resumable)
     }
 
-    /// Records that the first event of the request's stream goes to the caller: from now
-    /// on, only endpoints of the same version may continue it.
+    /// Records that the first event of the response goes to the caller: from now on, only
+    /// endpoints of the same version may continue the stream. One that the caller resumed
+    /// is recorded again, since the caller may resume it once more.
     fn record_stream_begun(&mut self, endpoint: &Endpoint) {
-        if self.version.is_some() || !self.is_resumable() {
+        if !self.is_resumable() {
             return;
         }
-        self.version = Some(endpoint.version_tag);
-        let streams = &self.shared.streams;
+        let version = *self.version.get_or_insert(endpoint.version_tag);
+        let first = self.meta.resumes.as_ref();
+        let first = first.filter(|_| self.meta.resume_after.is_some());
+        let attempt = first.unwrap_or(&self.meta.id);
         let workspace = self.admitted.workspace.as_ref();
-        let content = self.fingerprint;
-        streams.record(workspace, &self.meta.id, content, endpoint.version_tag);
+        let streams = &self.shared.streams;
+        streams.record(workspace, attempt, self.fingerprint, version);
     }
 
     /// The request's record. Panics if the record was already taken.
--- a/crates/direct/src/streams_begun.rs
+++ b/crates/direct/src/streams_begun.rs
@@ -7,7 +7,8 @@
 //! record.
 //!
 //! Callers name the attempt that began the stream. Older ones do not; their streams are
-//! found by the content of the request, which is the same in all attempts.
+//! found by the content of the request, which is the same in all attempts. It may be that of
+//! another stream as well, so all who know a version for it have to agree.
 
 use crate::dialect::RequestMeta;
 use crate::directory::Directory;
@@ -29,13 +30,15 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Control instances asked for a version: one more than may fail at once where five
 /// instances replicate the log.
 const MAX_INSTANCES: usize = 3;
 /// Timeout of a lookup at control.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the first answer in which other instances may contradict it.
+const CONTRADICTION_WAIT: Duration = Duration::from_millis(100);
 /// Delay after which a stream that control does not know is looked up once more: by then
 /// a running entry has reported the streams that it began before.
 const LOOKUP_RETRY_DELAY: Duration = Duration::from_millis(650);
@@ -180,7 +183,10 @@
         let workspace = admitted.workspace.as_ref();
         let named = meta.resumes.as_deref();
         let named = named.map(|first| self.fingerprinter.of_attempt(workspace, first));
-        let found = self.find(named.unwrap_or(content_key(content))).await;
+        let found = match named {
+            Some(first) => self.find(first, false).await,
+            None => self.find(content_key(content), true).await,
+        };
         let found = found.or_else(|| {
             let (directory, list_tracker) = lists;
             let sole = directory.sole_version(&admitted.route)?;
@@ -198,22 +204,40 @@
         Ok(Some(found.1))
     }
 
-    async fn find(&self, stream: StreamKey) -> Option<(Origin, VersionTag)> {
-        let own = self.state().versions.find(uptime(), stream);
-        if let Some(own) = own {
-            return Some((Origin::Own, own));
+    /// Looks for the version of `stream`. If the key may be `shared` by several streams,
+    /// whatever this entry and the control instances know has to be the same.
+    async fn find(
+        &self,
+        stream: StreamKey,
+        shared: bool,
+    ) -> Option<(Origin, VersionTag)> {
+        let own = self.state().versions.find_all(uptime(), stream);
+        if let ([version], false) = (&own[..], shared) {
+            return Some((Origin::Own, *version));
         }
-        let mut found = self.ask_control(stream).await;
-        if found.is_none() {
+        let mut known = own.clone();
+        known.extend(self.ask_control(stream, shared).await);
+        if known.is_empty() {
             sleep(LOOKUP_RETRY_DELAY).await;
-            found = self.ask_control(stream).await;
+            known = self.ask_control(stream, shared).await;
+        }
+        known.sort_unstable();
+        known.dedup();
+        let origin = if own.is_empty() {
+            Origin::Control
+        } else {
+            Origin::Own
+        };
+        match known[..] {
+            [version] => Some((origin, version)),
+            _ => None,
         }
-        Some((Origin::Control, found?))
     }
 
-    /// Asks some control instances at once. They answer differently where entries have
-    /// changed from one to another.
-    async fn ask_control(&self, stream: StreamKey) -> Option<VersionTag> {
+    /// Asks some control instances at once, and returns the versions that they know. They
+    /// answer differently where entries have changed from one to another; all of them are
+    /// awaited only if the key may be `shared`.
+    async fn ask_control(&self, stream: StreamKey, shared: bool) -> Vec<VersionTag> {
         let message = FindStream { stream };
         let mut lookups = JoinSet::new();
         for address in self.instances().into_iter().take(MAX_INSTANCES) {
@@ -223,12 +247,23 @@
                 timeout(LOOKUP_TIMEOUT, call).await
             });
         }
-        while let Some(answer) = lookups.join_next().await {
-            if let Ok(Ok(Ok(Some(version)))) = answer {
-                return Some(version);
+        let mut found: Vec<VersionTag> = Vec::new();
+        let mut end = Instant::now() + LOOKUP_TIMEOUT;
+        while let Ok(Some(answer)) = timeout_at(end, lookups.join_next()).await {
+            let answer: Result<Result<Result<Vec<VersionTag>, _>, _>, _> = answer;
+            let Ok(Ok(Ok(versions))) = answer else {
+                continue;
+            };
+            if versions.is_empty() {
+                continue;
+            }
+            found.extend(versions);
+            if !shared {
+                break;
             }
+            end = end.min(Instant::now() + CONTRADICTION_WAIT);
         }
-        None
+        found
     }
 
     fn instances(&self) -> Vec<SocketAddr> {
--- a/crates/direct/tests/all/versions.rs
+++ b/crates/direct/tests/all/versions.rs
@@ -14,7 +14,10 @@
 use dogwoodhill_direct::directory::{
     Directory, LatencyClass, PlacementQuery, VersionRule,
 };
+use dogwoodhill_policy::stream_versions::{StreamKey, VersionTag};
 use dogwoodhill_route::prelude::*;
+use dogwoodhill_wire::client::PeerClient;
+use dogwoodhill_wire::streams::{FIND_STREAM_PATH, FindStream};
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -203,6 +206,84 @@
     assert!(resumed > 0);
 }
 
+/// Waits until control knows several versions of a key that all entries have reported.
+async fn wait_until_reported(control: &ControlInstance, entries: &[&Entry]) {
+    let keys = |entry: &&Entry| {
+        let begun = entry.shared.streams.report(1).begun;
+        let streams = begun.into_iter().flat_map(|begun| begun.streams);
+        streams.collect::<Vec<StreamKey>>()
+    };
+    let all: Vec<Vec<StreamKey>> = entries.iter().map(keys).collect();
+    let shared = all[0].iter().copied();
+    let mut shared = shared.filter(|key| all.iter().all(|keys| keys.contains(key)));
+    let stream = shared.next().expect("the content is the same");
+    let client = PeerClient::new("secret".to_string());
+    let end = Instant::now() + LONG_TIMEOUT;
+    while Instant::now() < end {
+        let find = FindStream { stream };
+        let call =
+            client.call::<_, Vec<VersionTag>>(control.address, FIND_STREAM_PATH, &find);
+        if call.await.is_ok_and(|known| known.len() == entries.len()) {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("control is not told");
+}
+
+/// Guards against a stream that goes on at the version of another stream: two callers sent
+/// the same content, their streams began at different versions at two entries, and neither
+/// names the attempt that began its own.
+#[tokio::test]
+async fn stream_of_shared_content_refused() {
+    let control = ControlInstance::start(0).await;
+    let records = start_endpoints().await;
+    let of = |version: &str| {
+        let records = records.iter().filter(|one| one.version == version);
+        records.cloned().collect::<Vec<EndpointRecord>>()
+    };
+    let old = start_entry("old", &of(VERSIONS[0]), control.address).await;
+    let new = start_entry("new", &of(VERSIONS[1]), control.address).await;
+    let headers = "x-resume: 2\r\n";
+    for entry in [&old, &new] {
+        let began = entry.call("POST /resumable/", "", "text").await;
+        assert_eq!(began.status, 200);
+    }
+    wait_until_reported(&control, &[&old, &new]).await;
+    for entry in [&old, &new] {
+        let got = entry.call("POST /resumable/", headers, "text").await;
+        assert_eq!(got.status, 503, "{got:?}");
+        assert!(got.body.contains("stream-unknown"), "{}", got.body);
+    }
+}
+
+/// Guards against the record of a stream that is dropped while callers still resume it:
+/// each resumption counts as a new beginning.
+#[tokio::test]
+async fn stream_resumed_recorded_again() {
+    let records = start_endpoints().await;
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let entry = start_entry("entry", &records, nobody).await;
+    let began = entry.call("POST /resumable/", "", "text").await;
+    assert_eq!(began.events().len() as u64, FIRST_EVENTS);
+    let count = || {
+        let begun = entry.shared.streams.report(1).begun;
+        assert_eq!(begun.len(), 1, "one version");
+        begun[0].streams.clone()
+    };
+    let first = count();
+    let headers = "x-resume: 2\r\nx-resumes: r-1\r\n";
+    let got = entry
+        .call_as("r-2", "POST /resumable/", headers, "text")
+        .await;
+    assert_eq!(got.status, 200);
+    assert_eq!(
+        count(),
+        [first.clone(), first].concat(),
+        "under the same keys"
+    );
+}
+
 /// The last endpoints of the stream's version are gone: it does not go on at another one.
 #[tokio::test]
 async fn stream_of_gone_version_refused() {
--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -67,12 +67,23 @@
 
     /// The version that began a stream; `None` if that is unknown or ambiguous.
     pub fn find(&self, now: Duration, stream: StreamKey) -> Option<VersionTag> {
+        match *self.find_all(now, stream) {
+            [version] => Some(version),
+            _ => None,
+        }
+    }
+
+    /// The versions that a stream was recorded with, sorted; several if streams share its
+    /// key.
+    pub fn find_all(&self, now: Duration, stream: StreamKey) -> Vec<VersionTag> {
         let newest = self.slices.len().saturating_sub(1);
         let recent = self.slices.iter().enumerate();
         let recent = recent.filter(|(_, slice)| slice.is_recent(now));
-        let mut found = recent.flat_map(|(at, slice)| slice.find(stream, at < newest));
-        let first = found.next()?;
-        found.all(|other| other == first).then_some(first)
+        let found = recent.flat_map(|(at, slice)| slice.find(stream, at < newest));
+        let mut found: Vec<VersionTag> = found.collect();
+        found.sort_unstable();
+        found.dedup();
+        found
     }
 
     /// Number of streams.
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -16,8 +16,8 @@
     pub streams: Vec<StreamKey>,
 }
 
-/// Asks at which version a stream began. Answered with an [`Option`] of a [`VersionTag`]:
-/// `None` if the instance does not know.
+/// Asks at which version a stream began. Answered with all versions that the instance has
+/// a record of, as a list of [`VersionTag`]: several if streams share the key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FindStream {
     /// The stream.
