Keep what entries tell of streams on the disk of control instances

Cause: the version of a stream lay in the memory of its entry and of one control instance, which share machines.

Ruled out: no endpoint of the version left (the rule counts only others).

Change: each control instance appends what entries tell it to a file of its own, one sync for all that arrived during the last one, and reads the last minute at a start. Nothing waits for it. Two files of 4 MiB at most.

Tests: crates/control/tests/streams.rs; streams_all_instances_killed_found found nothing without the files.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -17,6 +17,7 @@
 use crate::service::Service;
 use crate::settings::{Settings, Start};
 use crate::shutdown::shut_down;
+use crate::streams::StreamTracker;
 use axum::Router;
 use derive_more::{Display, Error};
 use dogwoodhill_consensus::members::Member;
@@ -257,12 +258,16 @@
         let operator_api =
             OperatorApi::new(service.clone(), presence.clone(), &self.settings.teams);
         let secret = self.settings.secret.clone();
-        let internal_api = InternalApi::new(
-            service.clone(),
-            presence.clone(),
-            self.cluster,
-            secret.clone(),
-        );
+        let (streams, _stream_writer) = StreamTracker::open(&self.settings.data).await;
+        let internal_api = InternalApi {
+            streams,
+            ..InternalApi::new(
+                service.clone(),
+                presence.clone(),
+                self.cluster,
+                secret.clone(),
+            )
+        };
         let usage = internal_api.usage.clone();
         let metrics = Metrics::default();
         let reporter = extensions.usage.zip(self.settings.usage.clone());
--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -337,7 +337,7 @@
         let transit = api.lists.transit_time(now, report.echo);
         let findings = api.quarantine.report(now, transit, &report, &answers);
         quarantine::commit_findings(&api.service, findings);
-        api.streams.report(now, &report);
+        api.streams.report(now, &report.streams);
         let permits = api.limits.report(now, transit, &report);
         DemandReply {
             limits: api.limits.current(now, report.limits_mark),
