--- a/crates/direct/tests/all/endless.rs
+++ b/crates/direct/tests/all/endless.rs
@@ -1,10 +1,12 @@
 //! Responses that go on until the connection is closed: the entry ends them, and reads no
 //! more of them than it may keep in memory.
 
+use crate::dialect::FixedList;
 use crate::endpoint::{Act, MAX_ENDLESS, ScriptedEndpoint};
-use crate::entry::{Entry, LONG_TIMEOUT, route_set};
+use crate::entry::{CallerResponse, Entry, LONG_TIMEOUT, listed, route_set};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::prelude::*;
+use std::net::SocketAddr;
 use tokio::time::timeout;
 
 /// Head of a stream without a length.
@@ -25,11 +27,7 @@
 
 /// Sends `line` to an endpoint that performs `act`; returns the response of the entry once
 /// the connection to the endpoint is closed.
-async fn call(
-    act: Act,
-    line: &str,
-    set: RouteSet,
-) -> (crate::entry::CallerResponse, usize) {
+async fn call(act: Act, line: &str, set: RouteSet) -> (CallerResponse, usize) {
     let endpoint = ScriptedEndpoint::start(vec![act]).await;
     let entry = Entry::with_routes(&[&endpoint], set).await;
     let got = timeout(LONG_TIMEOUT / 2, entry.call(line, "", "")).await;
@@ -116,10 +114,13 @@
     other.targets[0].service = "other".to_string();
     set.routes.push(other);
     set.services.push("other".to_string());
-    let entry = Entry::with_routes(&[&faulty], set).await;
-    let mut listed = crate::entry::listed(&[&faulty, &sound]);
+    let mut listed = listed(&[&faulty, &sound]);
     listed[1].service = "other".to_string();
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let list = Box::new(FixedList(listed.clone()));
+    let entry = Entry::start("entry", list, LONG_TIMEOUT, vec![nobody]).await;
     entry.shared.directory.update(listed);
+    entry.shared.activate_routes(RouteTable::new(set));
     let calls = (0..40).map(|_| async {
         let call = entry.call("POST /once/", "", "");
         timeout(LONG_TIMEOUT / 2, call).await.expect("ends").status
