--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -23,13 +23,12 @@
 mod campaign;
 pub(crate) mod elector;
 
-pub use campaign::{Campaign, FIRST_DELAY, Outcome};
+pub use campaign::{Campaign, Outcome};
 
 use dogwoodhill_consensus::NodeId;
 use dogwoodhill_consensus::log::{Entry, Payload};
 use dogwoodhill_consensus::members::{Member, Members};
 use dogwoodhill_consensus::ready::HardState;
-use dogwoodhill_store::Identity;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -58,14 +57,6 @@
 }
 
 impl Charter {
-    /// Identity of the instance `node` in this cluster.
-    pub fn identity(&self, node: NodeId) -> Identity {
-        Identity {
-            cluster: self.cluster,
-            node,
-        }
-    }
-
     /// Term and log with which each of the voters begins.
     pub fn log(&self) -> (HardState, Vec<Entry>) {
         let hard_state = HardState {
--- a/crates/control/src/founding/campaign.rs
+++ b/crates/control/src/founding/campaign.rs
@@ -10,7 +10,7 @@
 
 /// Delay before the first proposal, by the position of the proposer among the seeds. The
 /// seed before it has usually founded the cluster by then.
-pub const FIRST_DELAY: Duration = Duration::from_millis(400);
+const FIRST_DELAY: Duration = Duration::from_millis(400);
 /// Delay before the next proposal after a higher ballot was seen, in milliseconds.
 /// Randomized so that two proposers do not outbid each other for long.
 const BACKOFF_MS: Range<u64> = 200..900;
--- a/crates/store/src/single.rs
+++ b/crates/store/src/single.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 /// Suffix of files that are not complete yet.
-pub(crate) const TEMPORARY: &str = ".new";
+const TEMPORARY: &str = ".new";
 
 /// Reads the record in the file `name`; `None` if there is no such file.
 ///
