Log requests whose crashes are attributed to others

A request with three crashes or more had no line at all while others were blamed for them. No change of logic.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -426,7 +426,29 @@
                 deferral: judged.deferral?,
             })
         });
-        deferred.collect()
+        deferred.chain(self.attributed(judged)).collect()
+    }
+
+    /// Requests with enough crashes that are not judged, since some of these are attributed
+    /// to others.
+    fn attributed(&self, judged: &[Judged]) -> Vec<Deferred> {
+        let attribution = Attribution::new(&self.suspects);
+        let suspects = self.suspects.iter().enumerate();
+        let attributed = suspects.filter_map(|(index, suspect)| {
+            let crashes = suspect.crashes.len();
+            let enough = suspect.kind == Kind::Request
+                && suspect.until.is_none()
+                && crashes >= QUARANTINE_CRASHES;
+            let is_judged = judged.iter().any(|one| one.index == index);
+            let open = enough && attribution.open_crashes(suspect).len() < crashes;
+            (open && !is_judged).then_some(Deferred {
+                request: suspect.request,
+                is_part: false,
+                crashes,
+                deferral: Deferral::Attributed,
+            })
+        });
+        attributed.collect()
     }
 
     /// The crashes and the quarantine of a request.
--- a/crates/policy/src/quarantine/findings.rs
+++ b/crates/policy/src/quarantine/findings.rs
@@ -75,6 +75,9 @@
     /// So many requests share most of its crashes that one of them may share all by chance.
     #[display("chance")]
     Chance,
+    /// Its crashes are attributed to quarantined requests or parts.
+    #[display("attributed")]
+    Attributed,
     /// It is a part, and a request with enough crashes shares the newest.
     #[display("contested")]
     Contested,
