Run requests suspected of crashing endpoints on trial, one copy at a time

Cause: verdicts by count.

Change: a request that was lost with two endpoints is sent by a grant of control, one copy at a time over all entries, alone on an endpoint as far as there are enough, with three crashes only so. Two trials that end with their endpoint decide. Left is the unambiguous case: three crashes that nothing else shares, all since the request's first. Notices: 1,024, since 256 left out suspects with three crashes.

--- a/crates/control/src/internal.rs
+++ b/crates/control/src/internal.rs
@@ -342,6 +342,7 @@
         DemandReply {
             limits: api.limits.current(now, report.limits_mark),
             permits,
+            trials: api.quarantine.grant_trials(now, &report),
             contention: api.contention.report(now, transit, &report),
             reader: update.reader,
             list: update.newest,
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -12,10 +12,12 @@
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::affinity::hash;
+use dogwoodhill_policy::quarantine::trials::{self, Trials};
 use dogwoodhill_policy::quarantine::{
-    Deferred, Findings, LostRequest, Quarantine, REPORT_TIME, SuspectNotice,
+    Deferred, Findings, LostRequest, Quarantine, SuspectNotice,
 };
 use dogwoodhill_wire::demand::{DemandReport, SuspectRequest, Suspects};
+use dogwoodhill_wire::trials::Trial;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -31,14 +33,17 @@
 
 /// Interval at which suspects are judged. Hundreds of entries report twice a second.
 const JUDGEMENT_INTERVAL: Duration = Duration::from_millis(100);
-/// Deferred suspects that are logged for one judgement.
+/// Sends and waiting requests of suspects accepted per message.
+const MAX_TRIALS: usize = 1_024;
+/// Deferred parts that are logged for one judgement.
 const MAX_DEFERRED_LINES: usize = 8;
 
 /// Losses and findings, and the requests quarantined in the log.
 #[derive(Debug, Default)]
 struct State {
     quarantine: Quarantine,
-    /// Suspects whose deferral is logged.
+    trials: Trials,
+    /// Parts whose deferral is logged.
     deferred: Vec<Deferred>,
     /// When suspects were judged last.
     judged: Option<Duration>,
@@ -95,6 +100,7 @@
                 domain: loss.domain,
                 sent: at.saturating_sub(loss.duration),
                 at,
+                trial: loss.trial,
             };
             quarantine.record_loss(now, &loss);
         }
@@ -125,8 +131,10 @@
                     .info();
             }
         }
+        // A verdict has to precede the next trial of the request.
+        let tried = report.losses.iter().any(|loss| loss.trial);
         let elapsed = state.judged.map(|at| now.saturating_sub(at));
-        if elapsed.is_some_and(|elapsed| elapsed < JUDGEMENT_INTERVAL) {
+        if !tried && elapsed.is_some_and(|elapsed| elapsed < JUDGEMENT_INTERVAL) {
             return Findings::default();
         }
         state.judged = Some(now);
@@ -135,6 +143,35 @@
         findings
     }
 
+    /// Records which suspects an entry sends and wants to send. Returns the sends that are
+    /// granted to it.
+    pub fn grant_trials(&self, now: Duration, report: &DemandReport) -> Vec<Trial> {
+        let entry = hash(report.entry.as_bytes());
+        let mut state = self.state();
+        let State {
+            quarantine, trials, ..
+        } = &mut *state;
+        let running = report.trials.running.iter().take(MAX_TRIALS);
+        let running: Vec<trials::Trial> = running.cloned().map(Into::into).collect();
+        let wanted = report.trials.wanted.iter().take(MAX_TRIALS);
+        let wanted = wanted.filter(|one| quarantine.may_be_tried(now, one.request));
+        let wanted: Vec<trials::WantedTrial> = wanted.cloned().map(Into::into).collect();
+        let granted = trials.report(now, entry, &running, &wanted);
+        for trial in &granted {
+            let (running, waiting) = trials.counts();
+            Event::new("trial-granted")
+                .field("content", short_form(trial.request))
+                .field("entry", &report.entry)
+                .field("endpoint", &trial.run)
+                .field("alone", trial.alone)
+                .field("crashes", quarantine.status(now, trial.request).crashes)
+                .field("running", running)
+                .field("waiting", waiting)
+                .info();
+        }
+        granted.into_iter().map(Into::into).collect()
+    }
+
     /// The suspected requests, unless the entry already has the version with the hash
     /// `known`.
     pub fn suspects(&self, now: Duration, known: u64) -> Option<Suspects> {
@@ -160,8 +197,7 @@
 }
 
 impl State {
-    /// Logs suspects that are newly deferred or for another reason than before, and those
-    /// dropped for lack of room.
+    /// Logs parts that are newly deferred, and suspects dropped for lack of room.
     fn log_judgement(&mut self, deferred: &[Deferred]) {
         let is_new = |one: &&Deferred| !self.deferred.contains(one);
         for one in deferred.iter().filter(is_new).take(MAX_DEFERRED_LINES) {
@@ -214,12 +250,11 @@
         let status = suspect.status;
         bytes.extend(suspect.request.to_be_bytes());
         bytes.push(status.crashes.min(255) as u8);
-        // A hold becomes a quarantine, and a quarantine may be lifted.
+        // A quarantine may be lifted.
         bytes.push(match status.remaining {
             None => 0,
             Some(Duration::ZERO) => 1,
-            Some(remaining) if remaining <= REPORT_TIME => 2,
-            Some(_) => 3,
+            Some(_) => 2,
         });
     }
     hash(&bytes).max(1)
--- a/crates/direct/src/control_sync.rs
+++ b/crates/direct/src/control_sync.rs
@@ -16,6 +16,7 @@
 use dogwoodhill_wire::client::CallError;
 use dogwoodhill_wire::contention::ContentionReport;
 use dogwoodhill_wire::demand::{DEMAND_PATH, DemandReply, DemandReport, Echo, Stamp};
+use dogwoodhill_wire::trials::TrialReport;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,6 +32,8 @@
 /// together. Where thirty endpoints are lost at once, each entry reports six times a
 /// second instead of once per endpoint.
 const LOSS_DELAY: Duration = Duration::from_millis(150);
+/// Interval while suspected requests wait for trials.
+const TRIAL_SYNC_INTERVAL: Duration = Duration::from_millis(100);
 /// Jitter of the interval, so that entries do not report at the same moment.
 const JITTER: std::ops::Range<f64> = 0.8..1.2;
 /// Timeout of a report.
@@ -50,10 +53,12 @@
     loop {
         let jitter = rand::rng().random_range(JITTER);
         let has_list = shared.list_tracker.has_read();
-        let interval = if has_list {
-            SYNC_INTERVAL
-        } else {
+        let interval = if !has_list {
             FIRST_SYNC_INTERVAL
+        } else if shared.suspects.trials.has_waiting() {
+            TRIAL_SYNC_INTERVAL
+        } else {
+            SYNC_INTERVAL
         };
         tokio::select! {
             () = sleep(interval.mul_f64(jitter)) => {}
@@ -149,6 +154,7 @@
         echo: None,
         losses: Vec::new(),
         served: Vec::new(),
+        trials: TrialReport::default(),
         suspects_mark: 0,
         limits,
         limits_mark,
@@ -169,6 +175,7 @@
         let suspect_report = shared.suspects.report(run);
         report.losses.clone_from(&suspect_report.losses);
         report.served.clone_from(&suspect_report.served);
+        report.trials.clone_from(&suspect_report.trials);
         report.suspects_mark = suspect_report.mark;
         let mut stream_report = shared.streams.report(run);
         report.streams = std::mem::take(&mut stream_report.begun);
@@ -187,6 +194,8 @@
                     shared.streams.acknowledged(run, &stream_report);
                 }
                 shared.suspects.apply_control(reply.suspects.take());
+                let granted = reply.trials.drain(..).map(Into::into);
+                shared.suspects.trials.apply(sent_at, granted);
                 shared.directory.apply_limits(
                     sent_at,
                     &report.limits,
--- a/crates/direct/src/directory.rs
+++ b/crates/direct/src/directory.rs
@@ -37,6 +37,7 @@
 use dogwoodhill_policy::incarnations::{Incarnations, RunAge};
 use dogwoodhill_policy::packing;
 use dogwoodhill_policy::prefixes::{Link, Ranges};
+use dogwoodhill_policy::quarantine::trials::MAX_OFFERED;
 use endpoint::Evaluation;
 use fetch::{CacheState, Offers};
 use limits::LimitSync;
@@ -331,14 +332,43 @@
         })
     }
 
-    /// Chooses by health and fingerprint rather than by a shared prefix, so that requests
-    /// that were lost together and are retried together go to different endpoints.
+    /// The endpoints that may run a suspected request, the preferred one first.
+    pub fn trial_endpoints(&self, query: &PlacementQuery<'_>) -> Vec<Incarnation> {
+        let snapshot = self.snapshot.load();
+        let group = snapshot.group(query.service);
+        let endpoints = group.zip(query.isolate).map(|(group, request)| {
+            Self::isolated(query, group, request)
+                .into_iter()
+                .take(MAX_OFFERED)
+                .map(|endpoint| endpoint.run())
+                .collect()
+        });
+        endpoints.unwrap_or_default()
+    }
+
     fn place_isolated(
         &self,
         query: &PlacementQuery<'_>,
         group: &Group,
         request: Fingerprint,
     ) -> Option<Placement> {
+        let endpoint = *Self::isolated(query, group, request).first()?;
+        Some(Placement {
+            endpoint: Arc::clone(endpoint),
+            health: endpoint.health(),
+            known: group.len(),
+            reserved: 0,
+            fetch: None,
+        })
+    }
+
+    /// Endpoints ordered by health and fingerprint rather than by a shared prefix, so that
+    /// requests that were lost together and are retried together go to different ones.
+    fn isolated<'a>(
+        query: &PlacementQuery<'_>,
+        group: &'a Group,
+        request: Fingerprint,
+    ) -> Vec<&'a Arc<Endpoint>> {
         let key = request as u64;
         let order = |endpoint: &&Arc<Endpoint>| {
             let tier = match endpoint.health() {
@@ -352,14 +382,9 @@
             let tried = query.tried.iter().any(|run| endpoint.runs_as(run));
             !tried && endpoint.admits() && query.version.allows(endpoint)
         });
-        let endpoint = usable.min_by_key(order)?;
-        Some(Placement {
-            endpoint: Arc::clone(endpoint),
-            health: endpoint.health(),
-            known: group.len(),
-            reserved: 0,
-            fetch: None,
-        })
+        let mut usable: Vec<&Arc<Endpoint>> = usable.collect();
+        usable.sort_by_key(order);
+        usable
     }
 
     /// Time until an endpoint of a service is expected to admit a request; `None` if the
--- a/crates/direct/src/directory/unresolved.rs
+++ b/crates/direct/src/directory/unresolved.rs
@@ -4,6 +4,7 @@
 //! endpoint ended under the request shows only later, when its address refuses connections
 //! or another run responds there.
 
+use crate::trials::TrialGuard;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::quarantine::outlived;
@@ -17,7 +18,7 @@
 const MAX_SENDS: usize = 256;
 
 /// What is known of a request that may be lost with its endpoint.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RequestIdentity {
     /// Id of the request.
     pub id: RequestId,
@@ -27,6 +28,16 @@
     pub parts: Vec<Fingerprint>,
     /// Hash of its workspace.
     pub workspace: u64,
+    /// Its trial, which ends when the outcome of the send is known.
+    pub trial: Option<Arc<TrialGuard>>,
+}
+
+impl RequestIdentity {
+    /// Whether the request is alone on trial at its endpoint.
+    pub fn is_alone(&self) -> bool {
+        let trial = self.trial.as_ref();
+        trial.is_some_and(|guard| guard.trial().alone)
+    }
 }
 
 /// A send that ended without a response.
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -13,6 +13,7 @@
 mod shares;
 mod stream_start;
 mod target;
+mod trial;
 mod waiting;
 
 use crate::dialect::{EventId, ForwardMeta, RequestMeta};
@@ -30,6 +31,7 @@
 use crate::shares::ShareTicket;
 use crate::stats::RequestRecord;
 use crate::stream::EventSource;
+use crate::trials::TrialGuard;
 use crate::usage::StartCounter;
 use crash::workspace_hash;
 use dogwoodhill_core::fingerprint::short_form;
@@ -114,6 +116,8 @@
     plain: bool,
     /// Place of the current send, if the service's places are lent.
     place: Option<PlaceGuard>,
+    /// Trial in which the next send runs.
+    trial: Option<TrialGuard>,
     /// Counts the request as usage once an endpoint has started it.
     start_counter: Arc<StartCounter>,
     _drain_guard: DrainGuard,
@@ -180,6 +184,7 @@
             content: fingerprint,
             parts: parts.clone(),
             workspace: workspace_hash(admitted.workspace.as_deref()),
+            trial: None,
         });
         let mut dispatch = Self {
             identity,
@@ -213,6 +218,7 @@
             failure: None,
             plain,
             place: None,
+            trial: None,
             start_counter,
             _drain_guard: drain_guard,
         };
@@ -281,7 +287,7 @@
     /// Sends the request and responds to the caller. The response to every send is handled
     /// in the same way, whatever came before it.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
-        if let Some(remaining) = self.quarantine_remaining().await {
+        if let Some(remaining) = self.quarantine_remaining() {
             return self.refuse_with_delay(RefusalCause::Quarantined, Some(remaining));
         }
         if let Some(retry_after) = self.refused_by_share() {
@@ -372,12 +378,8 @@
                 Err(cause) => return DispatchResult::Refuse(cause),
             };
             // The request may have waited for a place, or for another endpoint's response.
-            if self.is_quarantined() {
-                return DispatchResult::Refuse(if self.may_have_run {
-                    RefusalCause::Lost
-                } else {
-                    RefusalCause::Quarantined
-                });
+            if self.quarantine_remaining().is_some() {
+                return DispatchResult::Refuse(self.quarantined_cause());
             }
             let endpoint = Arc::clone(&placement.endpoint);
             let sends = self.sends + 1;
@@ -431,6 +433,7 @@
         let (endpoint, fetch) = (&placement.endpoint, placement.fetch.as_ref());
         let started = Instant::now();
         self.sent_at = uptime();
+        let identity = self.begin_exposure();
         let forward = ForwardMeta {
             remaining: self.deadline.saturating_duration_since(started),
             endpoint: &endpoint.id,
@@ -442,7 +445,7 @@
         };
         let context = SendContext {
             id: &self.meta.id,
-            identity: &self.identity,
+            identity: &identity,
             prompt: &self.meta.prompt,
             position: &self.position,
             fetch,
--- a/crates/direct/src/dispatch/crash.rs
+++ b/crates/direct/src/dispatch/crash.rs
@@ -30,23 +30,11 @@
     }
 
     /// Remaining time of the quarantine of the content or of a part of the prompt, if any.
-    /// For a suspected request, the state is first refreshed from control.
-    pub(super) async fn quarantine_remaining(&self) -> Option<Duration> {
+    pub(super) fn quarantine_remaining(&self) -> Option<Duration> {
         let suspects = &self.shared.suspects;
-        let remaining = suspects.quarantine_remaining(&self.causes);
-        if remaining.is_some() || !self.suspected {
-            return remaining;
-        }
-        suspects.refresh().await;
         suspects.quarantine_remaining(&self.causes)
     }
 
-    /// Whether the content or a part of the prompt is quarantined.
-    pub(super) fn is_quarantined(&self) -> bool {
-        let suspects = &self.shared.suspects;
-        suspects.quarantine_remaining(&self.causes).is_some()
-    }
-
     /// Whether a request that may have run may be resent. After two crashes, another send
     /// would most likely crash one more endpoint and serve nobody. The same holds after
     /// two broken connections, which may not be known as crashes yet.
@@ -121,6 +109,7 @@
             domain: hash(endpoint.domain.as_bytes()),
             sent,
             at,
+            trial: request.is_alone(),
         };
         let crashes = shared.suspects.record_loss(endpoint, lost);
         let service = &endpoint.service;
@@ -136,6 +125,7 @@
             .field("service", service)
             .field("crashes", crashes)
             .field("begun", begun)
+            .field("trial", request.is_alone())
             .field("sent_ms", uptime().saturating_sub(sent).as_millis())
             .field("lost_ms", uptime().saturating_sub(at).as_millis())
             .field("parts", parts.join(","))
--- a/crates/direct/src/dispatch/waiting.rs
+++ b/crates/direct/src/dispatch/waiting.rs
@@ -17,10 +17,13 @@
 const MAX_CHOICES: usize = 3;
 
 impl Dispatch {
-    /// Chooses the endpoint for the next send. Waits for a place if the places of the
-    /// service are lent.
+    /// Chooses the endpoint for the next send. Waits for a trial if the request is
+    /// suspected, and for a place if the places of the service are lent.
     pub(super) async fn place(&mut self) -> Result<Placement, RefusalCause> {
         self.place = None;
+        if let Some(placement) = self.place_on_trial().await? {
+            return Ok(placement);
+        }
         for _ in 0..MAX_CHOICES {
             let Some(lending) = self.lending() else { break };
             let Some(guard) = self.await_place(&lending).await? else {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod stream;
 pub mod streams_begun;
 pub mod suspects;
+pub mod trials;
 pub mod usage;
 
 pub use direct::Direct;
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -13,18 +13,19 @@
 
 use crate::directory::Endpoint;
 use crate::stats::Stats;
+use crate::trials::EntryTrials;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_policy::affinity::hash;
 use dogwoodhill_policy::quarantine::{
-    CRASH_RETENTION, EntryHash, LostRequest, Quarantine, REPORT_TIME, SuspectStatus,
-    outlived,
+    CRASH_RETENTION, EntryHash, LostRequest, Quarantine, SuspectStatus, outlived,
 };
 use dogwoodhill_policy::served::ServedRequests;
 use dogwoodhill_wire::demand::{
     RequestLoss, RequestServed, Suspects as ReportedSuspects,
 };
+use dogwoodhill_wire::trials::TrialReport;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -44,6 +45,8 @@
 /// Requests suspected of crashing endpoints.
 #[derive(Debug)]
 pub struct Suspects {
+    /// Suspected requests that the entry sends or wants to send.
+    pub trials: Arc<EntryTrials>,
     entry_hash: EntryHash,
     stats: Stats,
     state: Mutex<State>,
@@ -62,9 +65,6 @@
     /// Suspected requests and parts reported by control, sorted, with their number of
     /// crashes.
     reported: Vec<(Fingerprint, usize)>,
-    /// Requests held while reports about their last crash are awaited, and until when,
-    /// sorted.
-    held: Vec<(Fingerprint, Duration)>,
     mark: u64,
     /// When control responded last, or when it first failed to.
     last_contact: Option<Duration>,
@@ -91,6 +91,8 @@
     pub losses: Vec<RequestLoss>,
     /// Suspected requests that were served.
     pub served: Vec<RequestServed>,
+    /// Suspected requests that the entry sends or wants to send.
+    pub trials: TrialReport,
     /// Mark of the last list of suspects received from control.
     pub mark: u64,
 }
@@ -99,6 +101,7 @@
     /// Creates an empty state for the entry called `name`.
     pub fn new(name: &str, stats: Stats) -> Self {
         Self {
+            trials: Arc::default(),
             entry_hash: hash(name.as_bytes()),
             stats,
             state: Mutex::default(),
@@ -109,12 +112,9 @@
     }
 
     /// Remaining time of the longest quarantine among a request and the parts of its
-    /// prompt, if any of them is quarantined, else of its hold.
+    /// prompt, if any of them is quarantined.
     pub fn quarantine_remaining(&self, suspects: &[Fingerprint]) -> Option<Duration> {
-        let now = uptime();
-        let state = self.state();
-        let quarantine = state.longest_quarantine(now, suspects);
-        quarantine.or_else(|| state.hold_remaining(now, *suspects.first()?))
+        self.state().longest_quarantine(uptime(), suspects)
     }
 
     /// Known crashes attributed to a request, and the remaining time of its quarantine.
@@ -142,6 +142,11 @@
         let _ = timeout(REFRESH_TIMEOUT, refreshed).await;
     }
 
+    /// Waits for the next exchange with control, whether it succeeds or not.
+    pub async fn wait_refreshed(&self) {
+        self.refresh_done.notified().await;
+    }
+
     /// Called when control has responded or has failed to in time.
     pub fn notify_refreshed(&self) {
         self.refresh_done.notify_waiters();
@@ -196,6 +201,8 @@
     /// What to report to a control instance whose run is `run`.
     pub fn report(&self, run: u64) -> Report {
         let now = uptime();
+        // Before the losses: a trial that ended with its endpoint is recorded as lost first.
+        let trials = self.trials.report();
         let mut state = self.state();
         state.expire(now);
         let mut losses = Vec::new();
@@ -210,6 +217,7 @@
                     duration: own.loss.at.saturating_sub(own.loss.sent),
                     age: now.saturating_sub(own.loss.at),
                     parts: own.loss.parts.clone(),
+                    trial: own.loss.trial,
                 });
             }
         }
@@ -221,6 +229,7 @@
         Report {
             losses,
             served: served.collect(),
+            trials,
             mark: state.mark,
         }
     }
@@ -257,6 +266,7 @@
         let since = *state.last_contact.get_or_insert(now);
         if now.saturating_sub(since) >= LOCAL_EVALUATION_DELAY {
             state.evaluate_locally(now);
+            self.trials.grant_locally();
         }
         self.finish_update(state, now, before);
     }
@@ -293,15 +303,6 @@
         statuses.filter_map(|status| status.remaining).max()
     }
 
-    fn hold_remaining(&self, now: Duration, request: Fingerprint) -> Option<Duration> {
-        let found = self
-            .held
-            .binary_search_by_key(&request, |held| held.0)
-            .ok()?;
-        let remaining = self.held[found].1.checked_sub(now)?;
-        (!remaining.is_zero()).then_some(remaining)
-    }
-
     fn take(&mut self, entry: EntryHash, now: Duration, reported: &ReportedSuspects) {
         self.mark = reported.mark;
         let suspected = reported.requests.iter();
@@ -309,7 +310,6 @@
             suspected.map(|suspect| (suspect.request, suspect.crashes as usize));
         self.reported = suspected.collect();
         self.reported.sort_unstable();
-        self.held.clear();
         for request in &reported.requests {
             if let Some(at) = self.served.recently_served(now, request.request) {
                 self.clear_suspect(entry, request.request, at);
@@ -324,8 +324,6 @@
                         .field("content", short_form(request.request))
                         .info();
                 }
-            } else if left <= REPORT_TIME {
-                self.held.push((request.request, now.saturating_add(left)));
             } else if own.is_none() {
                 Event::new("quarantine-told")
                     .field("content", short_form(request.request))
@@ -335,7 +333,6 @@
                 self.quarantine.take(now, request.request, 0, 1, left);
             }
         }
-        self.held.sort_unstable();
     }
 
     /// Quarantines requests by the observations of this entry alone.
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -7,10 +7,11 @@
 //! other reasons, such as the loss of a failure domain or a replacement.
 //!
 //! Entries therefore report to one control instance which requests were lost with which
-//! endpoints ([`LostRequest`]). A request that was lost with three endpoints, and is the
-//! only one that accounts for these crashes, is quarantined: no entry forwards it until
-//! the quarantine ends. A request that was lost with two is a suspect, and runs apart
-//! from other requests.
+//! endpoints ([`LostRequest`]). A request that was lost with two is a suspect. Suspects run
+//! one at a time over all entries, each alone on an endpoint ([`trials`]). One that was
+//! lost with its endpoint in two of these trials, or with three endpoints where nothing else
+//! can be the cause, is quarantined: no entry forwards it until the quarantine ends. One that
+//! is served is no longer a suspect.
 //!
 //! A part that prompts share may be the cause as well, under requests that are all
 //! different. The parts of lost requests are therefore suspects like the requests. Sound
@@ -21,49 +22,43 @@
 //!
 //! * An endpoint counts as crashed only if it is known to have ended after a request was
 //!   lost there, and it has answered no request that was sent since.
+//! * Two trials decide, whatever else was lost or quarantined.
 //! * A request that was served recently is not the cause.
-//! * Nothing is quarantined for a crash before all entries have had the time to report what
-//!   they lost in it. Until then, requests with enough crashes are held: not forwarded, and
-//!   not blamed.
-//! * If several requests were lost with the same endpoints, none of them is quarantined
-//!   until their crashes differ, or until six crashes.
-//! * Where no single request accounts for all crashes, several causes are at work. A request
-//!   is then quarantined only for crashes that others with about as many do not account
-//!   for together.
-//! * Where many requests share all but one of the crashes of a request, one crash more is
-//!   needed. A part needs five while a request with enough crashes shares the newest of them.
-//! * A request and the parts of its prompt do not compete: if either is the cause, the
-//!   request crashes endpoints. A part that others share is quarantined only for crashes
-//!   that no quarantined request accounts for.
+//! * Parts are judged by count: for crashes that all entries have had the time to report,
+//!   under different requests, that more likely parts do not account for. A crash in which a
+//!   request was lost that is quarantined, or was lost on trial, does not count. While a
+//!   request with three crashes shares the newest, nothing is decided.
 //! * No part is quarantined before entries have had the time to report that it is served.
-//! * A part is quarantined only for crashes under different requests: one that is sent again
-//!   and again speaks against itself.
-//! * A crash attributed to a quarantined request does not count against any other
-//!   request, unless the other was lost in all crashes of the quarantined one and more.
-//! * A quarantine ends early if all of its crashes turn out to be those of other causes.
+//! * A quarantine ends early if all crashes that it rests on turn out to be those of other
+//!   quarantined requests, for a request of ones with more crashes. It stays a suspect then.
 //! * Endpoints of one failure domain that stop at the same moment, while the request was
 //!   running on each of them, make it a suspect at most.
 //! * The stored state is bounded, also for each workspace, and expires.
 
 mod attribution;
+mod conviction;
 mod crash;
 mod findings;
 mod run_set;
 mod suspect;
+pub mod trials;
 mod verdict;
 
 pub use findings::{Deferral, Deferred, Findings, LiftedQuarantine, NewQuarantine};
 pub use suspect::EntryHash;
 
-use attribution::Attribution;
-use crash::{Crash, events};
+use conviction::{awaits_reports, is_convicted};
+use crash::Crash;
 use dogwoodhill_core::prelude::*;
 use std::cmp::Reverse;
 use suspect::{Kind, Suspect};
-use verdict::{Judged, judge};
+use verdict::{Judged, judge_parts};
 
-/// Crashes from which a request is quarantined; fewer occur by chance.
+/// Crashes from which a request runs only on trial, and a part is quarantined; fewer occur
+/// by chance.
 pub const QUARANTINE_CRASHES: usize = 3;
+/// Trials of a request that end with its endpoint from which it is quarantined.
+pub const QUARANTINE_TRIALS: usize = 2;
 /// Crashes from which a request is a suspect.
 pub const SUSPECT_CRASHES: usize = 2;
 /// Time from the second crash under a part until it may be quarantined: entries learn
@@ -74,7 +69,7 @@
 pub const MAX_PARTS: usize = 64;
 /// Time after a crash within which each entry reports what it lost in it, and which
 /// endpoints answered it.
-pub const REPORT_TIME: Duration = Duration::from_millis(600);
+const REPORT_TIME: Duration = Duration::from_millis(600);
 /// Upper bound of the error with which times of two entries are compared.
 const TIME_ERROR: Duration = Duration::from_millis(500);
 /// How long after its loss an endpoint may still turn out to be alive.
@@ -95,7 +90,7 @@
 /// Maximum number of lost endpoints that are stored.
 const MAX_LOST: usize = 1_024;
 /// Maximum number of notices that are sent to entries, 30 bytes each.
-const MAX_NOTICES: usize = 256;
+const MAX_NOTICES: usize = 1_024;
 /// Maximum number of lifted quarantines that are stored.
 const MAX_LIFTED: usize = 64;
 
@@ -117,6 +112,8 @@
     pub sent: Duration,
     /// When the connection broke.
     pub at: Duration,
+    /// Whether the request was on trial at the endpoint.
+    pub trial: bool,
 }
 
 /// The crashes and the quarantine of a request.
@@ -124,8 +121,8 @@
 pub struct SuspectStatus {
     /// Crashes of endpoints that were running it.
     pub crashes: usize,
-    /// Time until its quarantine or hold ends, zero if its quarantine was lifted; `None` if
-    /// it may be forwarded.
+    /// Time until its quarantine ends, zero if that was lifted; `None` if it may be
+    /// forwarded.
     pub remaining: Option<Duration>,
 }
 
@@ -191,6 +188,7 @@
                 domain: loss.domain,
                 sent: loss.sent,
                 at: loss.at,
+                trial: loss.trial,
                 contents: match kind {
                     Kind::Request => Vec::new(),
                     Kind::Part { .. } => vec![loss.request],
@@ -338,19 +336,17 @@
         let quarantined = suspect.until.take().is_some();
         if quarantined {
             suspect.times = suspect.times.saturating_sub(1);
-            suspect.crashes.clear();
+            suspect.drop_evidence();
         }
         self.remove_idle();
         quarantined
     }
 
-    /// Lifts each quarantine whose crashes are all those of other quarantined requests:
-    /// for a request, of one that was lost with more endpoints. Returns what was lifted.
+    /// Lifts each quarantine whose crashes are all those of other quarantined requests.
+    /// Returns what was lifted.
     fn lift_refuted(&mut self, now: Duration) -> Vec<LiftedQuarantine> {
-        let refuted: Vec<LiftedQuarantine> = self
-            .suspects
-            .iter()
-            .filter(|suspect| self.is_refuted(suspect))
+        let refuted = self.suspects.iter().filter(|one| self.is_refuted(one));
+        let refuted: Vec<LiftedQuarantine> = refuted
             .map(|suspect| LiftedQuarantine {
                 request: suspect.request,
                 workspace: suspect.workspace,
@@ -363,37 +359,43 @@
     }
 
     fn is_refuted(&self, suspect: &Suspect) -> bool {
-        if suspect.until.is_none() || suspect.crashes.is_empty() {
-            return false;
-        }
+        let is_part = suspect.kind != Kind::Request;
         let causes = self.suspects.iter().filter(|other| {
             other.request != suspect.request
-                && other.until.is_some()
                 && other.kind == Kind::Request
+                && other.until.is_some()
+                && (is_part || other.crashes.len() > suspect.crashes.len())
         });
         let causes: Vec<&Suspect> = causes.collect();
-        if suspect.kind == Kind::Request {
-            return causes.iter().any(|cause| cause.includes(suspect));
-        }
         let is_explained =
             |crash: &Crash| causes.iter().any(|cause| cause.ran_on(&crash.run));
-        suspect.crashes.iter().all(is_explained)
+        let mut evidence = suspect.evidence().peekable();
+        suspect.until.is_some() && evidence.peek().is_some() && evidence.all(is_explained)
     }
 
-    /// Quarantines each request with at least [`QUARANTINE_CRASHES`] crashes that no
-    /// other suspect shares entirely, or with six crashes, and each part with as many that
-    /// more likely suspects do not account for. Lifts the quarantines that this refutes.
+    /// Quarantines each request that its trials have shown to be the cause, and each part
+    /// with at least [`QUARANTINE_CRASHES`] crashes that nothing more likely accounts for.
+    /// Lifts the quarantines that this refutes.
     pub fn evaluate(&mut self, now: Duration) -> Findings {
         self.expire(now);
         let mut findings = Findings::default();
+        for index in 0..self.suspects.len() {
+            if is_convicted(now, &self.suspects, &self.suspects[index]) {
+                let crashes = self.suspects[index].status(now).crashes;
+                findings
+                    .quarantined
+                    .push(self.quarantine(now, index, crashes));
+            }
+        }
         loop {
-            let judged = judge(now, &self.suspects);
+            let judged = judge_parts(now, &self.suspects);
             let cause = judged.iter().find(|judged| judged.deferral.is_none());
             let Some(cause) = cause else {
                 findings.deferred = self.deferred(&judged);
                 break;
             };
-            findings.quarantined.push(self.quarantine(now, cause));
+            let quarantined = self.quarantine(now, cause.index, cause.crashes);
+            findings.quarantined.push(quarantined);
         }
         if !findings.quarantined.is_empty() {
             findings.lifted = self.lift_refuted(now);
@@ -401,8 +403,13 @@
         findings
     }
 
-    fn quarantine(&mut self, now: Duration, cause: &Judged) -> NewQuarantine {
-        let suspect = &mut self.suspects[cause.index];
+    fn quarantine(
+        &mut self,
+        now: Duration,
+        index: usize,
+        crashes: usize,
+    ) -> NewQuarantine {
+        let suspect = &mut self.suspects[index];
         suspect.times += 1;
         suspect.until = Some(now + quarantine_period(suspect.times));
         let request = suspect.request;
@@ -411,44 +418,30 @@
             request,
             is_part: suspect.kind != Kind::Request,
             workspace: suspect.workspace,
-            crashes: cause.crashes,
+            crashes,
             times: suspect.times,
         }
     }
 
     fn deferred(&self, judged: &[Judged]) -> Vec<Deferred> {
         let deferred = judged.iter().filter_map(|judged| {
-            let suspect = &self.suspects[judged.index];
             Some(Deferred {
-                request: suspect.request,
-                is_part: suspect.kind != Kind::Request,
+                part: self.suspects[judged.index].request,
                 crashes: judged.crashes,
                 deferral: judged.deferral?,
             })
         });
-        deferred.chain(self.attributed(judged)).collect()
+        deferred.collect()
     }
 
-    /// Requests with enough crashes that are not judged, since some of these are attributed
-    /// to others.
-    fn attributed(&self, judged: &[Judged]) -> Vec<Deferred> {
-        let attribution = Attribution::new(&self.suspects);
-        let suspects = self.suspects.iter().enumerate();
-        let attributed = suspects.filter_map(|(index, suspect)| {
-            let crashes = suspect.crashes.len();
-            let enough = suspect.kind == Kind::Request
-                && suspect.until.is_none()
-                && crashes >= QUARANTINE_CRASHES;
-            let is_judged = judged.iter().any(|one| one.index == index);
-            let open = enough && attribution.open_crashes(suspect).len() < crashes;
-            (open && !is_judged).then_some(Deferred {
-                request: suspect.request,
-                is_part: false,
-                crashes,
-                deferral: Deferral::Attributed,
-            })
-        });
-        attributed.collect()
+    /// Whether a request may be on trial: it is not quarantined, and with enough crashes,
+    /// entries have had the time to report what they lost in the newest.
+    pub fn may_be_tried(&self, now: Duration, request: Fingerprint) -> bool {
+        let Ok(at) = self.find(request) else {
+            return true;
+        };
+        let suspect = &self.suspects[at];
+        suspect.until.is_none() && !awaits_reports(now, suspect)
     }
 
     /// The crashes and the quarantine of a request.
@@ -459,23 +452,6 @@
         self.suspects[at].status(now)
     }
 
-    /// Time for which a request with enough crashes is not to be forwarded, until all
-    /// entries have reported what they lost in the last one.
-    fn hold(
-        &self,
-        now: Duration,
-        attribution: &Attribution<'_>,
-        suspect: &Suspect,
-    ) -> Option<Duration> {
-        let enough = suspect.kind == Kind::Request
-            && suspect.until.is_none()
-            && suspect.crashes.len() >= QUARANTINE_CRASHES;
-        let newest = suspect.crashes.last().filter(|_| enough)?;
-        let remaining = REPORT_TIME.checked_sub(now.saturating_sub(newest.at))?;
-        let open = attribution.open_crashes(suspect);
-        (events(&open) >= QUARANTINE_CRASHES && !remaining.is_zero()).then_some(remaining)
-    }
-
     /// The quarantined requests and the suspects, sorted by request. If there are too
     /// many, quarantined ones take precedence, then those with the most crashes.
     pub fn notices(&self, now: Duration) -> Vec<SuspectNotice> {
@@ -485,24 +461,16 @@
             suspect.until.is_some()
                 || suspect.crashes.len() >= SUSPECT_CRASHES && !suspect.is_innocent()
         };
-        let attribution = Attribution::new(&self.suspects);
-        let suspects = self.suspects.iter().filter(relevant).map(|suspect| {
-            let status = suspect.status(now);
-            let hold = || self.hold(now, &attribution, suspect);
-            let remaining = status.remaining.or_else(hold);
-            SuspectNotice {
-                request: suspect.request,
-                status: SuspectStatus {
-                    remaining,
-                    ..status
-                },
-            }
+        let suspects = self.suspects.iter().filter(relevant);
+        let suspects = suspects.map(|suspect| SuspectNotice {
+            request: suspect.request,
+            status: suspect.status(now),
         });
         let lifted = self.lifted.iter().map(|(request, _)| SuspectNotice {
             request: *request,
             status: SuspectStatus {
-                crashes: 0,
                 remaining: Some(Duration::ZERO),
+                ..self.status(now, *request)
             },
         });
         let mut notices: Vec<SuspectNotice> = suspects
--- a/crates/policy/src/quarantine/attribution.rs
+++ b/crates/policy/src/quarantine/attribution.rs
@@ -1,39 +1,32 @@
-//! Which crashes are accounted for by quarantined requests and parts.
+//! Which crashes requests account for, so that they do not count against parts.
 
 use super::crash::Crash;
 use super::suspect::{Kind, Suspect};
 use dogwoodhill_core::prelude::*;
 
-/// The quarantined requests and parts that were lost with endpoints.
+/// The endpoints that were lost with quarantined requests and parts, or with requests that
+/// were lost on trial.
 pub(super) struct Attribution<'a> {
-    causes: Vec<&'a Suspect>,
-    /// Endpoints lost with any of them, sorted.
+    /// Sorted.
     runs: Vec<&'a Incarnation>,
 }
 
 impl<'a> Attribution<'a> {
     pub(super) fn new(suspects: &'a [Suspect]) -> Self {
-        let causes = suspects
-            .iter()
-            .filter(|suspect| suspect.until.is_some() && !suspect.crashes.is_empty());
-        let causes: Vec<&Suspect> = causes.collect();
-        let crashes = causes.iter().flat_map(|suspect| &suspect.crashes);
+        let is_cause = |suspect: &&Suspect| {
+            let is_request = suspect.kind == Kind::Request;
+            suspect.until.is_some() || is_request && suspect.trials().next().is_some()
+        };
+        let causes = suspects.iter().filter(is_cause);
+        let crashes = causes.flat_map(|suspect| &suspect.crashes);
         let mut runs: Vec<&Incarnation> = crashes.map(|crash| &crash.run).collect();
         runs.sort_unstable();
-        Self { causes, runs }
+        Self { runs }
     }
 
-    /// The crashes of a suspect that count against it. A request that was lost with all
-    /// endpoints of a quarantined one, and with more, explains the crashes better.
-    pub(super) fn open_crashes<'b>(&self, suspect: &'b Suspect) -> Vec<&'b Crash> {
-        let crashes = suspect.crashes.iter();
-        let is_open = |crash: &&Crash| {
-            if self.runs.binary_search(&&crash.run).is_err() {
-                return true;
-            }
-            let mut causes = self.causes.iter().filter(|one| one.ran_on(&crash.run));
-            suspect.kind == Kind::Request && causes.all(|one| suspect.includes(one))
-        };
-        crashes.filter(is_open).collect()
+    /// The crashes of a part that count against it.
+    pub(super) fn open_crashes<'b>(&self, part: &'b Suspect) -> Vec<&'b Crash> {
+        let is_open = |crash: &&Crash| self.runs.binary_search(&&crash.run).is_err();
+        part.crashes.iter().filter(is_open).collect()
     }
 }
--- a/crates/policy/src/quarantine/crash.rs
+++ b/crates/policy/src/quarantine/crash.rs
@@ -21,13 +21,16 @@
     pub(super) sent: Duration,
     /// When the connection broke.
     pub(super) at: Duration,
+    /// Whether the request was on trial at the endpoint.
+    pub(super) trial: bool,
     /// For a part, the requests with it that were lost.
     pub(super) contents: Vec<Fingerprint>,
 }
 
 impl Crash {
-    /// Adds the requests with a part that `other` reports of the same crash.
+    /// Adds what `other` reports of the same crash.
     pub(super) fn merge(&mut self, other: &Self) {
+        self.trial |= other.trial;
         for content in &other.contents {
             let known = self.contents.contains(content);
             if !known && self.contents.len() < MAX_CONTENTS {
--- a/crates/policy/src/quarantine/findings.rs
+++ b/crates/policy/src/quarantine/findings.rs
@@ -12,7 +12,7 @@
     pub quarantined: Vec<NewQuarantine>,
     /// Quarantines that were ended early.
     pub lifted: Vec<LiftedQuarantine>,
-    /// Suspects with enough crashes that were not quarantined.
+    /// Parts with enough crashes that were not quarantined.
     pub deferred: Vec<Deferred>,
 }
 
@@ -63,34 +63,23 @@
     }
 }
 
-/// Why a suspect with enough crashes is not quarantined.
+/// Why a part with enough crashes is not quarantined.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Deferral {
-    /// Another suspect accounts for all of its crashes.
-    #[display("rival")]
-    Rival(Fingerprint),
     /// More likely suspects together account for all of its crashes.
     #[display("accounted")]
     Accounted,
-    /// So many requests share most of its crashes that one of them may share all by chance.
-    #[display("chance")]
-    Chance,
-    /// Its crashes are attributed to quarantined requests or parts.
-    #[display("attributed")]
-    Attributed,
-    /// It is a part, and a request with enough crashes shares the newest.
+    /// A request with enough crashes shares the newest.
     #[display("contested")]
     Contested,
 }
 
-/// A suspect with enough crashes that is not quarantined.
+/// A part with enough crashes that is not quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Deferred {
-    /// Fingerprint of the request's content, or of the part.
-    pub request: Fingerprint,
-    /// Whether it is a part of prompts.
-    pub is_part: bool,
-    /// Its crashes that are not attributed to others.
+    /// Fingerprint of the part.
+    pub part: Fingerprint,
+    /// Its crashes that are not attributed to requests.
     pub crashes: usize,
     /// Why it is not quarantined.
     pub deferral: Deferral,
@@ -99,14 +88,9 @@
 impl Deferred {
     /// The log event for operators.
     pub fn event(&self) -> Event {
-        let key = if self.is_part { "part" } else { "content" };
-        let event = Event::new("verdict-deferred")
-            .field(key, short_form(self.request))
+        Event::new("verdict-deferred")
+            .field("part", short_form(self.part))
             .field("crashes", self.crashes)
-            .field("reason", self.deferral);
-        match self.deferral {
-            Deferral::Rival(rival) => event.field("rival", short_form(rival)),
-            _ => event,
-        }
+            .field("reason", self.deferral)
     }
 }
--- a/crates/policy/src/quarantine/run_set.rs
+++ b/crates/policy/src/quarantine/run_set.rs
@@ -14,8 +14,7 @@
         Self(all)
     }
 
-    /// Number of a run, if it is one of these.
-    pub(super) fn find(&self, run: &Incarnation) -> Option<usize> {
+    fn find(&self, run: &Incarnation) -> Option<usize> {
         self.0.binary_search(&run).ok()
     }
 
@@ -42,22 +41,10 @@
         self.0[word] |= 1 << (run % 64);
     }
 
-    pub(super) fn contains(&self, run: usize) -> bool {
-        let word = self.0.get(run / 64);
-        word.is_some_and(|word| word & (1 << (run % 64)) != 0)
-    }
-
-    /// Number of runs that are not in `other`.
-    pub(super) fn count_without(&self, other: &Self) -> usize {
-        let words = self.0.iter().enumerate();
-        let missing =
-            words.map(|(at, word)| word & !other.0.get(at).copied().unwrap_or(0));
-        missing.map(|word| word.count_ones() as usize).sum()
-    }
-
     /// Whether all runs of `other` are in this set.
     pub(super) fn includes(&self, other: &Self) -> bool {
-        other.count_without(self) == 0
+        let mut words = other.0.iter().enumerate();
+        words.all(|(at, word)| word & !self.0.get(at).copied().unwrap_or(0) == 0)
     }
 
     pub(super) fn union<'a>(sets: impl Iterator<Item = &'a Self>) -> Self
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -2,8 +2,8 @@
 
 use super::crash::{Crash, events};
 use super::{
-    CRASH_RETENTION, HARMLESS_PERIOD, PART_GRACE, QUARANTINE_CRASHES, SUSPECT_CRASHES,
-    SuspectStatus,
+    CRASH_RETENTION, HARMLESS_PERIOD, PART_GRACE, QUARANTINE_CRASHES, QUARANTINE_TRIALS,
+    SUSPECT_CRASHES, SuspectStatus,
 };
 use dogwoodhill_core::prelude::*;
 
@@ -117,10 +117,24 @@
         self.crashes.iter().any(|crash| crash.run == *run)
     }
 
-    /// Whether it was lost with all endpoints that `other` was lost with, and with more.
-    pub(super) fn includes(&self, other: &Self) -> bool {
-        let more = self.crashes.len() > other.crashes.len();
-        more && other.crashes.iter().all(|crash| self.ran_on(&crash.run))
+    /// The crashes in its trials.
+    pub(super) fn trials(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| crash.trial)
+    }
+
+    /// The crashes that a quarantine rests on: those in trials, or all if there were none.
+    pub(super) fn evidence(&self) -> impl Iterator<Item = &Crash> {
+        let is_part = self.kind != Kind::Request;
+        let all = is_part || self.trials().next().is_none();
+        self.crashes.iter().filter(move |crash| all || crash.trial)
+    }
+
+    /// Called when the crashes that a quarantine rests on are those of others.
+    pub(super) fn drop_evidence(&mut self) {
+        match self.kind {
+            Kind::Part { .. } => self.crashes.clear(),
+            Kind::Request => self.crashes.iter_mut().for_each(|one| one.trial = false),
+        }
     }
 
     /// Records that the request was served at `at`.
@@ -185,13 +199,17 @@
     }
 
     /// Ends the quarantine if its period is over, and drops old crashes. After a
-    /// quarantine, one more crash leads to the next quarantine.
+    /// quarantine, one more crash leads to the next quarantine: for a request, on trial.
     pub(super) fn expire(&mut self, now: Duration) {
         if self.until.is_some_and(|until| until <= now) {
             self.until = None;
             self.ended = now;
             let excess = self.crashes.len().saturating_sub(QUARANTINE_CRASHES - 1);
             self.crashes.drain(..excess);
+            let trials = self.crashes.iter_mut().filter(|crash| crash.trial);
+            trials.rev().skip(QUARANTINE_TRIALS - 1).for_each(|crash| {
+                crash.trial = false;
+            });
         }
         if self.until.is_none() {
             let ended = self.ended;
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -199,6 +199,7 @@
                 domain: now.as_millis() as u64 % 3,
                 sent: now.saturating_sub(STEP),
                 at: now,
+                trial: false,
             });
         }
     }
@@ -330,6 +331,7 @@
                 domain: number,
                 sent: at.saturating_sub(STEP),
                 at,
+                trial: false,
             };
             quarantine.record_loss(at, &loss);
         }
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -9,6 +9,7 @@
 use crate::limits::{EndpointLimit, EndpointLimits, EndpointPermits};
 use crate::list::ListRead;
 use crate::streams::BegunStreams;
+use crate::trials::{Trial, TrialReport};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::shared_health::Verdict;
 use serde::{Deserialize, Serialize};
@@ -89,6 +90,9 @@
     /// Indices refer to `list_mark`.
     #[serde(default)]
     pub answers: Vec<EndpointAnswer>,
+    /// Suspected requests that the entry sends or wants to send.
+    #[serde(default)]
+    pub trials: TrialReport,
     /// Contention for endpoints; absent where there is nothing to report. It has to stay
     /// the last field, since an absent field is not sent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -206,6 +210,9 @@
     /// The entry's permits for the endpoints named in [`DemandReport::limits`].
     #[serde(default)]
     pub permits: Vec<EndpointPermits>,
+    /// Sends of suspected requests that are granted to the entry.
+    #[serde(default)]
+    pub trials: Vec<Trial>,
     /// Shares and places; absent where there are none. It has to stay the last field,
     /// since an absent field is not sent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -230,6 +237,9 @@
     /// Fingerprints of the parts of its prompt that others may share, in order.
     #[serde(default)]
     pub parts: Vec<Fingerprint>,
+    /// Whether the request was on trial at the endpoint.
+    #[serde(default)]
+    pub trial: bool,
 }
 
 /// A suspected request that was served, which disproves the suspicion.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod routes;
 pub mod shares;
 pub mod streams;
+pub mod trials;
 pub mod usage;
 
 /// Re-exports of the names that most modules use.
--- a/crates/wire/tests/suspects.rs
+++ b/crates/wire/tests/suspects.rs
@@ -25,6 +25,7 @@
         domain: u64::MAX,
         duration: Duration::from_millis(1_234),
         age: Duration::from_millis(160),
+        trial: true,
     };
     let report = DemandReport {
         losses: (0..64).map(loss).collect(),
