Take a sole version for a stream only if control answers

Cause: without a record of the stream, an entry took the version that its lists had shown alone, also when no control instance answered or records contradicted each other.

Evidence: stream_of_joining_version_refused_at_entry_out_of_step got 200 with an event of v1 after two of v1.1 before, and gets 503 (stream-unknown, not run) now. Fix and test go in together.

--- a/crates/direct/src/streams_begun.rs
+++ b/crates/direct/src/streams_begun.rs
@@ -89,11 +89,21 @@
     /// A control instance knew it.
     #[display("control")]
     Control,
-    /// The service has had one version for longer than a stream lasts.
+    /// The service has had one version for longer than a stream lasts, and control knows of
+    /// no other.
     #[display("sole")]
     Sole,
 }
 
+/// Result of looking for the version of a stream.
+enum Found {
+    Known(Origin, VersionTag),
+    /// Control answers, and nobody has a record.
+    NotRecorded,
+    /// Control does not answer, or records contradict each other.
+    Unclear,
+}
+
 impl StreamsBegun {
     /// Creates an empty record; `client` and `control` are used for lookups.
     pub fn new(
@@ -187,11 +197,17 @@
             Some(first) => self.find(first, false).await,
             None => self.find(content_key(content), true).await,
         };
-        let found = found.or_else(|| {
-            let (directory, list_tracker) = lists;
-            let sole = directory.sole_version(&admitted.route)?;
-            (!list_tracker.is_expired()).then_some((Origin::Sole, sole))
-        });
+        let found = match found {
+            Found::Known(origin, version) => Some((origin, version)),
+            Found::NotRecorded => {
+                let (directory, list_tracker) = lists;
+                let sole = directory.sole_version(&admitted.route);
+                let sole = sole.filter(|_| !list_tracker.is_expired());
+                sole.map(|version| (Origin::Sole, version))
+            }
+            // Others may have begun it at a version that no list here has shown yet.
+            Found::Unclear => None,
+        };
         let origin = found.map_or("none".to_string(), |found| found.0.to_string());
         stats.stream_looked_up(&origin);
         Event::new("stream-looked-up")
@@ -206,20 +222,19 @@
 
     /// Looks for the version of `stream`. If the key may be `shared` by several streams,
     /// whatever this entry and the control instances know has to be the same.
-    async fn find(
-        &self,
-        stream: StreamKey,
-        shared: bool,
-    ) -> Option<(Origin, VersionTag)> {
+    async fn find(&self, stream: StreamKey, shared: bool) -> Found {
         let own = self.state().versions.find_all(uptime(), stream);
         if let ([version], false) = (&own[..], shared) {
-            return Some((Origin::Own, *version));
+            return Found::Known(Origin::Own, *version);
         }
         let mut known = own.clone();
-        known.extend(self.ask_control(stream, shared).await);
+        known.extend(self.ask_control(stream, shared).await.unwrap_or_default());
         if known.is_empty() {
             sleep(LOOKUP_RETRY_DELAY).await;
-            known = self.ask_control(stream, shared).await;
+            match self.ask_control(stream, shared).await {
+                Some(versions) => known = versions,
+                None => return Found::Unclear,
+            }
         }
         known.sort_unstable();
         known.dedup();
@@ -229,15 +244,20 @@
             Origin::Own
         };
         match known[..] {
-            [version] => Some((origin, version)),
-            _ => None,
+            [] => Found::NotRecorded,
+            [version] => Found::Known(origin, version),
+            _ => Found::Unclear,
         }
     }
 
-    /// Asks some control instances at once, and returns the versions that they know. They
-    /// answer differently where entries have changed from one to another; all of them are
-    /// awaited only if the key may be `shared`.
-    async fn ask_control(&self, stream: StreamKey, shared: bool) -> Vec<VersionTag> {
+    /// Asks some control instances at once, and returns the versions that they know; `None`
+    /// if none answered. They answer differently where entries have changed from one to
+    /// another; all of them are awaited only if the key may be `shared`.
+    async fn ask_control(
+        &self,
+        stream: StreamKey,
+        shared: bool,
+    ) -> Option<Vec<VersionTag>> {
         let message = FindStream { stream };
         let mut lookups = JoinSet::new();
         for address in self.instances().into_iter().take(MAX_INSTANCES) {
@@ -248,12 +268,14 @@
             });
         }
         let mut found: Vec<VersionTag> = Vec::new();
+        let mut answered = false;
         let mut end = Instant::now() + LOOKUP_TIMEOUT;
         while let Ok(Some(answer)) = timeout_at(end, lookups.join_next()).await {
             let answer: Result<Result<Result<Vec<VersionTag>, _>, _>, _> = answer;
             let Ok(Ok(Ok(versions))) = answer else {
                 continue;
             };
+            answered = true;
             if versions.is_empty() {
                 continue;
             }
@@ -263,7 +285,7 @@
             }
             end = end.min(Instant::now() + CONTRADICTION_WAIT);
         }
-        found
+        answered.then_some(found)
     }
 
     fn instances(&self) -> Vec<SocketAddr> {
--- a/crates/direct/tests/all/versions.rs
+++ b/crates/direct/tests/all/versions.rs
@@ -32,6 +32,8 @@
 const FIRST_EVENTS: u64 = 2;
 /// Events of a complete stream.
 const EVENTS: u64 = 3;
+/// Twice the time limit of a stream and the time after which versions settle.
+const SETTLED: Duration = Duration::from_secs(17);
 /// Longest time in which callers try to resume a stream.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -181,6 +183,36 @@
     assert!(endpoints.iter().all(|endpoint| endpoint.seen().is_empty()));
 }
 
+/// Guards against streams that go on at another version at an entry that is out of step
+/// while a new version joins: its list shows the old version alone, and control can't tell
+/// it at which one the stream began.
+#[tokio::test]
+async fn stream_of_joining_version_refused_at_entry_out_of_step() {
+    let records = start_endpoints().await;
+    let of_version = |version: &str| {
+        let records = records.iter().filter(|one| one.version == version);
+        records.cloned().collect::<Vec<_>>()
+    };
+    let control = ControlInstance::start(0).await;
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let first = start_entry("first", &of_version(VERSIONS[1]), control.address).await;
+    let second = start_entry("second", &of_version(VERSIONS[0]), nobody).await;
+    let mut set = route_set();
+    set.version = 2;
+    for route in &mut set.routes {
+        route.timeout = Duration::from_secs(6);
+    }
+    second.shared.activate_routes(RouteTable::new(set));
+    // The old version has been alone for longer than a stream lasts.
+    sleep(SETTLED).await;
+    let began = first.call_as("stream", "POST /resumable/", "", "").await;
+    assert_eq!(began.events(), [VERSIONS[1]; FIRST_EVENTS as usize]);
+    let headers = format!("x-resume: {FIRST_EVENTS}\r\nx-resumes: stream\r\n");
+    let got = second.call("POST /resumable/", &headers, "").await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.body.contains("stream-unknown"), "{}", got.body);
+}
+
 /// Callers that do not name the first attempt are recognized by the content.
 #[tokio::test]
 async fn stream_found_by_content() {
