--- a/crates/direct/src/streams_begun.rs
+++ b/crates/direct/src/streams_begun.rs
@@ -205,7 +205,7 @@
                 let sole = sole.filter(|_| !list_tracker.is_expired());
                 sole.map(|version| (Origin::Sole, version))
             }
-            // Others may have begun it at a version that no list here has shown yet.
+            // Another entry may have begun it at a version that is new to this one.
             Found::Unclear => None,
         };
         let origin = found.map_or("none".to_string(), |found| found.0.to_string());
--- a/crates/policy/src/quarantine/verdict.rs
+++ b/crates/policy/src/quarantine/verdict.rs
@@ -1,7 +1,8 @@
 //! Which parts of prompts account for the crashes that no request does.
 //!
 //! A part is the cause unless more likely parts account for all of its crashes, together if
-//! several causes are at work, or a request with enough crashes shares the newest. Only crashes that all entries had the time to report count.
+//! several causes are at work, or a request with enough crashes shares the newest. Only
+//! crashes that all entries had the time to report count.
 //!
 //! After an outage there are thousands of suspects, so endpoints are numbered and sets of
 //! them compared bit by bit, and only the most suspected are judged.
