Read bodies at an entry into one buffer

What callers saw: one legal request, 4 MiB in chunks of one byte, takes an entry of 110 MB over its memory; all its requests are lost.

Cause: the body was collected as a list of frames. Each byte cost a frame of some dozens of bytes, and its slice kept the read buffer that it was cut from; joining them took the length once more.

Ruled out: chunk extensions and trailers, which the HTTP library bounds.

Change: a new crate, dogwoodhill-intake, copies frames into one buffer, whose capacity an account of all bodies has to cover. The account has no bound yet.

--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -25,6 +25,8 @@
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_intake::prelude::*;
+use dogwoodhill_policy::intake::BodyBudget;
 use dogwoodhill_route::set::SetFormat;
 use dogwoodhill_wire::client::PeerClient;
 use error_stack::{Report, ResultExt};
@@ -129,6 +131,10 @@
             streams,
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
+            bodies: BodyMemory::new(BodyBudget {
+                total: usize::MAX,
+                large: usize::MAX,
+            }),
             buffers: BufferPool::default(),
             stats,
             drain,
--- a/crates/direct/src/dispatch/waiting.rs
+++ b/crates/direct/src/dispatch/waiting.rs
@@ -83,7 +83,7 @@
                 due: arrived + route.objective,
             },
             deadline: now + left,
-            bytes: self.outbound.body.len(),
+            bytes: self.outbound.body.bytes.len(),
             tried: &self.tried,
         }
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_intake::prelude::*;
 use dogwoodhill_policy::permits::Permit;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -24,7 +25,7 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A request to be sent to endpoints; unchanged between attempts.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct OutboundRequest {
     /// Method.
     pub method: Method,
@@ -33,7 +34,7 @@
     /// Headers of the caller, without hop-by-hop headers.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: WholeBody,
 }
 
 /// How an attempt at an endpoint ended.
@@ -372,7 +373,7 @@
     forward: &ForwardMeta<'_>,
     endpoint: &Endpoint,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outbound.body.clone()));
+    let mut request = Request::new(Full::new(outbound.body.bytes.clone()));
     *request.method_mut() = outbound.method.clone();
     *request.uri_mut() = outbound.target.clone().into();
     let headers = request.headers_mut();
--- a/crates/direct/src/refusal_cause.rs
+++ b/crates/direct/src/refusal_cause.rs
@@ -16,6 +16,9 @@
     /// The body did not arrive in time.
     #[display("slow-body")]
     SlowBody,
+    /// The bodies of other requests take the memory for this one.
+    #[display("no-memory")]
+    NoMemory,
     /// This entry has no route set yet.
     #[display("no-routes")]
     NoRoutes,
@@ -72,7 +75,8 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::NoRoutes
+            Self::NoMemory
+            | Self::NoRoutes
             | Self::NoEndpoint
             | Self::Full
             | Self::NotAdmitted
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -17,15 +17,15 @@
 use crate::suspects::Suspects;
 use crate::usage::Usage;
 use arc_swap::ArcSwapOption;
-use bytes::Bytes;
 use dogwoodhill_core::fingerprint::{Fingerprinter, RequestContent};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_intake::body;
+use dogwoodhill_intake::prelude::*;
 use dogwoodhill_policy::budget::{Allowance, Budget};
 use dogwoodhill_route::prelude::*;
 use http::request::Parts;
 use http::{Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::pin::pin;
@@ -79,6 +79,8 @@
     pub fingerprinter: Fingerprinter,
     /// Software versions at which streams began.
     pub streams: StreamsBegun,
+    /// Memory for the bodies of requests.
+    pub bodies: BodyMemory,
     /// Memory for buffered responses.
     pub buffers: BufferPool,
     /// Metrics.
@@ -192,14 +194,19 @@
     async fn prepare(
         &self,
         parts: Parts,
-        body: Incoming,
+        mut body: Incoming,
         meta: Option<RequestMeta>,
         arrived: Instant,
     ) -> Result<AdmittedRequest, (RefusalCause, Option<Duration>)> {
         let limits = self.routes.load().as_ref().map(|table| *table.limits());
         let limits = limits.unwrap_or_default();
-        let end = arrived + self.body_timeout(&parts, meta.as_ref());
-        let body = read_body(body, limits.body, end).await?;
+        let limits = BodyLimits {
+            bytes: limits.body,
+            end: Some(arrived + self.body_timeout(&parts, meta.as_ref())),
+            idle: limits.idle,
+        };
+        let read = body::read(&mut body, &limits, &self.bodies).await;
+        let body = read.map_err(body_refusal)?;
         let meta = meta.ok_or((RefusalCause::Malformed, None))?;
         let table = self.await_routes(meta.max_wait).await;
         let table = table.ok_or_else(|| (RefusalCause::NoRoutes, Some(retry_delay())))?;
@@ -223,7 +230,7 @@
             method: parts.method.as_str(),
             host: &host,
             target: target.as_str(),
-            body: &body,
+            body: &body.bytes,
         });
         let lists = (&self.directory, &self.list_tracker);
         let lookup = self.streams.resumed_version(
@@ -339,18 +346,13 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    end: Instant,
-) -> Result<Bytes, (RefusalCause, Option<Duration>)> {
-    match timeout_at(end, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((RefusalCause::TooLarge, None))
-        }
-        Ok(Err(_)) => Err((RefusalCause::Malformed, None)),
-        Err(_) => Err((RefusalCause::SlowBody, None)),
+/// Refusal of a request whose body was not read.
+fn body_refusal(error: BodyError) -> (RefusalCause, Option<Duration>) {
+    match error {
+        BodyError::TooLarge => (RefusalCause::TooLarge, None),
+        BodyError::Broken => (RefusalCause::Malformed, None),
+        BodyError::Slow => (RefusalCause::SlowBody, None),
+        BodyError::NoMemory => (RefusalCause::NoMemory, Some(retry_delay())),
     }
 }
 
--- a/crates/direct/tests/all/staleness.rs
+++ b/crates/direct/tests/all/staleness.rs
@@ -1,6 +1,7 @@
 //! Placement from an expired list, and the second admission check before sending.
 
 use crate::dialect::PlainHeaders;
+use bytes::Bytes;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::uptime;
 use dogwoodhill_direct::buffers::BufferPool;
@@ -150,7 +151,7 @@
         method: Method::POST,
         target: "/once/".parse().expect("a path"),
         headers: HeaderMap::new(),
-        body: "body".into(),
+        body: Bytes::from("body").into(),
     };
     let meta = ForwardMeta {
         remaining: Duration::from_secs(30),
--- /dev/null
+++ b/crates/intake/src/body.rs
@@ -0,0 +1,174 @@
+//! Reading a body into one buffer.
+//!
+//! A list of the received frames would cost dozens of bytes for each of them, and a frame
+//! keeps the whole read buffer that it was cut from. Frames are therefore copied, and the
+//! buffer's capacity is reserved before it grows.
+
+use crate::memory::{BodyMemory, BodySpace};
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use dogwoodhill_core::prelude::*;
+use http_body::Body;
+use http_body_util::BodyExt;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Capacity with which the buffer of a body of unknown length begins, in bytes.
+const FIRST_CAPACITY: usize = 8 * 1024;
+/// Received bytes after which the account is told.
+const ADVANCE_BYTES: usize = 16 * 1024;
+
+/// What a client may send, and in which time.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Largest body, in bytes.
+    pub bytes: usize,
+    /// When the body must be complete; `None` for any time.
+    pub end: Option<Instant>,
+    /// Longest time without a byte.
+    pub idle: Duration,
+}
+
+/// Why a body is not read to its end.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[display("the body is too large")]
+    TooLarge,
+    /// It did not arrive in time.
+    #[display("the body did not arrive in time")]
+    Slow,
+    /// It broke off or is malformed.
+    #[display("the body broke off")]
+    Broken,
+    /// There is no memory for it at present.
+    #[display("there is no memory for the body at present")]
+    NoMemory,
+}
+
+/// A body that has arrived completely, with its memory.
+#[derive(Debug)]
+pub struct WholeBody {
+    /// Content.
+    pub bytes: Bytes,
+    /// Memory of the content; `None` for one that no account
+    /// covers.
+    pub space: Option<BodySpace>,
+}
+
+impl From<Bytes> for WholeBody {
+    /// A body that no account covers.
+    fn from(bytes: Bytes) -> Self {
+        Self { bytes, space: None }
+    }
+}
+
+/// Reads `body` to its end.
+///
+/// # Errors
+///
+/// [`BodyError`].
+pub async fn read<B>(
+    body: &mut B,
+    limits: &BodyLimits,
+    memory: &BodyMemory,
+) -> Result<WholeBody, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    if body.is_end_stream() {
+        return Ok(Bytes::new().into());
+    }
+    let hint = body.size_hint();
+    let mut buffer = Buffer::new(memory.open(), limits.bytes);
+    if let Some(length) = hint.exact().filter(|length| *length <= limits.bytes as u64) {
+        buffer.grow(length as usize)?;
+    }
+    let yielded = buffer.space.yielded();
+    tokio::select! {
+        biased;
+        () = yielded.cancelled() => Err(BodyError::NoMemory),
+        filled = buffer.fill(body, limits) => {
+            filled?;
+            buffer.finish()
+        }
+    }
+}
+
+/// A buffer whose capacity is reserved.
+struct Buffer {
+    bytes: Vec<u8>,
+    space: BodySpace,
+    limit: usize,
+    /// Received bytes of which the account is not told yet.
+    pending: usize,
+}
+
+impl Buffer {
+    fn new(space: BodySpace, limit: usize) -> Self {
+        Self {
+            bytes: Vec::new(),
+            space,
+            limit,
+            pending: 0,
+        }
+    }
+
+    async fn fill<B>(
+        &mut self,
+        body: &mut B,
+        limits: &BodyLimits,
+    ) -> Result<(), BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        loop {
+            let next = timeout(limits.idle, body.frame());
+            let next = match limits.end {
+                Some(end) => timeout_at(end, next).await.and_then(|next| next),
+                None => next.await,
+            };
+            let Some(frame) = next.map_err(|_| BodyError::Slow)? else {
+                return Ok(());
+            };
+            let frame = frame.map_err(|_| BodyError::Broken)?;
+            if let Some(data) = frame.data_ref() {
+                self.push(data)?;
+            }
+        }
+    }
+
+    fn push(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let length = self.bytes.len() + data.len();
+        if length > self.limit {
+            return Err(BodyError::TooLarge);
+        }
+        if length > self.space.reserved() {
+            let doubled = (2 * self.space.reserved()).max(FIRST_CAPACITY);
+            let doubled = doubled.min(self.limit).max(length);
+            // Where the memory is short, the next bytes alone may still fit.
+            self.grow(doubled).or_else(|_| self.grow(length))?;
+        }
+        self.bytes.extend_from_slice(data);
+        self.pending += data.len();
+        if self.pending >= ADVANCE_BYTES {
+            self.space.advance(std::mem::take(&mut self.pending));
+        }
+        Ok(())
+    }
+
+    fn grow(&mut self, capacity: usize) -> Result<(), BodyError> {
+        let reserved = self.space.reserve(capacity);
+        reserved.map_err(|_| BodyError::NoMemory)?;
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
+
+    fn finish(self) -> Result<WholeBody, BodyError> {
+        let complete = self.space.complete();
+        complete.map_err(|_| BodyError::NoMemory)?;
+        Ok(WholeBody {
+            bytes: self.bytes.into(),
+            space: Some(self.space),
+        })
+    }
+}
--- /dev/null
+++ b/crates/intake/src/lib.rs
@@ -0,0 +1,28 @@
+//! Bounded reading of what clients send.
+//!
+//! Clients are not under the operator's control: they may send more than they announce or
+//! stop in the middle, many at once. What they can make an instance hold is therefore
+//! bounded, whatever they do:
+//!
+//! * [`body`]: a body is copied into one buffer, so it costs what was received and not
+//!   what its chunks cost;
+//! * [`memory`]: the buffers of all bodies are reserved from one account;
+//! * [`connections`]: a full listener closes the connection that makes least progress;
+//! * [`progress`]: what each connection waits for.
+//!
+//! The decisions are in `dogwoodhill_policy::intake`.
+
+pub mod body;
+pub mod connections;
+pub mod memory;
+pub mod progress;
+pub mod resources;
+
+/// Common imports.
+pub mod prelude {
+    pub use crate::body::{BodyError, BodyLimits, WholeBody};
+    pub use crate::connections::{ConnectionGuard, Connections};
+    pub use crate::memory::{BodyMemory, BodySpace};
+    pub use crate::progress::{ObservedBody, ObservedStream, RequestGuard};
+    pub use dogwoodhill_policy::intake::Resources;
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers pass in events, the current time and a source of randomness, so every decision
 //! can be tested without sockets and replayed. From the caller's side to the endpoint's:
 //!
+//! * [`intake`]: the memory and connections that clients may hold;
 //! * [`quota`]: limits of a workspace on requests in flight and per second;
 //! * [`queue`]: requests that wait in the entry, ordered by tier, slack and workspace
 //!   share, bounded in count and bytes;
@@ -51,6 +52,7 @@
 pub mod gate;
 pub mod health;
 pub mod incarnations;
+pub mod intake;
 pub mod interference;
 pub mod lending;
 pub mod limit;
