Refuse bodies that announce to be too long at their head

What callers saw: forty clients that announce a thousand times the limit end an entry. A caller whose body is too long often gets a reset in place of the 413.

Cause: the limit was compared with what had arrived, so 4 MiB of each were received and kept. The connection was then closed with unread bytes, which resets it and may take the response along.

Change: the announced length decides before the first byte. A caller that waits for 100 Continue is not made to send.

--- a/crates/direct/src/refusal_cause.rs
+++ b/crates/direct/src/refusal_cause.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Whether the request is refused before its body was read.
+    pub fn leaves_body(self) -> bool {
+        matches!(self, Self::TooLarge | Self::SlowBody | Self::NoMemory)
+    }
+
     /// Whether the request may have run.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -25,7 +25,7 @@
 use dogwoodhill_policy::budget::{Allowance, Budget};
 use dogwoodhill_route::prelude::*;
 use http::request::Parts;
-use http::{Request, Response, header};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::pin::pin;
@@ -126,7 +126,11 @@
             Ok(admitted) => admitted,
             Err((cause, retry_after)) => {
                 record.refused(cause, retry_after);
-                return refuse(cause, retry_after);
+                let mut response = refuse(cause, retry_after);
+                if cause.leaves_body() {
+                    close_after(&mut response);
+                }
+                return response;
             }
         };
         let record = std::mem::replace(
@@ -205,8 +209,13 @@
             end: Some(arrived + self.body_timeout(&parts, meta.as_ref())),
             idle: limits.idle,
         };
-        let read = body::read(&mut body, &limits, &self.bodies).await;
-        let body = read.map_err(body_refusal)?;
+        let body = match body::read(&mut body, &limits, &self.bodies).await {
+            Ok(body) => body,
+            Err(error) => {
+                discard_unless_awaited(&parts, body);
+                return Err(body_refusal(error));
+            }
+        };
         let meta = meta.ok_or((RefusalCause::Malformed, None))?;
         let table = self.await_routes(meta.max_wait).await;
         let table = table.ok_or_else(|| (RefusalCause::NoRoutes, Some(retry_delay())))?;
@@ -329,6 +338,12 @@
     }
 }
 
+/// Announces that the connection is closed after `response`.
+pub(crate) fn close_after<B>(response: &mut Response<B>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// Logs a request whose caller disconnects while it is being read.
 struct AbandonLogger<'a>(Option<&'a mut RequestRecord>);
 
@@ -346,6 +361,13 @@
     }
 }
 
+/// Discards a refused body, unless its caller waits for the permission to send it.
+fn discard_unless_awaited(parts: &Parts, body: Incoming) {
+    if !parts.headers.contains_key(header::EXPECT) {
+        body::discard(body);
+    }
+}
+
 /// Refusal of a request whose body was not read.
 fn body_refusal(error: BodyError) -> (RefusalCause, Option<Duration>) {
     match error {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -6,9 +6,9 @@
 //! it is reading.
 
 use crate::connection_state::ConnectionState;
-use crate::request::SharedState;
+use crate::request::{SharedState, close_after};
 use dogwoodhill_core::prelude::*;
-use http::{HeaderValue, Request, header};
+use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -129,8 +129,7 @@
             let mut response = shared.handle(request).await;
             response.body_mut().attach(guard);
             if stopping.has_begun() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
+                close_after(&mut response);
             }
             Ok::<_, Infallible>(response)
         }
--- /dev/null
+++ b/crates/direct/tests/all/intake.rs
@@ -0,0 +1,68 @@
+//! Bodies that are refused: the caller gets the refusal, and others their answers.
+
+use crate::endpoint::ScriptedEndpoint;
+use crate::entry::{CallerResponse, Entry, route_set};
+use dogwoodhill_route::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const MAX_BODY: usize = 64 * 1024;
+const MIB: usize = 1024 * 1024;
+
+/// The routes of [`route_set`], with a limit on bodies.
+fn limited_routes(max_body: usize) -> RouteSet {
+    let mut set = route_set();
+    set.limits.body = max_body;
+    set
+}
+
+/// Head of a request that announces `length` bytes.
+fn announcement(length: usize, headers: &str) -> String {
+    format!(
+        "POST /once/ HTTP/1.1\r\nhost: test\r\nx-request-id: r-1\r\n\
+         content-length: {length}\r\n{headers}\r\n"
+    )
+}
+
+#[tokio::test]
+async fn body_over_limit_announced_refused_at_head() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let entry = Entry::with_routes(&[&endpoint], limited_routes(MAX_BODY)).await;
+    for headers in ["", "expect: 100-continue\r\n"] {
+        let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+        let head = announcement(MAX_BODY + 1, headers);
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut response = [0; 12];
+        stream.read_exact(&mut response).await.unwrap();
+        assert_eq!(&response, b"HTTP/1.1 413");
+    }
+    assert!(endpoint.seen().is_empty());
+}
+
+/// The caller sends all of a body before it reads. The refusal is delivered, and the
+/// connection is closed properly.
+#[tokio::test]
+async fn body_over_limit_sent_refusal_delivered() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let entry = Entry::with_routes(&[&endpoint], limited_routes(MAX_BODY)).await;
+    let length = 4 * MIB;
+    let chunked = format!(
+        "{}{length:x}\r\n",
+        announcement(0, "transfer-encoding: chunked\r\n")
+            .replace("content-length: 0\r\n", "")
+    );
+    let end = "\r\n0\r\n\r\n";
+    for (head, end) in [(announcement(length, ""), ""), (chunked, end)] {
+        let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&vec![b'x'; length]).await.unwrap();
+        stream.write_all(end.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await.unwrap();
+        let got = CallerResponse::new(&bytes);
+        assert_eq!(got.status, 413, "{got:?}");
+        assert_eq!(got.header("connection"), Some("close"));
+        assert!(got.body.contains("not-run"), "{got:?}");
+    }
+    assert!(endpoint.seen().is_empty());
+}
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod events;
 mod fleet;
 mod half_head;
+mod intake;
 mod leaving;
 mod lending;
 mod list_tracker;
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -10,12 +10,17 @@
 use dogwoodhill_core::prelude::*;
 use http_body::Body;
 use http_body_util::BodyExt;
+use std::pin::pin;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Capacity with which the buffer of a body of unknown length begins, in bytes.
 const FIRST_CAPACITY: usize = 8 * 1024;
 /// Received bytes after which the account is told.
 const ADVANCE_BYTES: usize = 16 * 1024;
+/// Most bytes of a refused body that are read and dropped.
+const MAX_DISCARDED: usize = 8 * 1024 * 1024;
+/// Time in which they are read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What a client may send, and in which time.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +36,7 @@
 /// Why a body is not read to its end.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum BodyError {
-    /// It is longer than allowed.
+    /// It is longer than allowed, or announces to be.
     #[display("the body is too large")]
     TooLarge,
     /// It did not arrive in time.
@@ -62,11 +67,12 @@
     }
 }
 
-/// Reads `body` to its end.
+/// Reads `body` to its end. A body of known length is admitted or refused before any of it
+/// is read.
 ///
 /// # Errors
 ///
-/// [`BodyError`].
+/// [`BodyError`]; what is left of the body should be passed to [`discard`].
 pub async fn read<B>(
     body: &mut B,
     limits: &BodyLimits,
@@ -79,8 +85,11 @@
         return Ok(Bytes::new().into());
     }
     let hint = body.size_hint();
+    if hint.lower() > limits.bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
     let mut buffer = Buffer::new(memory.open(), limits.bytes);
-    if let Some(length) = hint.exact().filter(|length| *length <= limits.bytes as u64) {
+    if let Some(length) = hint.exact() {
         buffer.grow(length as usize)?;
     }
     let yielded = buffer.space.yielded();
@@ -172,3 +181,28 @@
         })
     }
 }
+
+/// Reads and drops what is left of a refused body, within bounds. If the connection were
+/// closed while the client sends, it would be reset, and the response lost.
+pub fn discard<B>(mut body: B)
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Send,
+{
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::spawn(async move {
+        let read = async {
+            let mut discarded = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                discarded += frame.data_ref().map_or(0, Bytes::len);
+                if discarded > MAX_DISCARDED {
+                    break;
+                }
+            }
+        };
+        // The connection is closed after the timeout, as after the last byte.
+        let _ = timeout(DISCARD_TIMEOUT, pin!(read)).await;
+    });
+}
