Bound the memory of all bodies at an entry

What callers saw: forty bodies of legal size, stalled or whole, end an entry.

Cause: each body may grow to its limit, and nothing bounded the sum.

Room for a body of known length is taken before its first byte. Where there is none, bodies whose clients lag yield, else the request is refused: 503 with Retry-After, and true, since nothing was sent. Bodies that wait for more while they hold some would wait for ever, so none waits. New settings memory_mb, 110 by default, and max_descriptors, the process's limit.

--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -26,7 +26,6 @@
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::prelude::*;
 use dogwoodhill_intake::prelude::*;
-use dogwoodhill_policy::intake::BodyBudget;
 use dogwoodhill_route::set::SetFormat;
 use dogwoodhill_wire::client::PeerClient;
 use error_stack::{Report, ResultExt};
@@ -131,10 +130,7 @@
             streams,
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
-            bodies: BodyMemory::new(BodyBudget {
-                total: usize::MAX,
-                large: usize::MAX,
-            }),
+            bodies: BodyMemory::new(settings.resources.bodies()),
             buffers: BufferPool::default(),
             stats,
             drain,
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -2,6 +2,8 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
+use dogwoodhill_intake::prelude::*;
+use dogwoodhill_intake::resources;
 use dogwoodhill_policy::budget::Allowance;
 use dogwoodhill_policy::list_reads::{
     DEFAULT_LEAVING_WITHIN, MIN_READ_INTERVAL, max_read_interval,
@@ -51,6 +53,9 @@
     pub linger: Duration,
     /// Time from the start of the drain after which the process is killed. Default 8 s.
     pub grace: Duration,
+    /// Memory and descriptors of the instance. Default 110 MB, and what the process may
+    /// open.
+    pub resources: Resources,
     /// Windows of usage counting, if control reports usage.
     pub usage: Option<Windows>,
     /// What the entry does beyond placing each request by itself.
@@ -135,6 +140,7 @@
         },
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
         grace: s.duration("grace", SECOND..=3_600 * SECOND, Some(DEFAULT_GRACE)),
+        resources: resources::read(s),
         usage: usage(s),
         features: Features {
             shares: ShareMode::ALL[s.word("shares", &ShareMode::NAMES, Some(0))],
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -9,6 +9,7 @@
 use dogwoodhill_direct::request::SharedState;
 use dogwoodhill_direct::settings::{Features, ShareMode};
 use dogwoodhill_direct::{Direct, Settings};
+use dogwoodhill_intake::prelude::*;
 use dogwoodhill_policy::budget::Allowance;
 use dogwoodhill_route::prelude::*;
 use dogwoodhill_route::set::JsonFormat;
@@ -220,6 +221,7 @@
             },
             linger: Duration::from_millis(50),
             grace,
+            resources: Resources::default(),
             usage,
             features,
         };
--- a/crates/direct/tests/all/intake.rs
+++ b/crates/direct/tests/all/intake.rs
@@ -1,7 +1,7 @@
 //! Bodies that are refused: the caller gets the refusal, and others their answers.
 
 use crate::endpoint::ScriptedEndpoint;
-use crate::entry::{CallerResponse, Entry, route_set};
+use crate::entry::{CallerResponse, Entry, request, route_set};
 use dogwoodhill_route::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -66,3 +66,29 @@
     }
     assert!(endpoint.seen().is_empty());
 }
+
+/// Whole bodies that take all memory for large ones: a further one is refused as not run,
+/// a small one is served, and so is a large one once there is memory.
+#[tokio::test]
+async fn bodies_beyond_memory_refused() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let entry = Entry::with_routes(&[&endpoint], limited_routes(8 * MIB)).await;
+    let largest = entry.shared.bodies.largest();
+    let mut taken = entry.shared.bodies.open();
+    taken.reserve(largest - MIB).expect("fits");
+    taken.complete().expect("has not yielded");
+    let large = request("POST /once/", "", &"x".repeat(2 * MIB));
+    let stream = TcpStream::connect(entry.callers).await.unwrap();
+    let got = CallerResponse::read(stream, &large).await;
+    assert_eq!(got.status, 503, "{}", got.head);
+    assert!(got.header("retry-after").is_some());
+    assert!(got.body.contains("no-memory") && got.body.contains("not-run"));
+    assert!(endpoint.seen().is_empty());
+    let got = entry.call("POST /once/", "", &"x".repeat(100_000)).await;
+    assert_eq!(got.status, 200);
+    drop(taken);
+    let stream = TcpStream::connect(entry.callers).await.unwrap();
+    let got = CallerResponse::read(stream, &large).await;
+    assert_eq!(got.status, 200, "{}", got.head);
+    assert_eq!(entry.shared.bodies.usage(), (0, 0));
+}
