Bound the connections of callers

What callers saw: a few thousand connections that send nothing, or a head or a body that doesn't go on, take all descriptors; nobody else is answered.

Cause: only descriptors ended connections, and those of control, the list and endpoints with them. A failed accept paused and closed nothing.

Change: connections are bounded by memory and descriptors. When all are taken, the one that has made no progress for longest is closed for a new one: an idle one, or one whose head, body or unread response lags by more than a second. One that executes a request never is. A response must be read with no pause beyond the idle limit.

--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -130,6 +130,7 @@
             streams,
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
+            connections: Connections::new(settings.resources.caller_connections()),
             bodies: BodyMemory::new(settings.resources.bodies()),
             buffers: BufferPool::default(),
             stats,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -23,7 +23,6 @@
 //! format of the endpoint list; [`direct`] assembles the daemon.
 
 pub mod buffers;
-pub mod connection_state;
 pub mod contention;
 pub mod control_sync;
 pub mod dialect;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -60,6 +60,9 @@
 /// begins now ends before the entry stops.
 const MAX_TOKEN_TIME: Duration = Duration::from_millis(20);
 
+/// Body of a caller's request.
+pub(crate) type RequestBody = ObservedBody<Incoming>;
+
 /// State shared by all requests of an entry.
 #[derive(Debug)]
 pub struct SharedState {
@@ -79,6 +82,8 @@
     pub fingerprinter: Fingerprinter,
     /// Software versions at which streams began.
     pub streams: StreamsBegun,
+    /// Connections of callers.
+    pub connections: Connections,
     /// Memory for the bodies of requests.
     pub bodies: BodyMemory,
     /// Memory for buffered responses.
@@ -109,9 +114,9 @@
 
 impl SharedState {
     /// Handles one request.
-    pub async fn handle(
+    pub(crate) async fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Response<ResponseBody> {
         let drain_guard = self.drain.enter();
         let arrived = Instant::now();
@@ -198,7 +203,7 @@
     async fn prepare(
         &self,
         parts: Parts,
-        mut body: Incoming,
+        mut body: RequestBody,
         meta: Option<RequestMeta>,
         arrived: Instant,
     ) -> Result<AdmittedRequest, (RefusalCause, Option<Duration>)> {
@@ -362,7 +367,7 @@
 }
 
 /// Discards a refused body, unless its caller waits for the permission to send it.
-fn discard_unless_awaited(parts: &Parts, body: Incoming) {
+fn discard_unless_awaited(parts: &Parts, body: RequestBody) {
     if !parts.headers.contains_key(header::EXPECT) {
         body::discard(body);
     }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -3,22 +3,23 @@
 //! A connection is idle, receives a head, or executes a request. The limits of the route
 //! set bound the first two states, the request's own deadline the third. An idle
 //! connection is closed only between requests, so the entry never cuts off a request that
-//! it is reading.
+//! it is reading. A response must be read with no longer pause than an idle connection
+//! may make.
+//!
+//! The number of connections is bounded ([`dogwoodhill_intake::connections`]).
 
-use crate::connection_state::ConnectionState;
 use crate::request::{SharedState, close_after};
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_intake::prelude::*;
+use dogwoodhill_intake::progress::{ConnectionProgress, Wait};
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::io;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -30,63 +31,6 @@
 /// Longest interval between two checks of a connection's state.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// A socket that records when bytes arrive.
-struct ObservedStream {
-    stream: TcpStream,
-    state: ConnectionState,
-}
-
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        if buffer.filled().len() > before {
-            self.state.bytes_received();
-        }
-        Poll::Ready(read)
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-}
-
 /// Accepts connections of callers until `stop` completes.
 pub async fn accept(
     socket: TcpListener,
@@ -100,8 +44,11 @@
             () = &mut stop => return,
         };
         match accepted {
+            // A connection that isn't admitted is closed.
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, Arc::clone(&shared)));
+                if let Some(guard) = shared.connections.admit() {
+                    tokio::spawn(serve(stream, guard, Arc::clone(&shared)));
+                }
             }
             Err(error) => {
                 Event::new("accept-failed").field("error", error).warn();
@@ -111,18 +58,16 @@
     }
 }
 
-async fn serve(stream: TcpStream, shared: Arc<SharedState>) {
+async fn serve(stream: TcpStream, guard: ConnectionGuard, shared: Arc<SharedState>) {
+    let progress = guard.progress();
     // Optional: without it, small packets are only delayed.
     let _ = stream.set_nodelay(true);
-    let state = ConnectionState::new();
     let limits = shared.routes.load().as_ref().map(|table| *table.limits());
     let head = limits.unwrap_or_default().head.max(MIN_HEAD_BUFFER);
-    let io = TokioIo::new(ObservedStream {
-        stream,
-        state: state.clone(),
-    });
+    let io = TokioIo::new(ObservedStream::new(stream, progress.clone()));
     let service = service_fn(|request: Request<Incoming>| {
-        let guard = state.begin_request();
+        let guard = progress.begin_request();
+        let request = request.map(|body| ObservedBody::new(body, progress));
         let shared = Arc::clone(&shared);
         async move {
             let stopping = shared.drain.clone();
@@ -143,7 +88,12 @@
     tokio::select! {
         // A disconnecting caller is not an error.
         _ = connection.as_mut() => return,
-        () = timed_out(&state, &shared) => {}
+        // A request that has just arrived is still served.
+        () = guard.closing() => if progress.wait() != Wait::Nothing { return },
+        expired = timed_out(progress, &shared) => match expired {
+            Expired::Reading => return,
+            Expired::Waiting => {}
+        },
     }
     connection.as_mut().graceful_shutdown();
     loop {
@@ -152,20 +102,39 @@
             () = sleep(CHECK_INTERVAL) => {}
         }
         // A request may have arrived just before the shutdown.
-        if !state.is_executing() {
-            return;
+        match progress.wait() {
+            Wait::Nothing => {}
+            Wait::Client(lag) if lag < CHECK_INTERVAL => {}
+            _ => return,
         }
     }
 }
 
-/// Completes when the connection has been idle, or receiving one head, for too long.
-async fn timed_out(state: &ConnectionState, shared: &SharedState) {
+/// What the client of a connection has taken too long for.
+enum Expired {
+    /// To read its response.
+    Reading,
+    /// To send a head, or a request at all.
+    Waiting,
+}
+
+/// Completes when the client has taken too long.
+async fn timed_out(progress: &ConnectionProgress, shared: &SharedState) -> Expired {
     loop {
         let limits = shared.routes.load().as_ref().map(|table| *table.limits());
         let limits = limits.unwrap_or_default();
         let now = Instant::now();
-        match state.deadline(limits.idle, limits.head_timeout) {
-            Some(deadline) if deadline <= now => return,
+        let unread = progress.unread_since().map(|since| since + limits.idle);
+        if unread.is_some_and(|deadline| deadline <= now) {
+            return Expired::Reading;
+        }
+        let waiting = match progress.wait() {
+            Wait::Request(since) => Some(since + limits.idle),
+            Wait::Head(since) => Some(since + limits.head_timeout),
+            Wait::Client(_) | Wait::Nothing => None,
+        };
+        match waiting {
+            Some(deadline) if deadline <= now => return Expired::Waiting,
             Some(deadline) => sleep_until(deadline.min(now + CHECK_INTERVAL)).await,
             None => sleep(CHECK_INTERVAL).await,
         }
