Bound the connections of all other listeners

What callers saw: the same crowds at readiness and metrics, operators', internal, agents' and callers' addresses take all descriptors of the process.

Cause: the listener that these share had no bound on connections, and none on the time before their first byte.

Change: the listener uses the same bound, of each kind its part. Log lines connections-full, at most one a second for a listener; gauge dogwoodhill_intake.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -77,8 +77,10 @@
     ) -> Result<Self, Report<ListenError>> {
         let endpoint = Box::new(HttpEndpoint::new(settings.address));
         let listener = Listener::bind(settings.listen).await?;
+        let listener = listener.with_connections(settings.resources.peer_connections());
         let linger = settings.linger;
         let core = Arc::new(Core::new(settings, endpoint, drain.clone()));
+        core.metrics.watch_intake(listener.connections(), None);
         Ok(Self {
             listener,
             core,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -2,6 +2,8 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
+use dogwoodhill_intake::prelude::*;
+use dogwoodhill_intake::resources;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -72,6 +74,9 @@
     /// have not seen the drain yet then get a refusal, after which they can send the
     /// request elsewhere. Default 2 s.
     pub linger: Duration,
+    /// Memory and descriptors of the instance. Default 110 MB, and what the process may
+    /// open.
+    pub resources: Resources,
 }
 
 impl Settings {
@@ -92,6 +97,7 @@
             poll_interval: DEFAULT_POLL_INTERVAL,
             platform: None,
             linger: DEFAULT_LINGER,
+            resources: Resources::default(),
         }
     }
 
@@ -132,6 +138,7 @@
         ),
         platform: s.section("platform", platform),
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
+        resources: resources::read(s),
     };
     if settings.control.is_empty() {
         let remedy = "list the control instances' addresses";
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -284,6 +284,7 @@
         let public = operators::routes(operator_api)
             .merge(health.clone())
             .merge(platform_routes);
+        metrics.watch_intake(self.listeners.operators.connections(), None);
         let known = internal::require_key(
             contacts::routes(self.contacts.clone()),
             Arc::new(secret),
--- a/crates/control/src/search.rs
+++ b/crates/control/src/search.rs
@@ -48,10 +48,13 @@
     pub(crate) async fn bind(settings: &Settings) -> Result<Self, Report<ControlError>> {
         let error = ControlError::Listen;
         let operators = Listener::bind(settings.listen).await;
+        let operators = operators.change_context(error)?;
         let internal = Listener::bind(settings.internal).await;
+        let internal = internal.change_context(ControlError::Listen)?;
+        let resources = &settings.resources;
         Ok(Self {
-            operators: operators.change_context(error)?,
-            internal: internal.change_context(ControlError::Listen)?,
+            operators: operators.with_connections(resources.operator_connections()),
+            internal: internal.with_connections(resources.peer_connections()),
         })
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -4,6 +4,8 @@
 use dogwoodhill_core::keys::KeyHash;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
+use dogwoodhill_intake::prelude::*;
+use dogwoodhill_intake::resources;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use tokio::sync::watch;
@@ -84,6 +86,9 @@
     pub compact_after: u64,
     /// How long connections are still accepted after a drain has begun. Default 1 s.
     pub linger: Duration,
+    /// Memory and descriptors of the instance. Default 110 MB, and what the process may
+    /// open.
+    pub resources: Resources,
     /// Usage reporting; `None` where it is not among the instance's duties.
     pub usage: Option<UsageSettings>,
     /// Set on the command line.
@@ -109,6 +114,7 @@
             teams: Vec::new(),
             compact_after: DEFAULT_COMPACT_AFTER,
             linger: DEFAULT_LINGER,
+            resources: Resources::default(),
             usage: None,
             start: Start::Existing,
             address_updates: None,
@@ -148,6 +154,7 @@
             Some(DEFAULT_COMPACT_AFTER),
         ),
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
+        resources: resources::read(s),
         usage: usage(s),
         start: Start::Existing,
         address_updates: None,
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -1,18 +1,28 @@
-//! The HTTP listener: accepts connections, limits the size and time of request heads and
-//! the number of streams, and closes connections gracefully.
+//! The HTTP listener: accepts connections, limits their number, the size and time of
+//! request heads and the number of streams, and closes connections gracefully.
 
 use crate::drain::Drain;
 use axum::Router;
+use axum::body::Body;
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use dogwoodhill_core::event::Event;
+use dogwoodhill_intake::prelude::*;
 use error_stack::{Report, ResultExt};
+use http::Request;
+use http_body::{Frame, SizeHint};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tower::ServiceExt;
 
 /// Largest head of an HTTP/1 request, and the read buffer of an HTTP/1 connection.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -45,10 +55,12 @@
 pub struct Listener {
     socket: TcpListener,
     address: SocketAddr,
+    connections: Connections,
 }
 
 impl Listener {
-    /// Binds `address`; port 0 picks a free port.
+    /// Binds `address`; port 0 picks a free port. The number of connections is bounded as
+    /// for other processes of the router on an instance with the default resources.
     ///
     /// # Errors
     ///
@@ -59,7 +71,26 @@
             .await
             .change_context_lazy(error)?;
         let address = socket.local_addr().change_context_lazy(error)?;
-        Ok(Self { socket, address })
+        Ok(Self {
+            socket,
+            address,
+            connections: Connections::new(
+                &address.to_string(),
+                Resources::default().peer_connections(),
+            ),
+        })
+    }
+
+    /// The same, with at most `most` connections.
+    #[must_use]
+    pub fn with_connections(mut self, most: usize) -> Self {
+        self.connections = Connections::new(&self.address.to_string(), most);
+        self
+    }
+
+    /// The connections that are open.
+    pub fn connections(&self) -> Connections {
+        self.connections.clone()
     }
 
     /// The bound address, with the actual port if port 0 was requested.
@@ -101,7 +132,12 @@
                 () = &mut stop => break graceful,
             };
             match accepted {
-                Ok((stream, _)) => spawn(&server, &graceful, stream, router.clone()),
+                // A connection that isn't admitted is closed.
+                Ok((stream, _)) => {
+                    if let Some(guard) = self.connections.admit() {
+                        spawn(&server, &graceful, stream, guard, router.clone());
+                    }
+                }
                 Err(error) => {
                     Event::new("accept-failed").field("error", error).warn();
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -130,16 +166,57 @@
     server: &Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
     stream: TcpStream,
+    guard: ConnectionGuard,
     router: Router,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = TowerToHyperService::new(router);
-    let connection = server
-        .serve_connection(TokioIo::new(stream), service)
-        .into_owned();
+    let progress = guard.progress().clone();
+    let io = TokioIo::new(ObservedStream::new(stream, progress.clone()));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let request_guard = progress.begin_request();
+        let request = request.map(|body| Body::new(ObservedBody::new(body, &progress)));
+        let answered = router.clone().oneshot(request);
+        async move {
+            let response = answered.await?;
+            Ok::<_, Infallible>(response.map(|body| ResponseBody {
+                body,
+                _guard: request_guard,
+            }))
+        }
+    });
+    let connection = server.serve_connection(io, service).into_owned();
     let served = graceful.watch(connection);
     tokio::spawn(async move {
-        // The error is ignored: a connection closed by its peer is not a fault.
-        let _ = served.await;
+        tokio::select! {
+            // The error is ignored: a connection closed by its peer is not a fault.
+            _ = served => {}
+            () = guard.closing() => {}
+        }
     });
 }
+
+/// Body of a response; its request counts as executed until it is dropped.
+struct ResponseBody {
+    body: Body,
+    _guard: RequestGuard,
+}
+
+impl http_body::Body for ResponseBody {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Prometheus metrics of one daemon, in a registry of its own: several daemons can run in
 //! one process.
 
-use prometheus::core::Collector;
+use dogwoodhill_intake::prelude::*;
+use prometheus::core::{Collector, Desc};
+use prometheus::proto::MetricFamily;
 use prometheus::{
     Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -49,6 +51,22 @@
         self.add(Histogram::with_opts(options).expect("metric names are constants"))
     }
 
+    /// Adds gauges of what clients hold, read as the metrics are.
+    pub fn watch_intake(&self, connections: Connections, bodies: Option<BodyMemory>) {
+        let gauges = IntGaugeVec::new(
+            Opts::new(
+                "dogwoodhill_intake",
+                "Connections of clients, and memory of their bodies",
+            ),
+            &["what"],
+        );
+        self.add(IntakeGauges {
+            gauges: gauges.expect("metric names are constants"),
+            connections,
+            bodies,
+        });
+    }
+
     /// All metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
         let families = self.registry.gather();
@@ -64,3 +82,33 @@
         metric
     }
 }
+
+/// Gauges that are read from their sources.
+#[derive(Clone)]
+struct IntakeGauges {
+    gauges: IntGaugeVec,
+    connections: Connections,
+    bodies: Option<BodyMemory>,
+}
+
+impl Collector for IntakeGauges {
+    fn desc(&self) -> Vec<&Desc> {
+        self.gauges.desc()
+    }
+
+    fn collect(&self) -> Vec<MetricFamily> {
+        let set = |what: &str, value: i64| {
+            self.gauges.with_label_values(&[what]).set(value);
+        };
+        let (open, closed, refused) = self.connections.counts();
+        set("connections", open as i64);
+        set("connections_closed", closed as i64);
+        set("connections_refused", refused as i64);
+        if let Some(bodies) = &self.bodies {
+            let (bytes, count) = bodies.usage();
+            set("body_bytes", bytes as i64);
+            set("bodies", count as i64);
+        }
+        self.gauges.collect()
+    }
+}
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -99,7 +99,8 @@
         let address = settings.status;
         let status = Listener::bind(address)
             .await
-            .change_context_lazy(|| BindError { address })?;
+            .change_context_lazy(|| BindError { address })?
+            .with_connections(settings.resources.status_connections());
         let metrics = Metrics::default();
         let stats = Stats::new(&metrics);
         let prefixes = settings.features.prefixes;
@@ -117,6 +118,10 @@
             client.clone(),
             Arc::clone(&control),
         );
+        let most = settings.resources.caller_connections();
+        let connections = Connections::new("callers", most);
+        let bodies = BodyMemory::new(settings.resources.bodies());
+        metrics.watch_intake(connections.clone(), Some(bodies.clone()));
         let shared = Arc::new(SharedState {
             routes: ArcSwapOption::empty(),
             routes_changed: Notify::new(),
@@ -130,8 +135,8 @@
             streams,
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
-            connections: Connections::new(settings.resources.caller_connections()),
-            bodies: BodyMemory::new(settings.resources.bodies()),
+            connections,
+            bodies,
             buffers: BufferPool::default(),
             stats,
             drain,
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -28,6 +28,9 @@
 /// Delay after a failed accept, so that running out of file descriptors does not cause a
 /// busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Shortest time for which a response may stay unread, however short the idle limit is: a
+/// link may be interrupted for seconds.
+const MIN_UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest interval between two checks of a connection's state.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -88,8 +91,7 @@
     tokio::select! {
         // A disconnecting caller is not an error.
         _ = connection.as_mut() => return,
-        // A request that has just arrived is still served.
-        () = guard.closing() => if progress.wait() != Wait::Nothing { return },
+        () = guard.closing() => return,
         expired = timed_out(progress, &shared) => match expired {
             Expired::Reading => return,
             Expired::Waiting => {}
@@ -124,7 +126,8 @@
         let limits = shared.routes.load().as_ref().map(|table| *table.limits());
         let limits = limits.unwrap_or_default();
         let now = Instant::now();
-        let unread = progress.unread_since().map(|since| since + limits.idle);
+        let unread_timeout = limits.idle.max(MIN_UNREAD_TIMEOUT);
+        let unread = progress.unread_since().map(|since| since + unread_timeout);
         if unread.is_some_and(|deadline| deadline <= now) {
             return Expired::Reading;
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -93,7 +93,10 @@
         drain: Drain,
     ) -> Result<Self, Report<ListenError>> {
         let listener = Listener::bind(settings.listen).await?;
+        let most = settings.resources.caller_connections();
+        let listener = listener.with_connections(most);
         let core = Arc::new(Core::new(settings, claims, drain));
+        core.metrics.watch_intake(listener.connections(), None);
         Ok(Self { listener, core })
     }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,6 +2,8 @@
 
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_core::text::Text;
+use dogwoodhill_intake::prelude::*;
+use dogwoodhill_intake::resources;
 use dogwoodhill_policy::placement::Policy;
 use dogwoodhill_policy::queue::Bounds;
 use std::net::SocketAddr;
@@ -50,6 +52,9 @@
     pub entries: u32,
     /// Time for which connections are still accepted after a drain begins. Default 5 s.
     pub linger: Duration,
+    /// Memory and descriptors of the instance. Default 110 MB, and what the process may
+    /// open.
+    pub resources: Resources,
 }
 
 impl Settings {
@@ -70,6 +75,7 @@
             placement: Policy::default(),
             entries: 1,
             linger: DEFAULT_LINGER,
+            resources: Resources::default(),
         }
     }
 
@@ -105,6 +111,7 @@
         placement: Policy::ALL[s.word("placement", &Policy::NAMES, Some(0))],
         entries: s.count("entries", 1..=10_000, Some(1)) as u32,
         linger: s.duration("linger", Duration::ZERO..=60 * SECOND, Some(DEFAULT_LINGER)),
+        resources: resources::read(s),
     };
     if settings.control.is_empty() {
         let remedy = "list the control instances' addresses";
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -7,10 +7,16 @@
 use crate::progress::{ConnectionProgress, Wait};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::intake::YIELD_LAG;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
+/// Delay until a connection that was executing a request is closed.
+const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Interval between log lines of a listener that is full.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Identifies a connection of a listener.
 type ConnectionId = u64;
 
@@ -31,6 +37,12 @@
             Wait::Nothing => None,
         }
     }
+
+    /// Time for which the client has not read, if it lags.
+    fn unread_lag(&self) -> Option<Duration> {
+        let lag = self.progress.unread_since()?.elapsed();
+        (lag > YIELD_LAG).then_some(lag)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -38,6 +50,10 @@
     /// Sorted by id.
     open: Vec<Connection>,
     next_id: ConnectionId,
+    /// Connections that were closed for others, and that were refused.
+    closed: u64,
+    refused: u64,
+    logged: Option<Instant>,
 }
 
 impl State {
@@ -48,16 +64,15 @@
         at.ok().map(|at| self.open.remove(at))
     }
 
-    /// Closes the connection that has made no progress for longest. Returns whether there
-    /// is one that may be closed.
-    fn close_one(&mut self) -> bool {
-        let open = self.open.iter();
-        let lags = open.filter_map(|c| Some((c.yielding_lag()?, c.id)));
+    /// Closes the connection with the largest `lag`. Returns whether there is one.
+    fn close_one(&mut self, lag: fn(&Connection) -> Option<Duration>) -> bool {
+        let lags = self.open.iter().filter_map(|c| Some((lag(c)?, c.id)));
         let Some((_, id)) = lags.max() else {
             return false;
         };
         if let Some(connection) = self.remove(id) {
             connection.closing.cancel();
+            self.closed += 1;
         }
         true
     }
@@ -65,12 +80,29 @@
 
 #[derive(Debug)]
 struct Inner {
+    listener: String,
     most: usize,
     state: Mutex<State>,
-    /// Connections that were closed for others.
-    closed: AtomicU64,
-    /// Connections that were refused.
-    refused: AtomicU64,
+}
+
+impl Inner {
+    /// Logs that connections are closed or refused, with the counts so far.
+    fn log_full(&self, state: &mut State) {
+        if state
+            .logged
+            .is_some_and(|last| last.elapsed() < LOG_INTERVAL)
+        {
+            return;
+        }
+        state.logged = Some(Instant::now());
+        Event::new("connections-full")
+            .field("listener", &self.listener)
+            .field("open", state.open.len())
+            .field("most", self.most)
+            .field("closed", state.closed)
+            .field("refused", state.refused)
+            .warn();
+    }
 }
 
 /// The connections of a listener. Clones share them.
@@ -80,14 +112,13 @@
 }
 
 impl Connections {
-    /// At most `most` connections.
-    pub fn new(most: usize) -> Self {
+    /// At most `most` connections; `listener` names them in log lines.
+    pub fn new(listener: &str, most: usize) -> Self {
         Self {
             inner: Arc::new(Inner {
+                listener: listener.to_string(),
                 most,
                 state: Mutex::default(),
-                closed: AtomicU64::new(0),
-                refused: AtomicU64::new(0),
             }),
         }
     }
@@ -97,11 +128,12 @@
     pub fn admit(&self) -> Option<ConnectionGuard> {
         let mut state = self.lock();
         if state.open.len() >= self.inner.most {
-            if !state.close_one() {
-                self.inner.refused.fetch_add(1, Ordering::Relaxed);
+            let closed = state.close_one(Connection::yielding_lag);
+            state.refused += u64::from(!closed);
+            self.inner.log_full(&mut state);
+            if !closed {
                 return None;
             }
-            self.inner.closed.fetch_add(1, Ordering::Relaxed);
         }
         let id = state.next_id;
         state.next_id += 1;
@@ -122,20 +154,21 @@
         })
     }
 
-    /// Closes the connection that has made no progress for longest, if one lags.
-    pub fn close_lagging(&self) -> bool {
-        let closed = self.lock().close_one();
-        self.inner
-            .closed
-            .fetch_add(closed.into(), Ordering::Relaxed);
+    /// Closes the connection whose client has not read its response for longest, if one
+    /// lags. Returns whether one does.
+    pub fn close_unread(&self) -> bool {
+        let mut state = self.lock();
+        let closed = state.close_one(Connection::unread_lag);
+        if closed {
+            self.inner.log_full(&mut state);
+        }
         closed
     }
 
     /// Connections that are open, were closed for others, and were refused.
     pub fn counts(&self) -> (usize, u64, u64) {
-        let open = self.lock().open.len();
-        let closed = self.inner.closed.load(Ordering::Relaxed);
-        (open, closed, self.inner.refused.load(Ordering::Relaxed))
+        let state = self.lock();
+        (state.open.len(), state.closed, state.refused)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -159,9 +192,13 @@
         &self.progress
     }
 
-    /// Completes when the connection has to be closed for another one.
+    /// Completes when the connection has to be closed for another one. A request that has
+    /// just arrived is still served.
     pub async fn closing(&self) {
         self.closing.cancelled().await;
+        while self.progress.wait() == Wait::Nothing {
+            sleep(CLOSE_RETRY_DELAY).await;
+        }
     }
 }
 
