Bound the memory of bodies on the agents' path

What callers saw: the crowds of bodies end an entry or an agent of the agents' path; 32 MiB from six strangers without the cluster key end an agent.

Cause: the same collecting of frames without a bound on the sum, and without any timeout. The agent read a message of up to 64 MiB before it looked at the key, and kept it until the response ended.

Change: both read bodies within the account, each byte counted twice: as received and as encoded or decoded. A body that stands still for 15 s is refused (408, slow_body). Agents check the key first, release a message once the response begins, and answer 503 where there is no room, which entries take as not run. A route set that allows longer bodies than the memory admits is logged.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -9,7 +9,7 @@
 use crate::watch::{ControlTasks, poll_sources};
 use axum::Router;
 use axum::body::Body as HttpBody;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::{Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use bytes::Bytes;
@@ -17,6 +17,8 @@
 use dogwoodhill_daemon::health;
 use dogwoodhill_daemon::platform::{FileList, HttpList, PlatformList};
 use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_intake::body;
+use dogwoodhill_intake::prelude::*;
 use dogwoodhill_policy::gate::{AdmissionRequest, Gate, Refusal};
 use dogwoodhill_policy::limit::Limit;
 use dogwoodhill_wire::prelude::*;
@@ -35,6 +37,10 @@
 pub const ATTEMPT_PATH: &str = "/v1/attempt";
 /// Largest message from an entry: one body and its headers.
 const MAX_ATTEMPT_BYTES: usize = 64 * 1024 * 1024;
+/// Longest time without a byte of a message.
+const ATTEMPT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Copies of a message in memory: as received, and as decoded.
+const MESSAGE_COPIES: usize = 2;
 /// Capacity of the channel between a detached request and its entry, in writes of one or
 /// more frames.
 const DETACHED_CHANNEL_CAPACITY: usize = 4;
@@ -59,6 +65,7 @@
     pub(crate) leaving_flags: LeavingFlags,
     pub(crate) lease: EndpointLease,
     pub(crate) drain: Drain,
+    pub(crate) bodies: BodyMemory,
     pub(crate) metrics: Metrics,
     pub(crate) attempts: IntCounterVec,
     pub(crate) running: IntGauge,
@@ -80,7 +87,9 @@
         let listener = listener.with_connections(settings.resources.peer_connections());
         let linger = settings.linger;
         let core = Arc::new(Core::new(settings, endpoint, drain.clone()));
-        core.metrics.watch_intake(listener.connections(), None);
+        let connections = listener.connections();
+        core.metrics
+            .watch_intake(connections, Some(core.bodies.clone()));
         Ok(Self {
             listener,
             core,
@@ -135,6 +144,7 @@
                 false => EndpointLease::unacquired(),
             },
             drain,
+            bodies: BodyMemory::new(settings.resources.bodies(), MESSAGE_COPIES),
             attempts: metrics.counters(
                 "dogwoodhill_agent_attempts_total",
                 "Attempts by what became of them",
@@ -284,7 +294,6 @@
     Router::new()
         .route(ATTEMPT_PATH, post(post_attempt))
         .route("/v1/load", get(load))
-        .layer(DefaultBodyLimit::max(MAX_ATTEMPT_BYTES))
         .with_state(Arc::clone(core))
         .merge(health::router(&core.drain, &metrics, ready))
 }
@@ -303,37 +312,56 @@
     axum::Json(load).into_response()
 }
 
-async fn post_attempt(
-    State(core): State<Arc<Core>>,
-    headers: HeaderMap,
-    bytes: Bytes,
-) -> Response {
-    if !is_authorized(&core, &headers) {
+async fn post_attempt(State(core): State<Arc<Core>>, request: Request) -> Response {
+    // A stranger's message is not read.
+    if !is_authorized(&core, request.headers()) {
         let text = "wrong cluster key; set the same cluster_key everywhere\n";
         return (StatusCode::UNAUTHORIZED, text).into_response();
     }
-    let Ok(attempt) = decode_attempt(&bytes) else {
-        let text = "unreadable attempt; run one version on both ends\n";
-        return (StatusCode::BAD_REQUEST, text).into_response();
+    let (attempt, space) = match read_attempt(&core, request.into_body()).await {
+        Ok(read) => read,
+        Err(response) => return response,
     };
     match attempt.repeat {
-        Repeat::Allowed => serve_attached(core, attempt).await,
-        Repeat::Never => serve_detached(core, attempt),
+        Repeat::Allowed => serve_attached(core, attempt, space).await,
+        Repeat::Never => serve_detached(core, attempt, space),
     }
 }
 
-fn decode_attempt(bytes: &Bytes) -> Result<Attempt, UndecodableAttempt> {
-    dogwoodhill_wire::codec::decode(bytes).map_err(|_| UndecodableAttempt)
+/// Reads an attempt, with the memory that it takes.
+async fn read_attempt(
+    core: &Core,
+    mut body: HttpBody,
+) -> Result<(Attempt, Option<BodySpace>), Response> {
+    let limits = BodyLimits {
+        bytes: MAX_ATTEMPT_BYTES,
+        end: None,
+        idle: ATTEMPT_IDLE_TIMEOUT,
+    };
+    let read = body::read(&mut body, &limits, &core.bodies).await;
+    let message = read.map_err(|error| {
+        core.count("unread");
+        // The entry sends the request elsewhere, since it didn't run here.
+        (StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")).into_response()
+    })?;
+    let attempt = dogwoodhill_wire::codec::decode(&message.bytes).map_err(|_| {
+        let text = "unreadable attempt; run one version on both ends\n";
+        (StatusCode::BAD_REQUEST, text).into_response()
+    })?;
+    Ok((attempt, message.space))
 }
 
-/// The message can't be decoded as an [`Attempt`].
-#[derive(Debug)]
-struct UndecodableAttempt;
-
 /// Serves an attempt that is cancelled as soon as its entry disconnects.
-async fn serve_attached(core: Arc<Core>, mut attempt: Attempt) -> Response {
+async fn serve_attached(
+    core: Arc<Core>,
+    mut attempt: Attempt,
+    space: Option<BodySpace>,
+) -> Response {
     let drain_guard = core.drain.enter();
-    match core.start(&mut attempt).await {
+    let started = core.start(&mut attempt).await;
+    attempt.body = Bytes::new();
+    drop(space);
+    match started {
         Err(body) => {
             let result = result_label(&body);
             core.count(&result);
@@ -355,11 +383,15 @@
 }
 
 /// Serves an attempt that runs to its end even if its entry disconnects.
-fn serve_detached(core: Arc<Core>, mut attempt: Attempt) -> Response {
+fn serve_detached(
+    core: Arc<Core>,
+    mut attempt: Attempt,
+    space: Option<BodySpace>,
+) -> Response {
     let (sender, receiver) = mpsc::channel(DETACHED_CHANNEL_CAPACITY);
     let drain_guard = core.drain.enter();
     tokio::spawn(async move {
-        run_detached(&core, &mut attempt, &sender).await;
+        run_detached(&core, &mut attempt, space, &sender).await;
         drop(drain_guard);
     });
     let chunks = stream::unfold(receiver, |mut receiver| async move {
@@ -369,8 +401,16 @@
     HttpBody::from_stream(chunks).into_response()
 }
 
-async fn run_detached(core: &Core, attempt: &mut Attempt, sender: &mpsc::Sender<Bytes>) {
-    match core.start(attempt).await {
+async fn run_detached(
+    core: &Core,
+    attempt: &mut Attempt,
+    space: Option<BodySpace>,
+    sender: &mpsc::Sender<Bytes>,
+) {
+    let started = core.start(attempt).await;
+    attempt.body = Bytes::new();
+    drop(space);
+    match started {
         Err(body) => {
             core.count(&result_label(&body));
             let _ = sender.send(core.single_frame(attempt.attempt, body)).await;
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -40,6 +40,8 @@
 /// Length of the accept queue. A burst of new connections exceeds the usual 128 within
 /// one scheduling interval of a small processor.
 const ACCEPT_BACKLOG: u32 = 1_024;
+/// Copies of a body in memory: the kernel takes it from the buffer that received it.
+const BODY_COPIES: usize = 1;
 /// Time before the end of the grace period at which the entry exits by itself, so that
 /// its last log lines are written.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
@@ -120,7 +122,7 @@
         );
         let most = settings.resources.caller_connections();
         let connections = Connections::new("callers", most);
-        let bodies = BodyMemory::new(settings.resources.bodies());
+        let bodies = BodyMemory::new(settings.resources.bodies(), BODY_COPIES);
         metrics.watch_intake(connections.clone(), Some(bodies.clone()));
         let shared = Arc::new(SharedState {
             routes: ArcSwapOption::empty(),
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -167,7 +167,15 @@
         };
         let before = self.routes.rcu(newer);
         self.routes_changed.notify_waiters();
-        before.is_none_or(|before| before.version() < table.version())
+        let activated = before.is_none_or(|before| before.version() < table.version());
+        if activated && table.limits().body > self.bodies.largest() {
+            Event::new("body-limit-lowered")
+                .field("routes_version", table.version())
+                .field("configured", table.limits().body)
+                .field("admitted", self.bodies.largest())
+                .warn();
+        }
+        activated
     }
 
     /// Returns the active route set. An entry that starts waits briefly for the first
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -159,7 +159,7 @@
         method: call.method.clone(),
         path: call.path.clone(),
         headers: call.headers.clone(),
-        body: call.body.clone(),
+        body: call.body.bytes.clone(),
     }
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -262,7 +262,7 @@
         weight: call.workspace.weight,
         target: latency_target.unwrap_or(call.timeout),
         deadline: pool.now() + deadline.saturating_duration_since(Instant::now()),
-        bytes: call.body.len() + headers + QUEUED_OVERHEAD_BYTES,
+        bytes: call.body.bytes.len() + headers + QUEUED_OVERHEAD_BYTES,
     }
 }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::prelude::*;
+use dogwoodhill_intake::prelude::*;
 use dogwoodhill_policy::dispatch::ListedEndpoint;
 use dogwoodhill_policy::subset;
 use dogwoodhill_wire::client::PeerClient;
@@ -25,6 +26,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
 
+/// Copies of a body in memory: as received, and encoded for an agent.
+const BODY_COPIES: usize = 2;
+
 /// An entry that is bound to its address.
 #[derive(Debug)]
 pub struct Entry {
@@ -50,6 +54,7 @@
     pub(crate) entry_count: AtomicU32,
     pub(crate) runner: Runner,
     pub(crate) claims: Arc<dyn ClaimStore>,
+    pub(crate) bodies: BodyMemory,
     pub(crate) stats: Stats,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
@@ -96,7 +101,9 @@
         let most = settings.resources.caller_connections();
         let listener = listener.with_connections(most);
         let core = Arc::new(Core::new(settings, claims, drain));
-        core.metrics.watch_intake(listener.connections(), None);
+        let connections = listener.connections();
+        core.metrics
+            .watch_intake(connections, Some(core.bodies.clone()));
         Ok(Self { listener, core })
     }
 
@@ -147,6 +154,7 @@
                 newest_revision: watch::Sender::new(0),
             },
             claims,
+            bodies: BodyMemory::new(settings.resources.bodies(), BODY_COPIES),
             stats: Stats::new(&metrics),
             revision: metrics.gauge(
                 "dogwoodhill_entry_revision",
--- a/crates/entry/src/non_idempotent.rs
+++ b/crates/entry/src/non_idempotent.rs
@@ -84,7 +84,11 @@
 fn claim_request(core: &Arc<Core>, call: &Call) -> Option<TakeClaim> {
     let key = call.key.clone()?;
     let mut digest = Sha256::new();
-    for part in [call.method.as_bytes(), call.path.as_bytes(), &call.body] {
+    for part in [
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body.bytes,
+    ] {
         digest.update((part.len() as u64).to_be_bytes());
         digest.update(part);
     }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -39,6 +39,9 @@
     /// The body exceeds the size limit.
     #[display("too_large")]
     TooLarge,
+    /// The body did not arrive in time.
+    #[display("slow_body")]
+    SlowBody,
     /// The workspace exceeds its limits.
     #[display("over_limit")]
     OverLimit,
@@ -67,6 +70,7 @@
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::RetiredService => StatusCode::GONE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::OverLimit | Self::Shed => StatusCode::TOO_MANY_REQUESTS,
             Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::BrokenAnswer => StatusCode::BAD_GATEWAY,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -2,10 +2,10 @@
 
 use crate::refusal::{Cause, REQUEST_HEADER, Refusal};
 use crate::table::{Service, Table};
-use bytes::Bytes;
 use dogwoodhill_core::document::Rule;
 use dogwoodhill_core::keys::KeyHash;
 use dogwoodhill_core::prelude::*;
+use dogwoodhill_intake::prelude::*;
 use dogwoodhill_wire::attempt::{Header, end_to_end};
 use http::HeaderMap;
 use http::request::Parts;
@@ -24,7 +24,7 @@
 pub const SERVICES_PREFIX: &str = "/services/";
 
 /// A validated request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Call {
     /// Request id, from the caller or generated.
     pub id: RequestId,
@@ -47,7 +47,7 @@
     /// End-to-end headers of the request.
     pub headers: Vec<Header>,
     /// Body of the request.
-    pub body: Bytes,
+    pub body: WholeBody,
 }
 
 /// The fields of a model request's body that the router reads.
@@ -94,11 +94,11 @@
     table: &Arc<Table>,
     id: RequestId,
     parts: &Parts,
-    body: Bytes,
+    body: WholeBody,
 ) -> Result<Call, Refusal> {
     let key = bearer_key(&parts.headers)?;
     check_key(table, &key)?;
-    let parsed: ModelBody = serde_json::from_slice(&body).map_err(|error| {
+    let parsed: ModelBody = serde_json::from_slice(&body.bytes).map_err(|error| {
         Refusal::not_run(
             Cause::BadRequest,
             &format!("the body is not a valid request: {error}"),
@@ -121,7 +121,7 @@
     table: &Arc<Table>,
     id: RequestId,
     parts: &Parts,
-    body: Bytes,
+    body: WholeBody,
 ) -> Result<Call, Refusal> {
     let key = bearer_key(&parts.headers)?;
     check_key(table, &key)?;
@@ -169,7 +169,7 @@
     id: RequestId,
     parts: &Parts,
     path: String,
-    body: Bytes,
+    body: WholeBody,
 ) -> Result<Call, Refusal> {
     let document = &service.document;
     check_active(document)?;
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,12 +10,12 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
-use bytes::Bytes;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_daemon::health;
+use dogwoodhill_intake::body;
+use dogwoodhill_intake::prelude::*;
 use http::HeaderValue;
 use http::request::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use rand::RngExt;
 use serde::Serialize;
 use std::sync::Arc;
@@ -36,7 +36,13 @@
         .merge(health::router(&core.drain, &core.metrics, ready))
 }
 
-type ParseRequest = fn(&Arc<Table>, RequestId, &Parts, Bytes) -> Result<Call, Refusal>;
+/// Longest time without a byte of a body.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Range of the retry delay of a request for whose body there is no memory, in seconds.
+const MEMORY_RETRY_S: std::ops::Range<f64> = 0.5..1.5;
+
+type ParseRequest =
+    fn(&Arc<Table>, RequestId, &Parts, WholeBody) -> Result<Call, Refusal>;
 
 async fn model(State(core): State<Arc<Core>>, request: Request) -> Response {
     handle(core, request, model_call).await
@@ -77,7 +83,7 @@
     let drain_guard = core.drain.enter();
     let (parts, body) = request.into_parts();
     let id = request_id(&parts.headers);
-    let result = match read_body(body, core.settings.max_body).await {
+    let result = match read_body(body, &core).await {
         Ok(body) => {
             let table = core.table.load_full();
             match parse(&table, id.clone(), &parts, body) {
@@ -98,18 +104,43 @@
     with_id(response, &id)
 }
 
-async fn read_body(body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
+async fn read_body(mut body: Body, core: &Core) -> Result<WholeBody, Refusal> {
+    let limits = BodyLimits {
+        bytes: core.settings.max_body,
+        end: None,
+        idle: BODY_IDLE_TIMEOUT,
+    };
+    let read = body::read(&mut body, &limits, &core.bodies).await;
+    read.map_err(|error| {
+        body::discard(body);
+        body_refusal(error, limits.bytes.min(core.bodies.largest()))
+    })
+}
+
+fn body_refusal(error: BodyError, max_bytes: usize) -> Refusal {
+    match error {
+        BodyError::TooLarge => Refusal::not_run(
             Cause::TooLarge,
             &format!("the body is larger than {max_bytes} bytes"),
             "send a smaller body",
-        )),
-        Err(_) => Err(Refusal::not_run(
+        ),
+        BodyError::Broken => Refusal::not_run(
             Cause::BadRequest,
             "the body broke off",
             "send the whole body",
+        ),
+        BodyError::Slow => Refusal::not_run(
+            Cause::SlowBody,
+            "the body stood still",
+            "send the whole body without long pauses",
+        ),
+        BodyError::NoMemory => Refusal::not_run(
+            Cause::Unavailable,
+            "the bodies of other requests take the memory for this one",
+            "come back after the time in Retry-After",
+        )
+        .with_retry_after(Duration::from_secs_f64(
+            rand::rng().random_range(MEMORY_RETRY_S),
         )),
     }
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -150,7 +150,7 @@
 ) -> Response {
     // The request is not needed any more and need not stay in memory during a long
     // stream.
-    call.body = Bytes::new();
+    call.body = Bytes::new().into();
     call.headers = Vec::new();
     let observer = ResponseObserver {
         stats: core.stats.clone(),
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -18,14 +18,14 @@
 /// Received bytes after which the account is told.
 const ADVANCE_BYTES: usize = 16 * 1024;
 /// Most bytes of a refused body that are read and dropped.
-const MAX_DISCARDED: usize = 8 * 1024 * 1024;
+const MAX_DISCARDED: usize = 16 * 1024 * 1024;
 /// Time in which they are read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What a client may send, and in which time.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyLimits {
-    /// Largest body, in bytes.
+    /// Largest body, in bytes; no more than the account admits.
     pub bytes: usize,
     /// When the body must be complete; `None` for any time.
     pub end: Option<Instant>,
@@ -84,11 +84,12 @@
     if body.is_end_stream() {
         return Ok(Bytes::new().into());
     }
+    let limit = limits.bytes.min(memory.largest());
     let hint = body.size_hint();
-    if hint.lower() > limits.bytes as u64 {
+    if hint.lower() > limit as u64 {
         return Err(BodyError::TooLarge);
     }
-    let mut buffer = Buffer::new(memory.open(), limits.bytes);
+    let mut buffer = Buffer::new(memory.open(), limit);
     if let Some(length) = hint.exact() {
         buffer.grow(length as usize)?;
     }
--- a/crates/intake/src/memory.rs
+++ b/crates/intake/src/memory.rs
@@ -19,10 +19,14 @@
     }
 }
 
+/// Memory of a request besides the content of its body, in bytes.
+const REQUEST_BYTES: usize = 4 * 1024;
+
 #[derive(Debug)]
 struct Inner {
     state: Mutex<State>,
     budget: BodyBudget,
+    copies: usize,
     /// Origin of the ledger's times.
     start: Instant,
 }
@@ -34,8 +38,9 @@
 }
 
 impl BodyMemory {
-    /// An account with nothing reserved.
-    pub fn new(budget: BodyBudget) -> Self {
+    /// An account with nothing reserved, of bodies that are in memory `copies` times while
+    /// they are processed.
+    pub fn new(budget: BodyBudget, copies: usize) -> Self {
         let state = State {
             ledger: Ledger::new(budget),
             yields: Vec::new(),
@@ -44,6 +49,7 @@
             inner: Arc::new(Inner {
                 state: Mutex::new(state),
                 budget,
+                copies,
                 start: Instant::now(),
             }),
         }
@@ -51,7 +57,7 @@
 
     /// Largest body that can be admitted, in bytes.
     pub fn largest(&self) -> usize {
-        self.inner.budget.large
+        self.inner.budget.large / self.inner.copies - REQUEST_BYTES
     }
 
     /// Bytes that are reserved, and the number of bodies.
@@ -100,9 +106,12 @@
     ///
     /// [`Full`] if there is no room.
     pub fn reserve(&mut self, bytes: usize) -> Result<(), Full> {
-        let now = self.memory.inner.start.elapsed();
+        let inner = &self.memory.inner;
+        let now = inner.start.elapsed();
+        let needed = bytes.saturating_add(REQUEST_BYTES);
+        let needed = needed.saturating_mul(inner.copies);
         let mut state = self.memory.lock();
-        let yielding = state.ledger.reserve(now, self.id, bytes)?;
+        let yielding = state.ledger.reserve(now, self.id, needed)?;
         self.reserved = bytes;
         for id in yielding {
             if let Some(yielded) = state.remove(id) {
@@ -112,7 +121,7 @@
         Ok(())
     }
 
-    /// Bytes that are reserved.
+    /// Size of the buffer that is reserved, in bytes.
     pub fn reserved(&self) -> usize {
         self.reserved
     }
