Bound the memory of what operators send

What operators saw: a few configurations of legal size, stalled or whole, end a control instance; so does a single valid one of 16 MiB of empty strings.

Cause: 16 MiB each, collected as frames, without a bound on the sum; checking a configuration of tiny parts takes up to 20 times its text.

Longer ones get 413, which ends the operator's call; where room is short 503, which is repeated. The team's key is checked before the body is read.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,5 +1,6 @@
 //! Life cycle of a control instance, from start to drain.
 
+use crate::bodies;
 use crate::contacts::{self, Contacts};
 use crate::discovery::{ANNOUNCE_PATH, Announcement};
 use crate::forward;
@@ -18,7 +19,7 @@
 use crate::settings::{Settings, Start};
 use crate::shutdown::shut_down;
 use crate::streams::StreamTracker;
-use axum::Router;
+use axum::{Extension, Router};
 use derive_more::{Display, Error};
 use dogwoodhill_consensus::members::Member;
 use dogwoodhill_core::prelude::*;
@@ -281,10 +282,12 @@
         });
         let health =
             health::router(&self.drain, &metrics, readiness(&self.replica, &metrics));
+        let bodies = bodies::memory(&self.settings.resources);
         let public = operators::routes(operator_api)
             .merge(health.clone())
-            .merge(platform_routes);
-        metrics.watch_intake(self.listeners.operators.connections(), None);
+            .merge(platform_routes)
+            .layer(Extension(bodies.clone()));
+        metrics.watch_intake(self.listeners.operators.connections(), Some(bodies));
         let known = internal::require_key(
             contacts::routes(self.contacts.clone()),
             Arc::new(secret),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 //! idempotent, because a sender that loses a reply sends again: a document is identified
 //! by its version, a claim and a lease by their holder.
 
+pub mod bodies;
 mod calls;
 pub mod command;
 mod contacts;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -1,16 +1,17 @@
 //! HTTP API for operators.
 
+use crate::bodies::{BodyRefusal, OperatorBody};
 use crate::command::{Acceptance, Action, Put, PutError, Reply};
 use crate::presence::Presence;
 use crate::routes::RoutesError;
 use crate::service::Service;
 use crate::settings::Team;
 use crate::state::{Documents, History};
-use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::extract::{FromRequest, Path, Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{Json, Router};
-use bytes::Bytes;
+use derive_more::From;
 use dogwoodhill_core::keys::{KeyHash, KeyRing};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_route::set::JsonFormat;
@@ -18,9 +19,6 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// Largest document, in bytes.
-const MAX_DOCUMENT: usize = 16 * 1024 * 1024;
-
 /// State shared by the handlers.
 #[derive(Clone, Debug)]
 pub struct OperatorApi {
@@ -166,13 +164,19 @@
 }
 
 /// Why an operator's request was refused.
-#[derive(Debug)]
+#[derive(Debug, From)]
 enum OperatorError {
     UnknownKey,
+    #[from]
+    Body(BodyRefusal),
+    NotText,
     UnknownService(ServiceId),
     NoMajority,
     InvalidDocument(Diagnostics),
-    NameMismatch { path: ServiceId, text: ServiceId },
+    NameMismatch {
+        path: ServiceId,
+        text: ServiceId,
+    },
     Put(PutError),
     Routes(RoutesError),
 }
@@ -184,6 +188,11 @@
                 StatusCode::UNAUTHORIZED,
                 "unknown key; send Authorization: Bearer and a key of your team".to_string(),
             ),
+            Self::Body(refusal) => return refusal.into_response(),
+            Self::NotText => (
+                StatusCode::BAD_REQUEST,
+                "the document is not UTF-8; send it as such".to_string(),
+            ),
             Self::UnknownService(service) => (
                 StatusCode::NOT_FOUND,
                 format!("there is no service {service}; GET /v1/status lists them"),
@@ -229,7 +238,6 @@
         .route("/v1/services/{service}/history", get(history))
         .route("/v1/routes", get(current_routes).put(put_routes))
         .route("/v1/status", get(status))
-        .layer(DefaultBodyLimit::max(MAX_DOCUMENT))
         .with_state(api)
 }
 
@@ -262,10 +270,12 @@
 async fn put(
     State(api): State<OperatorApi>,
     Path(service): Path<ServiceId>,
-    headers: HeaderMap,
-    text: String,
+    request: Request,
 ) -> Result<Json<Accepted>, OperatorError> {
-    let team = api.team(&headers)?;
+    let team = api.team(request.headers())?;
+    let body = OperatorBody::from_request(request, &()).await?;
+    let text =
+        String::from_utf8(body.bytes().to_vec()).map_err(|_| OperatorError::NotText)?;
     let document = ServiceDocument::parse(&service, &text)
         .map_err(OperatorError::InvalidDocument)?;
     if document.service != service {
@@ -323,11 +333,11 @@
 
 async fn put_routes(
     State(api): State<OperatorApi>,
-    headers: HeaderMap,
-    source: Bytes,
+    request: Request,
 ) -> Result<Json<RoutesAccepted>, OperatorError> {
-    api.team(&headers)?;
-    let put = api.service.put_routes(&JsonFormat, &source).await;
+    api.team(request.headers())?;
+    let source = OperatorBody::from_request(request, &()).await?;
+    let put = api.service.put_routes(&JsonFormat, source.bytes()).await;
     let version = put.map_err(OperatorError::Routes)?;
     Ok(Json(RoutesAccepted { version }))
 }
