Account for responses until callers have read them

What callers saw: callers that don't read their responses end an entry.

Cause: the space of a response was released with its body, which the connection drops as soon as it has taken the bytes; the bytes themselves stay until they are written. Besides, nothing disconnected such callers when the space ran out.

Change: the bytes own their space. Where there is none for another response, callers that have not read for a second are disconnected, one after another. The space is three twentieths of the memory, and buffers grow within it.

--- a/crates/direct/src/buffers.rs
+++ b/crates/direct/src/buffers.rs
@@ -2,29 +2,34 @@
 //!
 //! An endpoint in trouble may send without end, and many may do so at once. Each response
 //! may buffer [`FREE_BYTES`] on its own account, so short responses are always delivered.
-//! What goes beyond is reserved from a pool that all responses of the entry share; a
-//! response for which the pool has no room is given up.
+//! What goes beyond is reserved from a pool that all responses of the entry share. Where
+//! the pool has no room, callers that don't read their responses are disconnected; if
+//! there are none, the response is given up.
 
+use dogwoodhill_core::prelude::*;
+use dogwoodhill_intake::prelude::*;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::time::sleep;
 
 /// Bytes that each response may buffer without a reservation.
 pub const FREE_BYTES: usize = 16 * 1024;
 /// Unit of reservations, in bytes.
 const STEP: usize = 64 * 1024;
-/// Bytes that the responses of an entry may reserve together. Buffers take up to twice
-/// that while they grow, which is less than a third of the memory of small instances.
-pub const POOL_BYTES: usize = 16 * 1024 * 1024;
+/// Time in which a closed connection drops its response.
+const RELIEF_DELAY: Duration = Duration::from_millis(10);
 
 /// The pool of an entry. Clones share it.
 #[derive(Clone, Debug)]
 pub struct BufferPool {
     available: Arc<AtomicUsize>,
+    /// Connections of callers, which hold responses until these are read.
+    connections: Option<Connections>,
 }
 
 impl Default for BufferPool {
     fn default() -> Self {
-        Self::new(POOL_BYTES)
+        Self::new(Resources::default().responses())
     }
 }
 
@@ -33,9 +38,17 @@
     pub fn new(bytes: usize) -> Self {
         Self {
             available: Arc::new(AtomicUsize::new(bytes)),
+            connections: None,
         }
     }
 
+    /// The same pool, for responses to these connections.
+    #[must_use]
+    pub fn for_connections(mut self, connections: Connections) -> Self {
+        self.connections = Some(connections);
+        self
+    }
+
     /// The space of one response, with nothing reserved.
     pub fn open(&self) -> BufferSpace {
         BufferSpace {
@@ -78,6 +91,19 @@
         self.reserved = needed;
         true
     }
+
+    /// Like [`Self::fit`]. Where there is not enough, connections whose callers don't read
+    /// are closed, one after another.
+    pub async fn fit_with_relief(&mut self, bytes: usize) -> bool {
+        while !self.fit(bytes) {
+            let connections = self.pool.connections.as_ref();
+            if !connections.is_some_and(Connections::close_unread) {
+                return false;
+            }
+            sleep(RELIEF_DELAY).await;
+        }
+        true
+    }
 }
 
 impl Drop for BufferSpace {
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -137,9 +137,10 @@
             streams,
             suspects: Suspects::new(&settings.name, stats.clone()),
             usage,
-            connections,
+            connections: connections.clone(),
             bodies,
-            buffers: BufferPool::default(),
+            buffers: BufferPool::new(settings.resources.responses())
+                .for_connections(connections),
             stats,
             drain,
             drain_started: OnceLock::new(),
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -6,7 +6,7 @@
     AdmissionError, Endpoint, InFlight, PrefixFetch, QueuePosition, RequestIdentity,
 };
 use crate::pool::{self, ConnectError, Connection};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::Display;
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_intake::prelude::*;
@@ -159,19 +159,37 @@
     body: &mut Incoming,
     space: &mut BufferSpace,
 ) -> Result<Bytes, Loss> {
-    let mut bytes = BytesMut::new();
+    let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Loss::ConnectionBroken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
         let size = bytes.len() + data.len();
-        if size > MAX_BUFFERED_RESPONSE || !space.fit(size) {
+        if size > MAX_BUFFERED_RESPONSE {
             return Err(Loss::Oversized);
         }
+        if size > bytes.capacity() {
+            grow(&mut bytes, size, space).await?;
+        }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(bytes.into())
+}
+
+/// Grows a buffer to `size` bytes at least, of which all are accounted for.
+async fn grow(
+    buffer: &mut Vec<u8>,
+    size: usize,
+    space: &mut BufferSpace,
+) -> Result<(), Loss> {
+    let doubled = (2 * buffer.capacity()).clamp(size, MAX_BUFFERED_RESPONSE);
+    let capacity = if space.fit(doubled) { doubled } else { size };
+    if !space.fit_with_relief(capacity).await {
+        return Err(Loss::Oversized);
+    }
+    buffer.reserve_exact(capacity - buffer.len());
+    Ok(())
 }
 
 /// A complete response.
--- a/crates/direct/src/response.rs
+++ b/crates/direct/src/response.rs
@@ -32,8 +32,19 @@
 pub struct ResponseBody {
     content: Content,
     guard: Option<RequestGuard>,
-    /// Memory of a body that is completely in memory.
-    _space: Option<BufferSpace>,
+}
+
+/// Bytes with the memory that accounts for them. The connection drops the body once it has
+/// taken the bytes, and keeps these until the caller has read them.
+struct AccountedBytes {
+    bytes: Bytes,
+    _space: BufferSpace,
+}
+
+impl AsRef<[u8]> for AccountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 #[derive(Debug)]
@@ -51,10 +62,11 @@
 
     /// A body that is completely in memory, which `space` accounts for.
     pub fn buffered(bytes: Bytes, space: BufferSpace) -> Self {
-        Self {
-            _space: Some(space),
-            ..Self::complete(bytes)
-        }
+        let bytes = AccountedBytes {
+            bytes,
+            _space: space,
+        };
+        Self::complete(Bytes::from_owner(bytes))
     }
 
     /// A body that arrives in parts; it is complete only after [`Part::End`].
@@ -66,7 +78,6 @@
         Self {
             content,
             guard: None,
-            _space: None,
         }
     }
 
--- a/crates/policy/src/intake/resources.rs
+++ b/crates/policy/src/intake/resources.rs
@@ -39,7 +39,7 @@
 
     /// Memory of buffered responses, in bytes.
     pub fn responses(&self) -> usize {
-        self.memory / 8
+        self.memory * 3 / 20
     }
 
     /// Connections of callers.
