Release bodies that aren't sent again, and those that stall at a stop

What callers saw: nothing yet; a body took memory as long as its response lasted, and one that stood still held a stopping entry until the end of its grace.

Evidence: body_released_once_not_sent_again and body_standing_still_at_stop_refused fail without the change: bytes held while the stream lasts; 408 after 10 s.

Change: a request that can't be sent again releases its body when the response begins.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -33,6 +33,7 @@
 use crate::stream::EventSource;
 use crate::trials::TrialGuard;
 use crate::usage::StartCounter;
+use bytes::Bytes;
 use crash::workspace_hash;
 use dogwoodhill_core::fingerprint::short_form;
 use dogwoodhill_core::prelude::*;
@@ -339,6 +340,13 @@
         }
     }
 
+    /// Releases the request's body if the request is not sent again.
+    fn release_body(&mut self) {
+        if !self.is_idempotent() {
+            self.outbound.body = Bytes::new().into();
+        }
+    }
+
     fn is_stream(&self, response: &EndpointResponse) -> bool {
         self.admitted.route.events.is_some() && response.status.is_success()
     }
@@ -395,6 +403,7 @@
                     if !self.is_stream(&response) {
                         self.start_counter.count();
                     }
+                    self.release_body();
                     return DispatchResult::Response(response);
                 }
                 SendOutcome::Refused(reason) => {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -34,7 +34,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Timeout of reading a body where the caller names none.
+/// Timeout of reading a body where the caller names none or no route matches, and the
+/// shortest time without a byte after which it is given up.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Range of the retry delay after a refusal with a transient cause (an entry that starts,
 /// a full or a leaving endpoint), in milliseconds. Randomized so that callers that were
@@ -220,13 +221,22 @@
         let limits = BodyLimits {
             bytes: limits.body,
             end: Some(arrived + self.body_timeout(&parts, meta.as_ref())),
-            idle: limits.idle,
+            idle: limits.idle.max(BODY_TIMEOUT),
         };
-        let body = match body::read(&mut body, &limits, &self.bodies).await {
+        let read = tokio::select! {
+            biased;
+            read = body::read(&mut body, &limits, &self.bodies) => {
+                read.map_err(body_refusal)
+            }
+            () = self.drain_refusals() => {
+                Err((RefusalCause::Stopping, Some(Duration::ZERO)))
+            }
+        };
+        let body = match read {
             Ok(body) => body,
-            Err(error) => {
+            Err(refusal) => {
                 discard_unless_awaited(&parts, body);
-                return Err(body_refusal(error));
+                return Err(refusal);
             }
         };
         let meta = meta.ok_or((RefusalCause::Malformed, None))?;
@@ -290,7 +300,8 @@
         })
     }
 
-    /// Timeout of reading the body: the shorter of the route's and the caller's.
+    /// Timeout of reading the body: the shorter of the route's and the caller's. Where no
+    /// route matches, the caller's alone would be without bound.
     fn body_timeout(&self, parts: &Parts, meta: Option<&RequestMeta>) -> Duration {
         let max_wait = meta.and_then(|meta| meta.max_wait).unwrap_or(BODY_TIMEOUT);
         let table = self.routes.load();
@@ -298,7 +309,7 @@
         let route = table
             .as_ref()
             .and_then(|table| table.find(&host, parts.uri.path()));
-        route.map_or(max_wait, |route| route.timeout.min(max_wait))
+        max_wait.min(route.map_or(BODY_TIMEOUT, |route| route.timeout))
     }
 
     /// When the entry itself responds to pending requests; `None` unless it drains.
@@ -315,6 +326,14 @@
         sleep_until(self.response_deadline().unwrap_or(last)).await;
     }
 
+    /// Completes when the drain has come so far that requests are refused, and so also
+    /// those whose bodies are still arriving.
+    async fn drain_refusals(&self) {
+        self.drain.wait_begun().await;
+        let start = self.drain_started.get().copied();
+        sleep_until(start.unwrap_or_else(Instant::now) + DRAIN_REFUSE_AFTER).await;
+    }
+
     /// Whether the entry is expected to stop before the request completes.
     fn outlasts_drain(&self, route: &Route, prompt: &Prompt) -> bool {
         let Some(drain_start) = self.drain_started.get() else {
--- a/crates/direct/tests/all/intake.rs
+++ b/crates/direct/tests/all/intake.rs
@@ -1,10 +1,13 @@
 //! Bodies that are refused: the caller gets the refusal, and others their answers.
 
-use crate::endpoint::ScriptedEndpoint;
+use crate::endpoint::{Act, ScriptedEndpoint};
 use crate::entry::{CallerResponse, Entry, request, route_set};
 use dogwoodhill_route::prelude::*;
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::yield_now;
 
 const MAX_BODY: usize = 64 * 1024;
 const MIB: usize = 1024 * 1024;
@@ -92,3 +95,48 @@
     assert_eq!(got.status, 200, "{}", got.head);
     assert_eq!(entry.shared.bodies.usage(), (0, 0));
 }
+
+/// The body of a request that can't be sent again is released once its stream begins; that
+/// of one that may be resumed elsewhere is kept.
+#[tokio::test]
+async fn body_released_once_not_sent_again() {
+    for (line, kept) in [("POST /stream/", false), ("POST /resumable/", true)] {
+        let left = Arc::new(Notify::new());
+        let act = Act::Stall(vec!["id: 1\ndata: one\n\n"], Arc::clone(&left));
+        let endpoint = ScriptedEndpoint::start(vec![act]).await;
+        let entry = Entry::with_endpoints(&[&endpoint]).await;
+        let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+        let text = request(line, "", &"x".repeat(100_000));
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut received = Vec::new();
+        while !String::from_utf8_lossy(&received).contains("data: one") {
+            assert!(stream.read_buf(&mut received).await.unwrap() > 0);
+        }
+        assert_eq!(entry.shared.bodies.usage().0 > 0, kept, "{line}");
+        drop(stream);
+        left.notified().await;
+    }
+}
+
+/// A body that stands still as the entry stops is refused as not run, and holds the entry
+/// no longer.
+#[tokio::test]
+async fn body_standing_still_at_stop_refused() {
+    let endpoint = ScriptedEndpoint::start(Vec::new()).await;
+    let entry = Entry::with_endpoints(&[&endpoint]).await;
+    let mut stream = TcpStream::connect(entry.callers).await.unwrap();
+    let head = announcement(9, "x-patience-ms: 30000\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    while entry.shared.bodies.usage().1 == 0 {
+        yield_now().await;
+    }
+    entry.drain.begin();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.unwrap();
+    let got = CallerResponse::new(&bytes);
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.body.contains("stopping") && got.body.contains("not-run"));
+    assert!(got.header("retry-after").is_some());
+    assert_eq!(entry.drain.active(), 0);
+    assert!(endpoint.seen().is_empty());
+}
