Keep long buffers out of the heap

What callers saw: nothing yet.

Cause: the heap has a part for each thread, and each keeps what was freed of long buffers of many lengths: the sum of peaks, not the peak of the sum.

Change: buffers of 128 KiB and more are anonymous mappings (memmap2). Their pages take memory as they are written, so they grow in place, and go back to the system when they are dropped. Ordinary bodies are shorter and stay in the heap.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -159,37 +159,42 @@
     body: &mut Incoming,
     space: &mut BufferSpace,
 ) -> Result<Bytes, Loss> {
-    let mut bytes = Vec::new();
+    let mut buffer = Buffer::new(MAX_BUFFERED_RESPONSE);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Loss::ConnectionBroken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let size = bytes.len() + data.len();
+        let size = buffer.len() + data.len();
         if size > MAX_BUFFERED_RESPONSE {
             return Err(Loss::Oversized);
         }
-        if size > bytes.capacity() {
-            grow(&mut bytes, size, space).await?;
+        if size > buffer.capacity() {
+            grow(&mut buffer, size, space).await?;
         }
-        bytes.extend_from_slice(&data);
+        buffer.extend(&data);
     }
-    Ok(bytes.into())
+    Ok(buffer.freeze())
 }
 
 /// Grows a buffer to `size` bytes at least, of which all are accounted for.
 async fn grow(
-    buffer: &mut Vec<u8>,
+    buffer: &mut Buffer,
     size: usize,
     space: &mut BufferSpace,
 ) -> Result<(), Loss> {
-    let doubled = (2 * buffer.capacity()).clamp(size, MAX_BUFFERED_RESPONSE);
+    let doubled = buffer.next_capacity(size);
     let capacity = if space.fit(doubled) { doubled } else { size };
     if !space.fit_with_relief(capacity).await {
         return Err(Loss::Oversized);
     }
-    buffer.reserve_exact(capacity - buffer.len());
-    Ok(())
+    buffer.grow(capacity).map_err(|error| {
+        Event::new("buffer-unavailable")
+            .field("bytes", capacity)
+            .field("error", error)
+            .warn();
+        Loss::Oversized
+    })
 }
 
 /// A complete response.
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -4,6 +4,7 @@
 //! keeps the whole read buffer that it was cut from. Frames are therefore copied, and the
 //! buffer's capacity is reserved before it grows.
 
+use crate::buffer::Buffer;
 use crate::memory::{BodyMemory, BodySpace};
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -15,7 +16,7 @@
 
 /// Capacity with which the buffer of a body of unknown length begins, in bytes.
 const FIRST_CAPACITY: usize = 8 * 1024;
-/// Received bytes after which the account is told.
+/// Received bytes after which the account is updated.
 const ADVANCE_BYTES: usize = 16 * 1024;
 /// Most bytes of a refused body that are read and dropped.
 const MAX_DISCARDED: usize = 16 * 1024 * 1024;
@@ -89,7 +90,9 @@
     if hint.lower() > limit as u64 {
         return Err(BodyError::TooLarge);
     }
-    let mut buffer = Buffer::new(memory.open(), limit);
+    // A body of known length is not longer than that.
+    let limit = hint.exact().map_or(limit, |length| length as usize);
+    let mut buffer = AccountedBuffer::new(memory.open(), limit);
     if let Some(length) = hint.exact() {
         buffer.grow(length as usize)?;
     }
@@ -105,18 +108,18 @@
 }
 
 /// A buffer whose capacity is reserved.
-struct Buffer {
-    bytes: Vec<u8>,
+struct AccountedBuffer {
+    bytes: Buffer,
     space: BodySpace,
     limit: usize,
-    /// Received bytes of which the account is not told yet.
+    /// Received bytes that the account doesn't know of yet.
     pending: usize,
 }
 
-impl Buffer {
+impl AccountedBuffer {
     fn new(space: BodySpace, limit: usize) -> Self {
         Self {
-            bytes: Vec::new(),
+            bytes: Buffer::new(limit),
             space,
             limit,
             pending: 0,
@@ -152,13 +155,13 @@
         if length > self.limit {
             return Err(BodyError::TooLarge);
         }
-        if length > self.space.reserved() {
-            let doubled = (2 * self.space.reserved()).max(FIRST_CAPACITY);
-            let doubled = doubled.min(self.limit).max(length);
+        if length > self.bytes.capacity() {
+            let doubled = self.bytes.next_capacity(length.max(FIRST_CAPACITY));
             // Where the memory is short, the next bytes alone may still fit.
-            self.grow(doubled).or_else(|_| self.grow(length))?;
+            self.grow(doubled.min(self.limit))
+                .or_else(|_| self.grow(length))?;
         }
-        self.bytes.extend_from_slice(data);
+        self.bytes.extend(data);
         self.pending += data.len();
         if self.pending >= ADVANCE_BYTES {
             self.space.advance(std::mem::take(&mut self.pending));
@@ -169,15 +172,14 @@
     fn grow(&mut self, capacity: usize) -> Result<(), BodyError> {
         let reserved = self.space.reserve(capacity);
         reserved.map_err(|_| BodyError::NoMemory)?;
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        Ok(())
+        self.bytes.grow(capacity).map_err(|_| BodyError::NoMemory)
     }
 
     fn finish(self) -> Result<WholeBody, BodyError> {
         let complete = self.space.complete();
         complete.map_err(|_| BodyError::NoMemory)?;
         Ok(WholeBody {
-            bytes: self.bytes.into(),
+            bytes: self.bytes.freeze(),
             space: Some(self.space),
         })
     }
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`body`]: a body is copied into one buffer, so it costs what was received and not
 //!   what its chunks cost;
+//! * [`buffer`]: long buffers are returned to the system, not to the heap;
 //! * [`memory`]: the buffers of all bodies are reserved from one account;
 //! * [`connections`]: a full listener closes the connection that makes least progress;
 //! * [`progress`]: what each connection waits for.
@@ -13,6 +14,7 @@
 //! The decisions are in `dogwoodhill_policy::intake`.
 
 pub mod body;
+pub mod buffer;
 pub mod connections;
 pub mod memory;
 pub mod progress;
@@ -21,6 +23,7 @@
 /// Common imports.
 pub mod prelude {
     pub use crate::body::{BodyError, BodyLimits, WholeBody};
+    pub use crate::buffer::Buffer;
     pub use crate::connections::{ConnectionGuard, Connections};
     pub use crate::memory::{BodyMemory, BodySpace};
     pub use crate::progress::{ObservedBody, ObservedStream, RequestGuard};
--- a/crates/intake/src/memory.rs
+++ b/crates/intake/src/memory.rs
@@ -78,7 +78,6 @@
         BodySpace {
             memory: self.clone(),
             id,
-            reserved: 0,
             yielded,
         }
     }
@@ -94,7 +93,6 @@
 pub struct BodySpace {
     memory: BodyMemory,
     id: HolderId,
-    reserved: usize,
     yielded: CancellationToken,
 }
 
@@ -112,7 +110,6 @@
         let needed = needed.saturating_mul(inner.copies);
         let mut state = self.memory.lock();
         let yielding = state.ledger.reserve(now, self.id, needed)?;
-        self.reserved = bytes;
         for id in yielding {
             if let Some(yielded) = state.remove(id) {
                 yielded.cancel();
@@ -121,11 +118,6 @@
         Ok(())
     }
 
-    /// Size of the buffer that is reserved, in bytes.
-    pub fn reserved(&self) -> usize {
-        self.reserved
-    }
-
     /// Records that bytes of the body arrived.
     pub fn advance(&self, bytes: usize) {
         self.memory.lock().ledger.advance(self.id, bytes);
