--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -42,6 +42,9 @@
 const ACCEPT_BACKLOG: u32 = 1_024;
 /// Copies of a body in memory: the kernel takes it from the buffer that received it.
 const BODY_COPIES: usize = 1;
+/// Receive buffer of a caller's connection, in bytes. What has arrived and isn't read yet
+/// is part of the instance's memory.
+const RECEIVE_BUFFER: u32 = 64 * 1024;
 /// Time before the end of the grace period at which the entry exits by itself, so that
 /// its last log lines are written.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
@@ -286,6 +289,11 @@
         SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+        Event::new("receive-buffer-unset")
+            .field("error", error)
+            .warn();
+    }
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
 }
