--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -56,8 +56,7 @@
 pub struct WholeBody {
     /// Content.
     pub bytes: Bytes,
-    /// Memory of the content; `None` for one that no account
-    /// covers.
+    /// Memory of the content; `None` for one that no account covers.
     pub space: Option<BodySpace>,
 }
 
