Begin a trial only where the request itself may run

Cause: trials are granted to a request by its content, and attempts that begin and resume streams of the same content are copies of one request. A waiting copy began whatever trial was granted for that content, and the placement on trial did not look at the version. So a resumed copy took the trial that had been granted to one that began a stream.

A trial is now begun only by a copy that can be placed at its endpoint, and a placement at a named endpoint, on trial or by a lent place, obeys the same rules as any other: endpoints that were tried, and the version. A trial that suits no copy expires as before.

Both tests fail before: trial_of_other_copy_left_to_it (the other copy got the trial), stream_resumed_on_trial_at_its_version (200 with an event of v1.1 after two of v1).

--- a/crates/direct/src/directory/lending.rs
+++ b/crates/direct/src/directory/lending.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a service whose places are lent.
 
-use super::{Directory, Endpoint, Placement};
+use super::{Directory, Endpoint, Placement, PlacementQuery};
 use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::health::Health;
 use dogwoodhill_policy::lending::{EndpointSlots, MAX_ENDPOINTS};
@@ -29,12 +29,19 @@
         Some(slots.collect())
     }
 
-    /// The placement at one endpoint of a service, if it still admits requests.
-    pub fn place_at(&self, service: &str, run: &Incarnation) -> Option<Placement> {
+    /// The placement at one endpoint of a service, if it still admits requests, was not
+    /// tried, and has a version at which the request may run.
+    pub fn place_at(
+        &self,
+        query: &PlacementQuery<'_>,
+        run: &Incarnation,
+    ) -> Option<Placement> {
         let endpoint = self.find_run(run)?;
         let snapshot = self.snapshot.load();
-        let known = snapshot.group(service)?.len();
-        endpoint.admits().then(|| Placement {
+        let known = snapshot.group(query.service)?.len();
+        let tried = query.tried.iter().any(|run| endpoint.runs_as(run));
+        let usable = !tried && endpoint.admits() && query.version.allows(&endpoint);
+        usable.then(|| Placement {
             fetch: None,
             health: endpoint.health(),
             endpoint,
--- a/crates/direct/src/dispatch/trial.rs
+++ b/crates/direct/src/dispatch/trial.rs
@@ -3,7 +3,7 @@
 use super::Dispatch;
 use crate::directory::{Placement, RequestIdentity};
 use crate::response::RefusalCause;
-use crate::trials::TrialGuard;
+use dogwoodhill_core::prelude::*;
 use dogwoodhill_policy::quarantine::SUSPECT_CRASHES;
 use dogwoodhill_policy::quarantine::trials::WantedTrial;
 use std::sync::Arc;
@@ -32,9 +32,11 @@
             if !self.suspected {
                 return Ok(None);
             }
-            let granted = wait.begin(self.fingerprint);
-            if let Some(placed) = granted.and_then(|guard| self.place_granted(guard)) {
-                return Ok(Some(placed));
+            let directory = &self.shared.directory;
+            let place = |run: &Incarnation| directory.place_at(&self.query(), run);
+            if let Some((guard, placement)) = wait.begin(self.fingerprint, place) {
+                self.trial = Some(guard);
+                return Ok(Some(placement));
             }
             let wanted = self.wanted_trial();
             if wanted.endpoints.is_empty() {
@@ -49,14 +51,6 @@
         }
     }
 
-    /// Places the request at the endpoint of its trial, unless that has become unusable.
-    fn place_granted(&mut self, guard: TrialGuard) -> Option<Placement> {
-        let directory = &self.shared.directory;
-        let placement = directory.place_at(&self.service, &guard.trial().run)?;
-        self.trial = Some(guard);
-        Some(placement)
-    }
-
     fn is_suspected(&self) -> bool {
         self.crash_count() >= SUSPECT_CRASHES
     }
--- a/crates/direct/src/dispatch/waiting.rs
+++ b/crates/direct/src/dispatch/waiting.rs
@@ -29,7 +29,7 @@
             let Some(guard) = self.await_place(&lending).await? else {
                 break;
             };
-            let placement = self.shared.directory.place_at(&self.service, guard.run());
+            let placement = self.shared.directory.place_at(&self.query(), guard.run());
             if let Some(placement) = placement {
                 self.place = Some(guard);
                 return Ok(placement);
--- a/crates/direct/src/trials.rs
+++ b/crates/direct/src/trials.rs
@@ -118,22 +118,31 @@
 }
 
 impl TrialWait {
-    /// Begins the send, if it is granted.
-    pub fn begin(&self, request: Fingerprint) -> Option<TrialGuard> {
+    /// Begins a granted send at an endpoint at which `place` places the request. The trial
+    /// may have been granted to another request with the same content, which can run at
+    /// endpoints that this one can't.
+    pub fn begin<P>(
+        &self,
+        request: Fingerprint,
+        place: impl Fn(&Incarnation) -> Option<P>,
+    ) -> Option<(TrialGuard, P)> {
         let now = uptime();
         let mut state = self.trials.state();
-        let is_valid =
-            |(trial, until): &(Trial, Duration)| trial.request == request && now < *until;
-        let at = state.granted.iter().position(is_valid)?;
+        let mut granted = state.granted.iter().enumerate();
+        let (at, placement) = granted.find_map(|(at, (trial, until))| {
+            let is_valid = trial.request == request && now < *until;
+            Some(at).zip(is_valid.then(|| place(&trial.run))?)
+        })?;
         let (trial, _) = state.granted.swap_remove(at);
         let ticket = state.ticket();
         state.running.push((ticket, trial.clone(), now));
-        Some(TrialGuard {
+        let guard = TrialGuard {
             trials: Arc::clone(&self.trials),
             ticket,
             trial,
             began: now,
-        })
+        };
+        Some((guard, placement))
     }
 
     /// Updates what the request waits for.
--- a/crates/direct/tests/all/main.rs
+++ b/crates/direct/tests/all/main.rs
@@ -33,5 +33,6 @@
 mod shares;
 mod staleness;
 mod streams;
+mod trials;
 mod usage;
 mod versions;
--- a/crates/direct/tests/all/versions.rs
+++ b/crates/direct/tests/all/versions.rs
@@ -25,11 +25,11 @@
 
 /// Endpoints of each version.
 const PER_VERSION: usize = 3;
-const VERSIONS: [&str; 2] = ["v1", "v1.1"];
+pub(crate) const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 /// Interrupted streams: all of them stay at their version by chance once in 2^24 runs.
 const STREAMS: usize = 24;
 /// Events after which a stream breaks that was not resumed.
-const FIRST_EVENTS: u64 = 2;
+pub(crate) const FIRST_EVENTS: u64 = 2;
 /// Events of a complete stream.
 const EVENTS: u64 = 3;
 /// Twice the time limit of a stream and the time after which versions settle.
@@ -85,7 +85,7 @@
 }
 
 /// List entries of endpoints of both versions, by turns.
-async fn start_endpoints() -> Vec<EndpointRecord> {
+pub(crate) async fn start_endpoints() -> Vec<EndpointRecord> {
     let mut records = Vec::new();
     for (index, version) in VERSIONS.iter().cycle().take(2 * PER_VERSION).enumerate() {
         let endpoint = ScriptedEndpoint::start(Vec::new()).await;
@@ -99,7 +99,7 @@
 }
 
 /// Starts an entry that uses `control`.
-async fn start_entry(
+pub(crate) async fn start_entry(
     name: &str,
     records: &[EndpointRecord],
     control: SocketAddr,
