Admit requests with their heads, and bound streams on a connection

A single HTTP/2 client could end any process of the agents' path, and control or the readiness address of the platform: 8 connections with 4,000 requests each took 395 MiB (agent) to 1.3 GiB (entry, control), of 110 MiB allowed; 60 connections whose responses nobody reads 550 MiB to 1.2 GiB.

Cause: a connection could have 4,096 requests, and no account covered a request without a body. Heads are compressed: a field that repeats is one byte on the wire and about a hundred in memory.

Every request now takes 4 KiB, 128 bytes a field and the bytes of its head from an account of its listener, before it is routed. Without room it is refused (503, not run, with Retry-After), its head is dropped at once, and the connection whose client lags most is closed, so those that follow are served. The library decodes the heads that one read brings before they are admitted, so streams on a connection and the size of a head are bounded as well: 100 and 8 KiB for clients, 1,024 and 2 KiB between processes of the router.

21 tests, in a form of crowds that multiplexes.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -84,7 +84,7 @@
     ) -> Result<Self, Report<ListenError>> {
         let endpoint = Box::new(HttpEndpoint::new(settings.address));
         let listener = Listener::bind(settings.listen).await?;
-        let listener = listener.with_connections(settings.resources.peer_connections());
+        let listener = listener.with_limits(settings.resources.peers()).for_peers();
         let linger = settings.linger;
         let core = Arc::new(Core::new(settings, endpoint, drain.clone()));
         let connections = listener.connections();
--- a/crates/control/src/search.rs
+++ b/crates/control/src/search.rs
@@ -53,8 +53,8 @@
         let internal = internal.change_context(ControlError::Listen)?;
         let resources = &settings.resources;
         Ok(Self {
-            operators: operators.with_connections(resources.operator_connections()),
-            internal: internal.with_connections(resources.peer_connections()),
+            operators: operators.with_limits(resources.operators()),
+            internal: internal.with_limits(resources.peers()).for_peers(),
         })
     }
 }
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -1,15 +1,22 @@
 //! The HTTP listener: accepts connections, limits their number, the size and time of
-//! request heads and the number of streams, and closes connections gracefully.
+//! request heads, the number of streams and the memory of the requests in progress, and
+//! closes connections gracefully.
+//!
+//! A connection may bring as many heads as it may have streams before the first of them is
+//! admitted or refused. Other processes of the router have many streams and small heads;
+//! all other clients have few streams.
 
 use crate::drain::Drain;
 use axum::Router;
 use axum::body::Body;
+use axum::response::IntoResponse;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use dogwoodhill_core::event::Event;
 use dogwoodhill_intake::prelude::*;
 use error_stack::{Report, ResultExt};
-use http::Request;
+use http::header::RETRY_AFTER;
+use http::{Request, Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -37,8 +44,16 @@
 /// taken for dead. 64 KiB still sustains 20 MB/s at the 3 ms round trip between failure
 /// domains.
 const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
-/// Most concurrent HTTP/2 streams on one connection.
-const MAX_STREAMS: u32 = 4096;
+/// Most concurrent HTTP/2 streams on a connection of a client.
+const CLIENT_STREAMS: u32 = 100;
+/// The same for another process of the router, whose attempts share a connection.
+const PEER_STREAMS: u32 = 1_024;
+/// Retry delay of a request for which there is no memory, in seconds.
+const RETRY_AFTER_S: &str = "1";
+/// Largest head of an HTTP/2 request of a client, as RFC 9113 counts it.
+const CLIENT_HEAD_BYTES: u32 = 8 * 1024;
+/// The same for another process of the router, which sends little more than a key.
+const PEER_HEAD_BYTES: u32 = 2 * 1024;
 
 /// The address of a listener can't be bound.
 #[derive(Debug, Display, Error)]
@@ -56,11 +71,17 @@
     socket: TcpListener,
     address: SocketAddr,
     connections: Connections,
+    /// Whether the clients are other processes of the router.
+    serves_peers: bool,
+    refuse: RefuseFn,
 }
 
+/// Creates the response to a request for which there is no memory. It has not run.
+pub type RefuseFn = fn() -> Response<Body>;
+
 impl Listener {
-    /// Binds `address`; port 0 picks a free port. The number of connections is bounded as
-    /// for other processes of the router on an instance with the default resources.
+    /// Binds `address`; port 0 picks a free port. Connections and requests are bounded as
+    /// for callers of an instance with the default resources.
     ///
     /// # Errors
     ///
@@ -76,15 +97,32 @@
             address,
             connections: Connections::new(
                 &address.to_string(),
-                Resources::default().peer_connections(),
+                Resources::default().callers(),
             ),
+            serves_peers: false,
+            refuse: refuse_plainly,
         })
     }
 
-    /// The same, with at most `most` connections.
+    /// The same, with these limits.
+    #[must_use]
+    pub fn with_limits(mut self, limits: ConnectionLimits) -> Self {
+        self.connections = Connections::new(&self.address.to_string(), limits);
+        self
+    }
+
+    /// The same for other processes of the router: more streams on a connection, with
+    /// smaller heads.
+    #[must_use]
+    pub fn for_peers(mut self) -> Self {
+        self.serves_peers = true;
+        self
+    }
+
+    /// The same, with another response to requests for which there is no memory.
     #[must_use]
-    pub fn with_connections(mut self, most: usize) -> Self {
-        self.connections = Connections::new(&self.address.to_string(), most);
+    pub fn with_refusal(mut self, refuse: RefuseFn) -> Self {
+        self.refuse = refuse;
         self
     }
 
@@ -124,7 +162,7 @@
         stop: impl Future<Output = ()>,
     ) -> GracefulShutdown {
         let graceful = GracefulShutdown::new();
-        let server = server();
+        let server = server(self.serves_peers);
         tokio::pin!(stop);
         loop {
             let accepted = tokio::select! {
@@ -135,7 +173,13 @@
                 // A connection that isn't admitted is closed.
                 Ok((stream, _)) => {
                     if let Some(guard) = self.connections.admit() {
-                        spawn(&server, &graceful, stream, guard, router.clone());
+                        let intake = Intake {
+                            progress: guard.progress().clone(),
+                            connections: self.connections.clone(),
+                            router: router.clone(),
+                            refuse: self.refuse,
+                        };
+                        spawn(&server, &graceful, stream, guard, intake);
                     }
                 }
                 Err(error) => {
@@ -147,7 +191,11 @@
     }
 }
 
-fn server() -> Builder<TokioExecutor> {
+fn server(serves_peers: bool) -> Builder<TokioExecutor> {
+    let (streams, head) = match serves_peers {
+        true => (PEER_STREAMS, PEER_HEAD_BYTES),
+        false => (CLIENT_STREAMS, CLIENT_HEAD_BYTES),
+    };
     let mut server = Builder::new(TokioExecutor::new());
     server
         .http1()
@@ -158,32 +206,57 @@
         .http2()
         .timer(TokioTimer::new())
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .max_concurrent_streams(MAX_STREAMS);
+        .max_header_list_size(head)
+        .max_concurrent_streams(streams);
     server
 }
 
+/// Admits the requests of a connection.
+struct Intake {
+    progress: ConnectionProgress,
+    connections: Connections,
+    router: Router,
+    refuse: RefuseFn,
+}
+
+impl Intake {
+    /// Passes a request to the router. One that is refused is dropped at once, with its
+    /// head.
+    fn serve(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<ResponseBody>, Infallible>> + use<> {
+        let space = self.connections.admit_request(head_bytes(&request));
+        let admitted = space.map(|space| {
+            let guard = (self.progress.begin_request(), space);
+            let observe = |body| Body::new(ObservedBody::new(body, &self.progress));
+            let answered = self.router.clone().oneshot(request.map(observe));
+            (answered, guard)
+        });
+        let refuse = self.refuse;
+        async move {
+            let (response, guard) = match admitted {
+                Some((answered, guard)) => (answered.await?, Some(guard)),
+                None => (refuse(), None),
+            };
+            Ok(response.map(|body| ResponseBody {
+                body,
+                _guard: guard,
+            }))
+        }
+    }
+}
+
 fn spawn(
     server: &Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
     stream: TcpStream,
     guard: ConnectionGuard,
-    router: Router,
+    intake: Intake,
 ) {
     let _ = stream.set_nodelay(true);
-    let progress = guard.progress().clone();
-    let io = TokioIo::new(ObservedStream::new(stream, progress.clone()));
-    let service = service_fn(move |request: Request<Incoming>| {
-        let request_guard = progress.begin_request();
-        let request = request.map(|body| Body::new(ObservedBody::new(body, &progress)));
-        let answered = router.clone().oneshot(request);
-        async move {
-            let response = answered.await?;
-            Ok::<_, Infallible>(response.map(|body| ResponseBody {
-                body,
-                _guard: request_guard,
-            }))
-        }
-    });
+    let io = TokioIo::new(ObservedStream::new(stream, guard.progress().clone()));
+    let service = service_fn(move |request| intake.serve(request));
     let connection = server.serve_connection(io, service).into_owned();
     let served = graceful.watch(connection);
     tokio::spawn(async move {
@@ -195,10 +268,25 @@
     });
 }
 
+/// Memory that a request takes without its body.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let fields = request.headers().iter();
+    let bytes = fields.map(|(name, value)| name.as_str().len() + value.len());
+    let target = request.uri().path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    request_bytes(request.headers().len(), target + bytes.sum::<usize>())
+}
+
+fn refuse_plainly() -> Response<Body> {
+    let text = "not run: no memory for the request at present\n";
+    let headers = [(RETRY_AFTER, RETRY_AFTER_S)];
+    (StatusCode::SERVICE_UNAVAILABLE, headers, text).into_response()
+}
+
 /// Body of a response; its request counts as executed until it is dropped.
 struct ResponseBody {
     body: Body,
-    _guard: RequestGuard,
+    _guard: Option<(RequestGuard, RequestSpace)>,
 }
 
 impl http_body::Body for ResponseBody {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -104,6 +104,9 @@
         set("connections", open as i64);
         set("connections_closed", closed as i64);
         set("connections_refused", refused as i64);
+        let (bytes, refused) = self.connections.requests();
+        set("request_bytes", bytes as i64);
+        set("requests_refused", refused as i64);
         if let Some(bodies) = &self.bodies {
             let (bytes, count) = bodies.usage();
             set("body_bytes", bytes as i64);
--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -105,7 +105,7 @@
         let status = Listener::bind(address)
             .await
             .change_context_lazy(|| BindError { address })?
-            .with_connections(settings.resources.status_connections());
+            .with_limits(settings.resources.status());
         let metrics = Metrics::default();
         let stats = Stats::new(&metrics);
         let prefixes = settings.features.prefixes;
@@ -123,8 +123,7 @@
             client.clone(),
             Arc::clone(&control),
         );
-        let most = settings.resources.caller_connections();
-        let connections = Connections::new("callers", most);
+        let connections = Connections::new("callers", settings.resources.callers());
         let bodies = BodyMemory::new(settings.resources.bodies(), BODY_COPIES);
         metrics.watch_intake(connections.clone(), Some(bodies.clone()));
         let shared = Arc::new(SharedState {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,7 +5,7 @@
 use crate::claims::{ClaimStore, ControlClaimStore, NoClaimStore};
 use crate::pool::{ServicePool, TICK_INTERVAL};
 use crate::quotas::Quotas;
-use crate::routes::router;
+use crate::routes::{refuse_for_memory, router};
 use crate::settings::Settings;
 use crate::stats::Stats;
 use crate::table::{Service, Table};
@@ -98,8 +98,9 @@
         drain: Drain,
     ) -> Result<Self, Report<ListenError>> {
         let listener = Listener::bind(settings.listen).await?;
-        let most = settings.resources.caller_connections();
-        let listener = listener.with_connections(most);
+        let listener = listener
+            .with_limits(settings.resources.callers())
+            .with_refusal(refuse_for_memory);
         let core = Arc::new(Core::new(settings, claims, drain));
         let connections = listener.connections();
         core.metrics
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -38,7 +38,7 @@
 
 /// Longest time without a byte of a body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Range of the retry delay of a request for whose body there is no memory, in seconds.
+/// Range of the retry delay of a request for which there is no memory, in seconds.
 const MEMORY_RETRY_S: std::ops::Range<f64> = 0.5..1.5;
 
 type ParseRequest =
@@ -134,17 +134,26 @@
             "the body stood still",
             "send the whole body without long pauses",
         ),
-        BodyError::NoMemory => Refusal::not_run(
-            Cause::Unavailable,
-            "the bodies of other requests take the memory for this one",
-            "come back after the time in Retry-After",
-        )
-        .with_retry_after(Duration::from_secs_f64(
-            rand::rng().random_range(MEMORY_RETRY_S),
-        )),
+        BodyError::NoMemory => no_memory("the bodies of other requests"),
     }
 }
 
+/// Response to a request for which the listener has no memory.
+pub(crate) fn refuse_for_memory() -> Response {
+    no_memory("other requests").into_response()
+}
+
+/// Refusal of a request whose memory is taken by others.
+fn no_memory(taken_by: &str) -> Refusal {
+    let delay = rand::rng().random_range(MEMORY_RETRY_S);
+    Refusal::not_run(
+        Cause::Unavailable,
+        &format!("{taken_by} take the memory for this one"),
+        "come back after the time in Retry-After",
+    )
+    .with_retry_after(Duration::from_secs_f64(delay))
+}
+
 #[derive(Serialize)]
 struct ModelList {
     object: &'static str,
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -3,10 +3,16 @@
 //! Idle connections, heads and bodies that don't end and responses that nobody reads are
 //! one thing: a connection that takes memory and a descriptor and makes no progress. When
 //! a listener is full, the one that has made none for longest is closed for a new one.
+//!
+//! A connection may have many requests at once. The memory of those in progress, without
+//! their bodies, is bounded for all connections together. Where there is none for another
+//! one, that is refused, and the connection whose client lags most is closed for those that
+//! follow.
 
 use crate::progress::{ConnectionProgress, Wait};
 use dogwoodhill_core::prelude::*;
-use dogwoodhill_policy::intake::YIELD_LAG;
+use dogwoodhill_policy::intake::{ConnectionLimits, YIELD_LAG};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -38,6 +44,14 @@
         }
     }
 
+    /// Time for which its requests wait for the client, if that lags.
+    fn request_lag(&self) -> Option<Duration> {
+        match self.progress.wait() {
+            Wait::Client(lag) => Some(lag).filter(|lag| *lag > YIELD_LAG),
+            _ => None,
+        }
+    }
+
     /// Time for which the client has not read, if it lags.
     fn unread_lag(&self) -> Option<Duration> {
         let lag = self.progress.unread_since()?.elapsed();
@@ -53,6 +67,8 @@
     /// Connections that were closed for others, and that were refused.
     closed: u64,
     refused: u64,
+    /// Requests that were refused.
+    refused_requests: u64,
     logged: Option<Instant>,
 }
 
@@ -81,7 +97,9 @@
 #[derive(Debug)]
 struct Inner {
     listener: String,
-    most: usize,
+    limits: ConnectionLimits,
+    /// Memory of the requests in progress, in bytes.
+    requests: AtomicUsize,
     state: Mutex<State>,
 }
 
@@ -98,9 +116,11 @@
         Event::new("connections-full")
             .field("listener", &self.listener)
             .field("open", state.open.len())
-            .field("most", self.most)
+            .field("most", self.limits.connections)
             .field("closed", state.closed)
             .field("refused", state.refused)
+            .field("request_bytes", self.requests.load(Ordering::Relaxed))
+            .field("refused_requests", state.refused_requests)
             .warn();
     }
 }
@@ -112,12 +132,13 @@
 }
 
 impl Connections {
-    /// At most `most` connections; `listener` names them in log lines.
-    pub fn new(listener: &str, most: usize) -> Self {
+    /// Connections within `limits`; `listener` names them in log lines.
+    pub fn new(listener: &str, limits: ConnectionLimits) -> Self {
         Self {
             inner: Arc::new(Inner {
                 listener: listener.to_string(),
-                most,
+                limits,
+                requests: AtomicUsize::new(0),
                 state: Mutex::default(),
             }),
         }
@@ -127,7 +148,7 @@
     /// are served.
     pub fn admit(&self) -> Option<ConnectionGuard> {
         let mut state = self.lock();
-        if state.open.len() >= self.inner.most {
+        if state.open.len() >= self.inner.limits.connections {
             let closed = state.close_one(Connection::yielding_lag);
             state.refused += u64::from(!closed);
             self.inner.log_full(&mut state);
@@ -154,6 +175,32 @@
         })
     }
 
+    /// Admits a request that takes `bytes` without its body. `None` if there is no memory
+    /// for it; a connection whose client lags is closed then.
+    pub fn admit_request(&self, bytes: usize) -> Option<RequestSpace> {
+        let requests = &self.inner.requests;
+        let before = requests.fetch_add(bytes, Ordering::Relaxed);
+        let space = RequestSpace {
+            connections: self.clone(),
+            bytes,
+        };
+        if before + bytes <= self.inner.limits.requests {
+            return Some(space);
+        }
+        drop(space);
+        let mut state = self.lock();
+        state.close_one(Connection::request_lag);
+        state.refused_requests += 1;
+        self.inner.log_full(&mut state);
+        None
+    }
+
+    /// Memory of the requests in progress in bytes, and the number of those refused.
+    pub fn requests(&self) -> (usize, u64) {
+        let bytes = self.inner.requests.load(Ordering::Relaxed);
+        (bytes, self.lock().refused_requests)
+    }
+
     /// Closes the connection whose client has not read its response for longest, if one
     /// lags. Returns whether one does.
     pub fn close_unread(&self) -> bool {
@@ -177,6 +224,20 @@
     }
 }
 
+/// Memory of a request in progress; dropping it releases the memory.
+#[derive(Debug)]
+pub struct RequestSpace {
+    connections: Connections,
+    bytes: usize,
+}
+
+impl Drop for RequestSpace {
+    fn drop(&mut self) {
+        let requests = &self.connections.inner.requests;
+        requests.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// A connection that was admitted; dropping it makes room for another one.
 #[derive(Debug)]
 pub struct ConnectionGuard {
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -24,8 +24,10 @@
 pub mod prelude {
     pub use crate::body::{BodyError, BodyLimits, WholeBody};
     pub use crate::buffer::Buffer;
-    pub use crate::connections::{ConnectionGuard, Connections};
+    pub use crate::connections::{ConnectionGuard, Connections, RequestSpace};
     pub use crate::memory::{BodyMemory, BodySpace};
-    pub use crate::progress::{ObservedBody, ObservedStream, RequestGuard};
-    pub use dogwoodhill_policy::intake::Resources;
+    pub use crate::progress::{
+        ConnectionProgress, ObservedBody, ObservedStream, RequestGuard,
+    };
+    pub use dogwoodhill_policy::intake::{ConnectionLimits, Resources, request_bytes};
 }
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -10,4 +10,4 @@
 
 pub use ledger::{BodyBudget, Full, HolderId, LARGE_BODY, Ledger};
 pub use progress::{Progress, YIELD_LAG};
-pub use resources::Resources;
+pub use resources::{ConnectionLimits, Resources, request_bytes};
--- a/crates/policy/src/intake/resources.rs
+++ b/crates/policy/src/intake/resources.rs
@@ -4,6 +4,11 @@
 
 /// Memory of a connection, in bytes: its buffers, the largest usual head, and its tasks.
 const CONNECTION_BYTES: usize = 36 * 1024;
+/// Memory of a request without its head and its body, in bytes: its tasks, and what is
+/// kept of it while it is queued.
+const REQUEST_BYTES: usize = 4 * 1024;
+/// Memory of a field of a head besides its name and its value, in bytes.
+const FIELD_BYTES: usize = 128;
 /// Default memory: that of the smallest instances, in bytes.
 const DEFAULT_MEMORY: usize = 110_000_000;
 /// Default number of descriptors.
@@ -42,29 +47,53 @@
         self.memory * 3 / 20
     }
 
-    /// Connections of callers.
-    pub fn caller_connections(&self) -> usize {
-        self.connections(5, 2)
+    /// Callers.
+    pub fn callers(&self) -> ConnectionLimits {
+        self.limits(5, 2, self.memory * 3 / 20)
     }
 
-    /// Connections of other processes of the router.
-    pub fn peer_connections(&self) -> usize {
-        self.connections(4, 2)
+    /// Other processes of the router.
+    pub fn peers(&self) -> ConnectionLimits {
+        self.limits(4, 2, self.memory * 3 / 20)
     }
 
-    /// Connections of operators.
-    pub fn operator_connections(&self) -> usize {
-        self.connections(16, 8)
+    /// Operators.
+    pub fn operators(&self) -> ConnectionLimits {
+        self.limits(16, 8, self.memory / 20)
     }
 
-    /// Connections for readiness and metrics.
-    pub fn status_connections(&self) -> usize {
-        self.connections(32, 16)
+    /// Those that ask for readiness and metrics.
+    pub fn status(&self) -> ConnectionLimits {
+        self.limits(32, 16, self.memory / 40)
     }
 
-    /// Connections that take at most these parts of the memory and the descriptors.
-    fn connections(&self, memory_part: usize, descriptor_part: usize) -> usize {
+    /// As many connections as take at most these parts of the memory and the descriptors.
+    fn limits(
+        &self,
+        memory_part: usize,
+        descriptor_part: usize,
+        requests: usize,
+    ) -> ConnectionLimits {
         let by_memory = self.memory / memory_part / CONNECTION_BYTES;
-        by_memory.min(self.descriptors / descriptor_part).max(1)
+        let by_descriptors = self.descriptors / descriptor_part;
+        ConnectionLimits {
+            connections: by_memory.min(by_descriptors).max(1),
+            requests,
+        }
     }
 }
+
+/// What the clients of a listener may take together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Connections.
+    pub connections: usize,
+    /// Memory of requests in progress without their bodies, in bytes.
+    pub requests: usize,
+}
+
+/// Memory of a request in progress without its body, in bytes, where its head has this
+/// number of fields, and bytes in their names and values.
+pub fn request_bytes(fields: usize, bytes: usize) -> usize {
+    REQUEST_BYTES + fields * FIELD_BYTES + bytes
+}
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -4,6 +4,8 @@
 //! The tests check no times: a process lives and stays within its memory and descriptors,
 //! and an ordinary request is answered beside the crowd and after it.
 
+mod frames;
+mod streams;
 mod support;
 
 use dogwoodhill::core::keys::KeyHash;
@@ -30,6 +32,7 @@
     callers: SocketAddr,
     agents: SocketAddr,
     operators: SocketAddr,
+    internal: SocketAddr,
     processes: [Process; 3],
     descriptors: u64,
     _folder: Folder,
@@ -91,6 +94,7 @@
             callers,
             agents,
             operators,
+            internal,
             processes: [control, agent, entry],
             descriptors,
             _folder: folder,
