Check the whole configuration where it is sent

Cause: what was checked is the route set, which doesn't keep these. The service beside a split was dropped unread, a negative weight became 0 before the sum was looked at, and a decoder of JSON doesn't look at text that it skips.

A format now has `validate` for what an operator sends beside `read`. Entries go on with `read`: a set that an earlier release accepted stays in force, rather than leaving them without routes after an upgrade.

--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -70,7 +70,7 @@
         format: &dyn SetFormat,
         source: &[u8],
     ) -> Result<Version, RoutesError> {
-        let set = format.read(source).map_err(|source| {
+        let set = format.validate(source).map_err(|source| {
             Event::new("routes-refused").field("reason", &source).warn();
             RoutesError::Invalid { source }
         })?;
--- a/crates/route/src/set.rs
+++ b/crates/route/src/set.rs
@@ -164,6 +164,18 @@
     ///
     /// [`InvalidRouteSet`] with the reason for the rejection.
     fn read(&self, source: &[u8]) -> Result<RouteSet, InvalidRouteSet>;
+
+    /// The same for a set that an operator sends. Whatever this accepts, `read` decodes;
+    /// `read` also decodes what was accepted by earlier releases and may be in force.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidRouteSet`] with the reason for the rejection.
+    fn validate(&self, source: &[u8]) -> Result<RouteSet, InvalidRouteSet> {
+        // Decoders of JSON don't look at the text of fields that they skip.
+        std::str::from_utf8(source).map_err(InvalidRouteSet::unreadable)?;
+        self.read(source)
+    }
 }
 
 /// The router's native format: JSON with the field names of [`RouteSet`].
