Stop an entry only once every response is written

Cause: the entry waited for requests in progress. A request is done when its last part is in the channel to the caller's connection; the connection writes it later, and the process was gone by then.

The progress of a connection now says whether a request began after its socket was last flushed with none executed, and a stop waits until that is so for no connection, until the end of the grace at the latest.

--- a/crates/direct/src/direct.rs
+++ b/crates/direct/src/direct.rs
@@ -260,10 +260,16 @@
             .copied()
             .unwrap_or_else(Instant::now);
         let last = drain_start + settings.grace.saturating_sub(EXIT_RESERVE);
-        let finished = timeout_at(last, drain.wait_idle()).await.is_ok();
+        // Work is done before its response is written.
+        let finish = async {
+            drain.wait_idle().await;
+            shared.connections.wait_written().await;
+        };
+        let finished = timeout_at(last, finish).await.is_ok();
         Event::new("entry-stopped")
             .field("finished", finished)
             .field("cut", drain.active())
+            .field("unwritten", shared.connections.unwritten())
             .field("after_ms", drain_start.elapsed().as_millis())
             .info();
         if let Some((usage, follower, task)) = usage_task {
--- a/crates/direct/tests/all/entry.rs
+++ b/crates/direct/tests/all/entry.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 pub(crate) const LONG_TIMEOUT: Duration = Duration::from_secs(30);
 /// Enough requests for the budget to cover a resend.
@@ -28,6 +29,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) status: SocketAddr,
     pub(crate) drain: Drain,
+    /// Ends when the entry's process would.
+    pub(crate) running: JoinHandle<()>,
     pub(crate) shared: Arc<SharedState>,
 }
 
@@ -235,15 +238,14 @@
         let drain = Drain::default();
         let direct = Direct::bind(settings, dialects, drain.clone()).await;
         let direct = direct.expect("free ports");
-        let entry = Self {
+        let (_unchanged, changed) = watch::channel(None);
+        Self {
             callers: direct.callers(),
             status: direct.status(),
             drain,
             shared: direct.shared(),
-        };
-        let (_unchanged, changed) = watch::channel(None);
-        tokio::spawn(direct.run(changed));
-        entry
+            running: tokio::spawn(direct.run(changed)),
+        }
     }
 
     /// Sends enough requests for the budget to cover a resend.
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -20,6 +20,8 @@
 /// Delay until a connection that was executing a request is closed.
 const CLOSE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval at which unwritten responses are looked for.
+const WRITTEN_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval between log lines of a listener that is full.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -212,6 +214,20 @@
         closed
     }
 
+    /// Connections with a request that is executed, or a response that is not written.
+    pub fn unwritten(&self) -> usize {
+        let state = self.lock();
+        let open = state.open.iter();
+        open.filter(|one| one.progress.is_unwritten()).count()
+    }
+
+    /// Waits until no connection has such a request or response.
+    pub async fn wait_written(&self) {
+        while self.unwritten() > 0 {
+            sleep(WRITTEN_INTERVAL).await;
+        }
+    }
+
     /// Connections that are open, were closed for others, and were refused.
     pub fn counts(&self) -> (usize, u64, u64) {
         let state = self.lock();
--- a/crates/intake/src/progress.rs
+++ b/crates/intake/src/progress.rs
@@ -39,6 +39,8 @@
     body: Progress,
     /// When the client stopped reading.
     unread_since: Option<Instant>,
+    /// Whether a request began after the socket was last flushed with none executed.
+    unwritten: bool,
 }
 
 /// Progress of a connection. Clones share it.
@@ -58,6 +60,7 @@
             incomplete: 0,
             body: Progress::begin(Duration::ZERO),
             unread_since: None,
+            unwritten: false,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -74,6 +77,7 @@
     pub fn begin_request(&self) -> RequestGuard {
         let mut state = self.lock();
         state.requests += 1;
+        state.unwritten = true;
         state.head_since = None;
         drop(state);
         RequestGuard {
@@ -86,6 +90,11 @@
         self.lock().requests > 0
     }
 
+    /// Whether a request is executed, or the end of a response not passed to the socket.
+    pub fn is_unwritten(&self) -> bool {
+        self.lock().unwritten
+    }
+
     /// What the connection waits for.
     pub fn wait(&self) -> Wait {
         let state = self.lock();
@@ -125,6 +134,11 @@
         }
     }
 
+    fn flushed(&self) {
+        let mut state = self.lock();
+        state.unwritten = state.requests > 0;
+    }
+
     fn body_begun(&self) {
         let mut state = self.lock();
         if state.incomplete == 0 {
@@ -271,7 +285,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flush = Pin::new(&mut self.stream).poll_flush(cx);
+        // The connection flushes after it has written all it has.
+        if flush.is_ready() {
+            self.progress.flushed();
+        }
+        flush
     }
 
     fn poll_shutdown(
--- a/crates/intake/tests/connections.rs
+++ b/crates/intake/tests/connections.rs
@@ -136,3 +136,30 @@
     assert!(all.admit_request(100).is_some());
     assert!(all.admit_request(101).is_none(), "more than there ever is");
 }
+
+/// A response counts as unwritten until the socket has taken its end.
+#[tokio::test(start_paused = true)]
+async fn response_unwritten_until_flushed() {
+    let all = connections();
+    let guard = all.admit().expect("there is room");
+    assert_eq!(all.unwritten(), 0, "an idle connection");
+    let request = guard.progress().begin_request();
+    let (server, mut client) = tokio::io::duplex(8);
+    let mut stream = ObservedStream::new(server, guard.progress().clone());
+    stream.write_all(b"HTTP/1.1").await.expect("there is room");
+    stream.flush().await.expect("is open");
+    assert_eq!(all.unwritten(), 1, "the request is executed");
+    drop(request);
+    let end = timeout(STEP, stream.write_all(b" 200")).await;
+    assert!(end.is_err(), "the client doesn't read");
+    assert!(timeout(STEP, all.wait_written()).await.is_err());
+    client.read_exact(&mut [0; 8]).await.expect("was written");
+    stream.write_all(b" 200").await.expect("there is room");
+    stream.flush().await.expect("is open");
+    all.wait_written().await;
+    // A connection that breaks has nothing left to write.
+    let _request = guard.progress().begin_request();
+    assert_eq!(all.unwritten(), 1);
+    drop(guard);
+    assert_eq!(all.unwritten(), 0);
+}
